--- /dev/null
+++ b/src/lacewingstair/backend_server/__init__.py
@@ -0,0 +1,1 @@
+"""Announcements of backend servers and connections to them."""
--- /dev/null
+++ b/src/lacewingstair/caller/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP server for callers and dispatch of their calls."""
--- /dev/null
+++ b/src/lacewingstair/errors.py
@@ -0,0 +1,127 @@
+"""Every error of the project, with what to do about each.
+
+Errors are values carried in ``result.Err``. Only `InvariantError` is raised.
+"""
+
+import attrs
+
+
+class InvariantError(Exception):
+    """A condition that the code relies on does not hold.
+
+    This is a fault of the program. The process stops; report the message.
+    """
+
+
+@attrs.frozen
+class Fault:
+    """One fault at one place of an input.
+
+    Parameters
+    ----------
+    place : str
+        Path of the value, such as ``routes.rota-read.service``.
+    reason : str
+        What is wrong, showing the offending value and what is allowed.
+    """
+
+    place: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.reason}"
+
+
+@attrs.frozen
+class TicketError:
+    """A ticket is not valid. Correct every listed fault and publish it again."""
+
+    faults: tuple[Fault, ...]
+
+    def __str__(self) -> str:
+        return "; ".join(str(fault) for fault in self.faults)
+
+
+@attrs.frozen
+class SettingsError:
+    """Settings are not valid. Correct every listed fault and start again."""
+
+    source: str
+    faults: tuple[Fault, ...]
+
+    def __str__(self) -> str:
+        listed = "; ".join(str(fault) for fault in self.faults)
+        return f"settings {self.source!r}: {listed}"
+
+
+@attrs.frozen
+class LogUnavailable:
+    """The platform's log did not answer.
+
+    The daemon keeps serving and tries again. An operator checks the address and the log
+    service when it persists.
+    """
+
+    url: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"log at {self.url!r} is unavailable: {self.reason}"
+
+
+@attrs.frozen
+class OffsetExpired:
+    """The log no longer keeps the offset asked for.
+
+    The reader starts from the newest whole checkpoint, or reports a gap.
+    """
+
+    offset: int
+    first_offset: int
+
+    def __str__(self) -> str:
+        return (
+            f"offset {self.offset} has expired, the log starts at {self.first_offset}"
+        )
+
+
+@attrs.frozen
+class ListenError:
+    """An address cannot be listened on. Free the port or change the setting."""
+
+    address: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"cannot listen on {self.address!r}: {self.reason}"
+
+
+@attrs.frozen
+class FrameError:
+    """A peer sent bytes that are not a valid frame. The connection is closed."""
+
+    reason: str
+
+    def __str__(self) -> str:
+        return f"invalid frame: {self.reason}"
+
+
+@attrs.frozen
+class ConnectError:
+    """A connection to a peer could not be made. It is tried again with backoff."""
+
+    address: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"cannot connect to {self.address!r}: {self.reason}"
+
+
+@attrs.frozen
+class AnnouncementError:
+    """A backend server's announcement is not valid. Correct the listed faults."""
+
+    faults: tuple[Fault, ...]
+
+    def __str__(self) -> str:
+        return "; ".join(str(fault) for fault in self.faults)
--- /dev/null
+++ b/src/lacewingstair/operator/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface and report for operators."""
--- /dev/null
+++ b/src/lacewingstair/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's append-only log."""
--- /dev/null
+++ b/src/lacewingstair/store.py
@@ -0,0 +1,80 @@
+"""The configuration in force on this VM and the records that led to it."""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+
+from lacewingstair.acceptance import (
+    Decision,
+    MeshState,
+    TicketRecord,
+    Verdict,
+    fold,
+)
+
+RECENT_RECORDS = 256
+
+
+class StateStore:
+    """Holds the `MeshState` and never returns to an older one.
+
+    Attributes
+    ----------
+    state : MeshState
+        Replaced by one assignment, so that readers see one state or the next.
+    """
+
+    def __init__(self) -> None:
+        self.state = MeshState()
+        self._recent: deque[TicketRecord] = deque(maxlen=RECENT_RECORDS)
+        self._listeners: list[Callable[[MeshState, MeshState], None]] = []
+
+    def subscribe(self, listener: Callable[[MeshState, MeshState], None]) -> None:
+        """Call `listener` with the state before and after each change."""
+        self._listeners.append(listener)
+
+    def apply(self, records: Iterable[TicketRecord]) -> list[Decision]:
+        """Fold consecutive records; records already folded in are passed over.
+
+        Folding stops at the first record that does not follow the state.
+        """
+        before = self.state
+        state = before
+        decisions: list[Decision] = []
+        for record in records:
+            if record.offset < state.next_offset:
+                continue
+            if record.offset > state.next_offset:
+                break
+            state, decision = fold(state, record)
+            decisions.append(decision)
+            self._recent.append(record)
+        if decisions:
+            self._replace(before, state)
+        return decisions
+
+    def adopt(self, state: MeshState) -> bool:
+        """Take over a newer state as a whole; return whether it was newer."""
+        before = self.state
+        if state.next_offset <= before.next_offset or state.number < before.number:
+            return False
+        self._recent.clear()
+        self._replace(before, state)
+        return True
+
+    def records_since(self, offset: int) -> tuple[TicketRecord, ...] | None:
+        """Return the records from an offset on, or None when they are not kept."""
+        if offset == self.state.next_offset:
+            return ()
+        if not self._recent or self._recent[0].offset > offset:
+            return None
+        return tuple(record for record in self._recent if record.offset >= offset)
+
+    def _replace(self, before: MeshState, after: MeshState) -> None:
+        self.state = after
+        for listener in self._listeners:
+            listener(before, after)
+
+
+def accepted(decisions: Iterable[Decision]) -> list[Decision]:
+    """Return the decisions that changed the configuration."""
+    return [d for d in decisions if d.verdict is Verdict.ACCEPTED]
--- /dev/null
+++ b/src/lacewingstair/vm/__init__.py
@@ -0,0 +1,1 @@
+"""Streams between the VMs of the mesh."""
