--- a/src/lacewingstair/vm/messages.py
+++ b/src/lacewingstair/vm/messages.py
@@ -14,6 +14,7 @@
 from lacewingstair.acceptance import TicketRecord
 from lacewingstair.directory import VmRecord
 from lacewingstair.errors import FrameError, InvariantError
+from lacewingstair.evidence import EvidenceReport
 from lacewingstair.marks import StageMark, TakeBack
 
 PROTOCOL_VERSION = 1
@@ -137,6 +138,14 @@
     """Asks for all marks."""
 
 
+@message(12)
+@attrs.frozen
+class Evidence:
+    """Evidence of rollouts on its way up the tree or between relays."""
+
+    report: EvidenceReport
+
+
 @message(13)
 @attrs.frozen
 class Goodbye:
