Add the command line of the measurements

Cause: measurements of distribution, calls and rollouts need one command, one form of result and one way to show ratios.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: ``python -m bench NAME [--key=value ...]``."""
