Run the daemon under aiomisc and give it metrics, health and limits

The daemon had its own signal handling without a second signal, a health page that always said ok, an empty metrics page, and HTTP servers with aiohttp's defaults.

process.py runs the daemon as an aiomisc service on uvloop: the first SIGTERM is the planned stop, a second one stops at once with exit code 1; a port in use is one line and exit code 1, invalid settings one line per fault and exit code 2. daemon.py keeps only the wiring.

--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -1,15 +1,11 @@
-"""Composition root of the daemon."""
+"""Composition root: creates the parts of one VM and wires them together."""
 
 import asyncio
 import random
-import signal
-import sys
+from collections.abc import Mapping
 from typing import Any
 
-import attrs
-import uvloop
 from aiohttp import web
-from prometheus_client import CollectorRegistry
 from result import Err, Ok, Result
 
 from lacewingstair import events
@@ -17,71 +13,109 @@
 from lacewingstair.caller.server import CallServer
 from lacewingstair.directory import Directory, VmRecord, VmStatus
 from lacewingstair.errors import ListenError
+from lacewingstair.http_server import application_runner, call_runner, listen
 from lacewingstair.marks import Marks
+from lacewingstair.metrics import Metrics
 from lacewingstair.operator.api import OperatorApi
+from lacewingstair.operator.health import Health, build_health
+from lacewingstair.operator.observe import observe
 from lacewingstair.operator.report import build_report
 from lacewingstair.overlay import region_readers
 from lacewingstair.platform.http_log import HttpLogClient
 from lacewingstair.platform.tail import LogTail
-from lacewingstair.runtime import Clock, SystemClock
-from lacewingstair.settings import Settings, load_settings
+from lacewingstair.runtime import Clock
+from lacewingstair.settings import Settings
 from lacewingstair.store import StateStore
 from lacewingstair.vm.node import VmNode
 from lacewingstair.vm.transport import TcpTransport
 
-STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
-LEAVING_SECONDS = 2.0
-DRAIN_SECONDS = 30.0
 
-
-@attrs.define
 class Daemon:
-    """All parts of one VM's process, wired together."""
-
-    settings: Settings
-    clock: Clock
-    store: StateStore
-    directory: Directory
-    marks: Marks
-    node: VmNode
-    tail: LogTail
-    log: HttpLogClient
-    announcements: AnnouncementServer
-    calls: CallServer
-    operator: OperatorApi
-    _runners: list[Any] = attrs.field(factory=list)
-    _tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
+    """All parts of one VM's process.
+
+    Parameters
+    ----------
+    settings : Settings
+        Validated settings.
+    clock, rng
+        Time and randomness of all parts.
+    """
+
+    def __init__(self, settings: Settings, clock: Clock, rng: random.Random) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.is_leaving = False
+        self.store = StateStore()
+        self.directory = Directory()
+        self.marks = Marks()
+        self.metrics = Metrics()
+        self.node = VmNode(
+            mesh=settings.mesh,
+            own=_own_record(settings, clock),
+            contacts=settings.contacts,
+            store=self.store,
+            directory=self.directory,
+            marks=self.marks,
+            transport=TcpTransport(),
+            clock=clock,
+            rng=rng,
+        )
+        self.log = HttpLogClient(settings.log_url)
+        self.tail = LogTail(
+            self.log, self.store, self.node.publish_records, self.is_reader, clock, rng
+        )
+        self.announcements = AnnouncementServer(self.node.set_endpoints, clock)
+        self.calls = CallServer(self.store, self.directory, rng)
+        self.operator = OperatorApi(
+            self.report, self.status, self.health, self.metrics.registry
+        )
+        observe(
+            self.metrics,
+            store=self.store,
+            directory=self.directory,
+            marks=self.marks,
+            links=self.node.peers_by_vm_id,
+            report=self.report,
+            health=self.health,
+            is_reader=self.is_reader,
+            is_log_up=lambda: self.tail.is_log_up,
+        )
+        self._runners: list[web.AppRunner | web.ServerRunner] = []
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> Result[None, ListenError]:
         """Listen on all interfaces and start the tasks."""
         listening = await self.node.listen()
         if isinstance(listening, Err):
             return listening
-        settings = self.settings
-        interfaces = (
-            (settings.caller_address, web.ServerRunner(web.Server(self.calls.handle))),
-            (
-                settings.backend_server_address,
-                web.AppRunner(self.announcements.application()),
-            ),
-            (
-                settings.operator_address,
-                web.AppRunner(self.operator.application(), access_log=None),
-            ),
-        )
-        for address, runner in interfaces:
-            served = await self._serve(address, runner)
+        for address, runner in self._interfaces():
+            self._runners.append(runner)
+            served = await listen(runner, address)
             if isinstance(served, Err):
                 return served
         runs = (self.node.run(), self.tail.run(), self.announcements.run())
         self._tasks.extend(asyncio.create_task(run) for run in runs)
-        events.info("daemon_started", vm=settings.vm_id)
+        settings = self.settings
+        events.info(
+            "daemon_started",
+            vm=settings.vm_id,
+            availability_zone=settings.availability_zone,
+            caller=settings.caller_address,
+            operator=settings.operator_address,
+        )
         return Ok(None)
 
     async def stop(self) -> None:
         """Leave the mesh, finish the calls and stop."""
+        self.is_leaving = True
+        events.info("daemon_leaving", vm=self.settings.vm_id)
         self.node.set_status(VmStatus.LEAVING)
-        await self.clock.sleep(LEAVING_SECONDS)
+        await self.clock.sleep(self.settings.stop.leaving_seconds)
+        await self.close()
+        events.info("daemon_stopped", vm=self.settings.vm_id)
+
+    async def close(self) -> None:
+        """Finish the calls and release everything, without leaving the mesh first."""
         for runner in self._runners:
             await runner.cleanup()
         for task in self._tasks:
@@ -89,106 +123,85 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.calls.close()
         await self.log.close()
-        events.info("daemon_stopped", vm=self.settings.vm_id)
 
-    async def _serve(self, address: str, runner: Any) -> Result[None, ListenError]:
-        await runner.setup()
-        self._runners.append(runner)
-        host, _, port = address.rpartition(":")
-        site = web.TCPSite(runner, host, int(port), shutdown_timeout=DRAIN_SECONDS)
+    def is_reader(self) -> bool:
+        """Return whether this VM reads the log now."""
+        readers = region_readers(self.directory.live(), self.settings.region)
+        return any(reader.vm_id == self.settings.vm_id for reader in readers)
+
+    def report(self) -> Mapping[str, Any]:
+        """Return the JSON object of ``/report``."""
+        return build_report(self.store.state, self.marks, self.clock.wall())
+
+    def status(self) -> Mapping[str, Any]:
+        """Return the JSON object of ``/status``."""
+        state = self.store.state
+        live = self.directory.live()
+        return {
+            "vm": self.settings.vm_id,
+            "region": self.settings.region,
+            "availability_zone": self.settings.availability_zone,
+            "ticket": state.number,
+            "next_offset": state.next_offset,
+            "digest": state.digest,
+            "directory_digest": f"{self.directory.digest:016x}",
+            "vms": len(live),
+            "endpoints": sum(len(record.endpoints) for record in live),
+            "links": sorted(self.node.peers_by_vm_id),
+            "is_reader": self.is_reader(),
+            "is_log_up": self.tail.is_log_up,
+            "health": self.health().document(),
+        }
+
+    def health(self) -> Health:
+        """Return the health for ``/health``."""
+        return build_health(
+            is_configured=not self.store.state.is_empty,
+            is_leaving=self.is_leaving,
+            is_reader=self.is_reader(),
+            is_log_up=self.tail.is_log_up,
+            is_log_gap=False,
+            links=len(self.node.peers_by_vm_id),
+            live_vms=len(self.directory.live()),
+        )
+
+    def _interfaces(self):
+        settings = self.settings
+        header_bytes = settings.calls.max_header_bytes
+        drain_seconds = settings.stop.drain_seconds
+        yield (
+            settings.caller_address,
+            call_runner(
+                self._handle_call, lambda: self.is_leaving, header_bytes, drain_seconds
+            ),
+        )
+        for address, application in (
+            (settings.backend_server_address, self.announcements.application()),
+            (settings.operator_address, self.operator.application()),
+        ):
+            yield address, application_runner(application, header_bytes)
+
+    async def _handle_call(self, request: web.BaseRequest) -> web.StreamResponse:
+        start = self.clock.monotonic()
+        status = 0
         try:
-            await site.start()
-        except OSError as error:
-            return Err(ListenError(address, str(error)))
-        return Ok(None)
+            response = await self.calls.handle(request)
+            status = response.status
+            return response
+        finally:
+            self.metrics.count_call(status, self.clock.monotonic() - start)
 
 
-def build(settings: Settings, clock: Clock, rng: random.Random) -> Daemon:
-    """Wire the parts of one VM."""
-    store = StateStore()
-    directory = Directory()
-    marks = Marks()
-    own = VmRecord(
+def _own_record(settings: Settings, clock: Clock) -> VmRecord:
+    return VmRecord(
         vm_id=settings.vm_id,
         region=settings.region,
         availability_zone=settings.availability_zone,
         address=settings.vm_address,
         incarnation=int(clock.wall() * 1000),
     )
-    node = VmNode(
-        mesh=settings.mesh,
-        own=own,
-        contacts=settings.contacts,
-        store=store,
-        directory=directory,
-        marks=marks,
-        transport=TcpTransport(),
-        clock=clock,
-        rng=rng,
-    )
 
-    def is_reader() -> bool:
-        readers = region_readers(directory.live(), settings.region)
-        return any(reader.vm_id == settings.vm_id for reader in readers)
 
-    def status() -> dict[str, Any]:
-        return {
-            "vm": settings.vm_id,
-            "ticket": store.state.number,
-            "next_offset": store.state.next_offset,
-            "vms": len(directory.live()),
-            "links": sorted(node.peers_by_vm_id),
-            "is_reader": is_reader(),
-            "is_log_up": tail.is_log_up,
-        }
-
-    log = HttpLogClient(settings.log_url)
-    tail = LogTail(log, store, node.publish_records, is_reader, clock, rng)
-    announcements = AnnouncementServer(node.set_endpoints, clock)
-    calls = CallServer(store, directory, rng)
-    operator = OperatorApi(
-        lambda: build_report(store.state, marks, clock.wall()),
-        status,
-        CollectorRegistry(),
-    )
-    return Daemon(
-        settings=settings,
-        clock=clock,
-        store=store,
-        directory=directory,
-        marks=marks,
-        node=node,
-        tail=tail,
-        log=log,
-        announcements=announcements,
-        calls=calls,
-        operator=operator,
-    )
-
-
-async def serve(settings: Settings) -> int:
-    """Run one daemon until a stop signal; return the exit code."""
-    daemon = build(settings, SystemClock(), random.Random())
-    started = await daemon.start()
-    if isinstance(started, Err):
-        print(f"lacewingstaird: {started.err_value}", file=sys.stderr)
-        return 1
-    stopping = asyncio.Event()
-    for number in STOP_SIGNALS:
-        asyncio.get_running_loop().add_signal_handler(number, stopping.set)
-    await stopping.wait()
-    await daemon.stop()
-    return 0
-
-
-def main() -> None:
-    """Entry point of ``lacewingstaird SETTINGS_FILE``."""
-    if len(sys.argv) != 2:
-        print("usage: lacewingstaird SETTINGS_FILE", file=sys.stderr)
-        sys.exit(2)
-    loaded = load_settings(sys.argv[1])
-    if isinstance(loaded, Err):
-        print(f"lacewingstaird: {loaded.err_value}", file=sys.stderr)
-        sys.exit(2)
-    events.configure(loaded.ok_value.log_level)
-    sys.exit(uvloop.run(serve(loaded.ok_value)))
+def build(settings: Settings, clock: Clock, rng: random.Random) -> Daemon:
+    """Return the daemon of one VM, not started."""
+    return Daemon(settings, clock, rng)
--- a/src/lacewingstair/events.py
+++ b/src/lacewingstair/events.py
@@ -5,13 +5,14 @@
 """
 
 import json
+import random
 import re
 import sys
 from typing import Any
 
 from loguru import logger
 
-LINE_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} {message}"
+LINE_FORMAT = "time={time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} {message}"
 _PAIR = re.compile(r'([A-Za-z_][A-Za-z0-9_]*)=("(?:[^"\\]|\\.)*"|[^\s"]+)')
 
 
@@ -75,3 +76,28 @@
         return json.loads(text)
     except ValueError:
         return text
+
+
+class DecisionLog:
+    """Logs a share of the routing decisions.
+
+    Parameters
+    ----------
+    share : float
+        Share that is logged, from 0 to 1.
+    rng : random.Random
+        Source of the choice.
+    """
+
+    def __init__(self, share: float, rng: random.Random) -> None:
+        self._share = share
+        self._rng = rng
+
+    def is_sampled(self) -> bool:
+        """Return whether the next decision is logged."""
+        return self._rng.random() < self._share
+
+    def call_routed(self, *, route: str, version: str, endpoint: str) -> None:
+        """Log where a call went, if it is sampled."""
+        if self.is_sampled():
+            info("call_routed", route=route, version=version, endpoint=endpoint)
--- /dev/null
+++ b/src/lacewingstair/http_server.py
@@ -0,0 +1,83 @@
+"""HTTP servers of the daemon: limits on requests, listening and draining."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+from result import Err, Ok, Result
+
+from lacewingstair.errors import ListenError
+from lacewingstair.settings_values import split_address
+
+# Idle connections of callers are closed by callers, which know their own pools; the
+# limit only removes connections whose other end has gone silent.
+KEEPALIVE_SECONDS = 600.0
+MAX_HEADERS = 128
+
+CallHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+def call_runner(
+    handler: CallHandler,
+    is_leaving: Callable[[], bool],
+    max_header_bytes: int,
+    drain_seconds: float,
+) -> web.ServerRunner:
+    """Return the server for callers; needs a running event loop.
+
+    Parameters
+    ----------
+    handler : callable
+        Answers one call. It enforces the limit on bodies, which depends on the route.
+    is_leaving : callable
+        While true, answers carry ``Connection: close``, so that callers go elsewhere
+        and no connection is closed while a caller sends its next call on it.
+    max_header_bytes : int
+        Longest request line and header field.
+    drain_seconds : float
+        Longest time for open calls to end after `cleanup`.
+    """
+
+    class Request(web.BaseRequest):
+        @property
+        def keep_alive(self) -> bool:
+            return not is_leaving() and super().keep_alive
+
+    def make_request(message, payload, protocol, writer, task) -> web.BaseRequest:
+        return Request(message, payload, protocol, writer, task, server._loop)
+
+    server = web.Server(
+        handler, request_factory=make_request, **_limits(max_header_bytes)
+    )
+    return web.ServerRunner(server, shutdown_timeout=drain_seconds)
+
+
+def application_runner(
+    application: web.Application, max_header_bytes: int
+) -> web.AppRunner:
+    """Return the server of an application that limits its bodies itself."""
+    limits = _limits(max_header_bytes)
+    return web.AppRunner(application, shutdown_timeout=1.0, **limits)
+
+
+async def listen(
+    runner: web.AppRunner | web.ServerRunner, address: str
+) -> Result[None, ListenError]:
+    """Set up a server and accept connections on ``ip:port``."""
+    await runner.setup()
+    host, port = split_address(address)
+    try:
+        await web.TCPSite(runner, host, port).start()
+    except OSError as error:
+        return Err(ListenError(address, error.strerror or str(error)))
+    return Ok(None)
+
+
+def _limits(max_header_bytes: int) -> dict[str, Any]:
+    return {
+        "access_log": None,
+        "keepalive_timeout": KEEPALIVE_SECONDS,
+        "max_headers": MAX_HEADERS,
+        "max_line_size": max_header_bytes,
+        "max_field_size": max_header_bytes,
+    }
--- /dev/null
+++ b/src/lacewingstair/operator/health.py
@@ -0,0 +1,57 @@
+"""Health of a VM for operators."""
+
+import attrs
+
+
+@attrs.frozen
+class Health:
+    """Whether the VM lives and takes calls.
+
+    Parameters
+    ----------
+    ready : bool
+        Whether calls should be sent to the VM.
+    reasons : tuple of str
+        Why it is not ready; empty when it is.
+    warnings : tuple of str
+        What limits it while it serves.
+    """
+
+    ready: bool
+    reasons: tuple[str, ...] = ()
+    warnings: tuple[str, ...] = ()
+
+    def document(self) -> dict[str, object]:
+        """Return the JSON object of ``/health``."""
+        return {
+            "live": True,
+            "ready": self.ready,
+            "reasons": list(self.reasons),
+            "warnings": list(self.warnings),
+        }
+
+
+def build_health(
+    *,
+    is_configured: bool,
+    is_leaving: bool,
+    is_reader: bool,
+    is_log_up: bool,
+    is_log_gap: bool,
+    links: int,
+    live_vms: int,
+) -> Health:
+    """Return the health; a VM that is cut off stays ready with what it holds."""
+    reasons = []
+    if not is_configured:
+        reasons.append("no configuration yet")
+    if is_leaving:
+        reasons.append("the VM is leaving")
+    warnings = []
+    if is_reader and not is_log_up:
+        warnings.append("the log does not answer; the state held is served")
+    if is_log_gap:
+        warnings.append("records of the log have expired that no checkpoint covers")
+    if links == 0 and live_vms > 1:
+        warnings.append("no link to another VM")
+    return Health(not reasons, tuple(reasons), tuple(warnings))
--- /dev/null
+++ b/src/lacewingstair/process.py
@@ -0,0 +1,117 @@
+"""Process of the daemon: settings, signals, start, planned stop and exit code."""
+
+import asyncio
+import contextlib
+import random
+import signal
+import sys
+
+import aiomisc
+import uvloop
+from result import Err
+
+from lacewingstair import events
+from lacewingstair.daemon import Daemon, build
+from lacewingstair.runtime import SystemClock
+from lacewingstair.settings import Settings, load_settings
+
+EXIT_OK = 0
+EXIT_ERROR = 1
+EXIT_INVALID = 2
+STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
+# The daemon runs nothing in threads, but the entrypoint always makes a pool.
+THREADS = 1
+
+
+class DaemonService(aiomisc.Service):
+    """Runs one daemon under the entrypoint of aiomisc.
+
+    The entrypoint calls `start` and, when `run_until_signal` has returned, `stop`,
+    which is the planned stop. A second signal ends the planned stop at once.
+    """
+
+    __required__ = ("settings",)
+    settings: Settings
+
+    def __init__(self, **options) -> None:
+        super().__init__(**options)
+        self.exit_code = EXIT_OK
+        self._daemon: Daemon | None = None
+        self._signals = 0
+        self._has_started = True
+
+    async def start(self) -> None:
+        """Listen and start the tasks; set `exit_code` when that fails."""
+        self._stopping = asyncio.Event()
+        self._stopping_now = asyncio.Event()
+        for number in STOP_SIGNALS:
+            self.loop.add_signal_handler(number, self._on_signal, number)
+        self._daemon = build(self.settings, SystemClock(), random.Random())
+        started = await self._daemon.start()
+        if isinstance(started, Err):
+            print(f"lacewingstaird: {started.err_value}", file=sys.stderr)
+            self.exit_code = EXIT_ERROR
+            self._has_started = False
+            self._stopping.set()
+
+    async def run_until_signal(self) -> None:
+        """Wait for a stop signal or a failed start."""
+        await self._stopping.wait()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop as planned, unless the start failed or a second signal came."""
+        if not self._has_started:
+            await self._daemon.close()
+            return
+        planned = asyncio.create_task(self._daemon.stop())
+        at_once = asyncio.create_task(self._stopping_now.wait())
+        await asyncio.wait((planned, at_once), return_when=asyncio.FIRST_COMPLETED)
+        at_once.cancel()
+        if not planned.done():
+            planned.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await planned
+
+    def _on_signal(self, number: signal.Signals) -> None:
+        self._signals += 1
+        events.info("signal_received", signal=signal.Signals(number).name)
+        if self._signals == 1:
+            self._stopping.set()
+            return
+        self.exit_code = EXIT_ERROR
+        self._stopping_now.set()
+        events.warning("stopping_at_once", vm=self.settings.vm_id)
+
+
+def run(settings: Settings) -> int:
+    """Run one daemon until a stop signal; return the exit code."""
+    service = DaemonService(settings=settings)
+    entrypoint = aiomisc.entrypoint(
+        service,
+        loop_factory=uvloop.new_event_loop,
+        pool_size=THREADS,
+        log_config=False,
+        catch_signals=(),
+    )
+    with entrypoint as loop:
+        loop.run_until_complete(service.run_until_signal())
+    return service.exit_code
+
+
+def main() -> None:
+    """Entry point of ``lacewingstaird SETTINGS_FILE``."""
+    if len(sys.argv) != 2 or sys.argv[1].startswith("-"):
+        print("usage: lacewingstaird SETTINGS_FILE", file=sys.stderr)
+        sys.exit(EXIT_INVALID)
+    loaded = load_settings(sys.argv[1])
+    if isinstance(loaded, Err):
+        for fault in loaded.err_value.faults:
+            print(f"lacewingstaird: {sys.argv[1]}: {fault}", file=sys.stderr)
+        sys.exit(EXIT_INVALID)
+    settings = loaded.ok_value
+    events.configure(settings.log_level)
+    sys.exit(run(settings))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/lacewingstair/settings.py
+++ b/src/lacewingstair/settings.py
@@ -469,8 +469,11 @@
     """Return the settings in a file, or every fault of them."""
     try:
         text = Path(path).read_text("utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        return Err(SettingsError(path, (Fault("file", str(error)),)))
+    except OSError as error:
+        reason = f"cannot be read: {error.strerror}"
+        return Err(SettingsError(path, (Fault("file", reason),)))
+    except UnicodeDecodeError as error:
+        return Err(SettingsError(path, (Fault("file", f"is not UTF-8: {error}"),)))
     return parse_settings(path, text)
 
 
