Give operators a command-line tool, stand-ins by command and a demo

The tool was one module with four commands that printed raw JSON, ended with exit code 1 for everything and showed tracebacks for missing files.

cli/ now has check, publish, report, status, watch, demo, settings-page, stand-in-log, stand-in-backend-server and version, with exit codes 0 done, 1 error, 2 invalid, 3 taken back or refused, 4 not finished. Commands return what has to be run, because fire calls a command before it notices left-over arguments. Values reach the commands as texts: fire made numbers and tuples of them; its decorator for this was tried and shows up as a command group in the help, so the command line is quoted before fire sees it.

--- /dev/null
+++ b/src/lacewingstair/cli/__init__.py
@@ -0,0 +1,5 @@
+"""Command-line tool for operators."""
+
+from lacewingstair.cli.main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/lacewingstair/cli/commands.py
@@ -0,0 +1,281 @@
+"""Commands of the tool, as fire shows them."""
+
+from collections.abc import Callable, Coroutine
+from importlib import metadata
+from typing import Any
+
+import uvloop
+
+from lacewingstair.cli import arguments, standins
+from lacewingstair.cli.check import check_files
+from lacewingstair.cli.exit_codes import ExitCode
+from lacewingstair.cli.operator_client import OperatorClient
+from lacewingstair.cli.pending import Pending, fail
+from lacewingstair.cli.publish import publish_file
+from lacewingstair.cli.report import (
+    ReportQuery,
+    show_report,
+    show_status,
+    wait_for_report,
+    watch,
+)
+from lacewingstair.demo import run_demo
+from lacewingstair.directory import Endpoint
+from lacewingstair.platform.http_log import HttpLogClient
+from lacewingstair.runtime import SystemClock
+from lacewingstair.settings_page import example_file, settings_page
+
+MAX_TICKET_NUMBER = 2**53 - 1
+
+
+def _pending(
+    run: Callable[..., Coroutine[Any, Any, ExitCode]], *checked: arguments.Checked
+) -> Pending:
+    """Return a command that runs with the checked values, or shows their faults."""
+    faults = arguments.faults(*checked)
+    if faults:
+        return _invalid(*faults)
+    values = [check.ok_value for check in checked]
+    return Pending(lambda: uvloop.run(run(*values)))
+
+
+def _invalid(*messages: str) -> Pending:
+    def show() -> ExitCode:
+        for message in messages:
+            fail(message)
+        return ExitCode.INVALID
+
+    return Pending(show)
+
+
+def _printing(text: str) -> Pending:
+    def show() -> ExitCode:
+        print(text)
+        return ExitCode.DONE
+
+    return Pending(show)
+
+
+class Commands:
+    """Publishes change tickets for a mesh and shows what became of them.
+
+    Exit codes: 0 done, 1 error, 2 wrong usage or invalid input, 3 taken back or
+    refused, 4 not finished in time.
+    """
+
+    def check(self, *files: str, in_order: bool = False) -> Pending:
+        """Check ticket and settings files without a network.
+
+        Every fault is printed with its place. Exit code 2 if there is one.
+
+        Args:
+            files: Ticket files (JSON) and settings files (INI).
+            in_order: Also apply the tickets one after the other to an empty mesh.
+        """
+        if not files:
+            return _invalid("check: give one or more files")
+        ordered = arguments.flag("in-order", in_order)
+        faults = arguments.faults(ordered)
+        if faults:
+            return _invalid(*faults)
+        return Pending(lambda: check_files(files, ordered.ok_value))
+
+    def publish(
+        self, ticket: str, log: str, operator: str = "", timeout: str = "30"
+    ) -> Pending:
+        """Publish a ticket on the log.
+
+        A lost answer is settled by reading the log, so that the ticket is published
+        once. With --operator the command waits until that VM has decided: exit code 3
+        if the ticket is refused, 4 if there is no decision in time.
+
+        Args:
+            ticket: Ticket file.
+            log: URL of the platform's log, as http://10.0.0.1:7000.
+            operator: Address or URL of a VM's operator interface.
+            timeout: Seconds to wait for the decision.
+        """
+
+        async def run(log_url: str, seconds: float, operator_url: str) -> ExitCode:
+            client = HttpLogClient(log_url)
+            vm = OperatorClient(operator_url) if operator else None
+            try:
+                return await publish_file(ticket, client, vm, seconds, SystemClock())
+            finally:
+                await client.close()
+                if vm is not None:
+                    await vm.close()
+
+        return _pending(
+            run,
+            arguments.url("log", log),
+            arguments.seconds("timeout", timeout),
+            arguments.url("operator", operator or "127.0.0.1:1"),
+        )
+
+    def report(
+        self,
+        operator: str,
+        *moves: str,
+        wait: bool = False,
+        timeout: str = "",
+        interval: str = "1",
+        ticket: str = "0",
+        json: bool = False,
+    ) -> Pending:
+        """Show whether moves of traffic are done, in progress or taken back.
+
+        With --wait the command prints progress and ends when all moves have ended:
+        exit code 0 if all are done, 3 if one is taken back or the ticket is refused, 4
+        if they have not ended in time.
+
+        Args:
+            operator: Address or URL of a VM's operator interface.
+            moves: Names of rollouts; all when none is given.
+            wait: Wait until the moves have ended.
+            timeout: Longest wait in seconds; without it there is no limit.
+            interval: Seconds between two looks.
+            ticket: Wait until this ticket or a later one is in force first.
+            json: Print the report as JSON.
+        """
+
+        async def run(
+            url: str, is_waiting: bool, as_json: bool, limit, pause: float, number: int
+        ) -> ExitCode:
+            client = OperatorClient(url)
+            query = ReportQuery(moves, number)
+            try:
+                if not is_waiting:
+                    return await show_report(client, query, as_json)
+                end = limit if timeout else None
+                return await wait_for_report(
+                    client, query, as_json, end, pause, SystemClock()
+                )
+            finally:
+                await client.close()
+
+        if timeout and str(wait) == "False":
+            return _invalid("report: --timeout needs --wait")
+        return _pending(
+            run,
+            arguments.url("operator", operator),
+            arguments.flag("wait", wait),
+            arguments.flag("json", json),
+            arguments.seconds("timeout", timeout or "1"),
+            arguments.seconds("interval", interval),
+            arguments.integer("ticket", ticket, 0, MAX_TICKET_NUMBER),
+        )
+
+    def status(self, operator: str, json: bool = False) -> Pending:
+        """Show the state of one VM: ticket, links, log and health.
+
+        Args:
+            operator: Address or URL of the VM's operator interface.
+            json: Print JSON.
+        """
+
+        async def run(url: str, as_json: bool) -> ExitCode:
+            client = OperatorClient(url)
+            try:
+                return await show_status(client, as_json)
+            finally:
+                await client.close()
+
+        return _pending(
+            run, arguments.url("operator", operator), arguments.flag("json", json)
+        )
+
+    def watch(self, operator: str, interval: str = "1") -> Pending:
+        """Print changes of the report as they come, until interrupted.
+
+        Args:
+            operator: Address or URL of a VM's operator interface.
+            interval: Seconds between two looks.
+        """
+
+        async def run(url: str, pause: float) -> ExitCode:
+            client = OperatorClient(url)
+            try:
+                return await watch(client, pause, SystemClock())
+            finally:
+                await client.close()
+
+        return _pending(
+            run,
+            arguments.url("operator", operator),
+            arguments.seconds("interval", interval),
+        )
+
+    def demo(self) -> Pending:
+        """Run a small mesh on loopback addresses and tell what happens."""
+        return _pending(run_demo)
+
+    def settings_page(self, example: bool = False) -> Pending:
+        """Print the page of all settings of lacewingstaird.
+
+        Args:
+            example: Print the example settings file in its place.
+        """
+        checked = arguments.flag("example", example)
+        if arguments.faults(checked):
+            return _invalid(*arguments.faults(checked))
+        return _printing((example_file if checked.ok_value else settings_page)())
+
+    def stand_in_log(self, port: str = "7000", host: str = "127.0.0.1") -> Pending:
+        """Run a stand-in for the platform's log, which keeps records in memory.
+
+        Args:
+            port: Port to listen on.
+            host: IP address to listen on.
+        """
+        return _pending(
+            standins.run_log, arguments.address("host and port", f"{host}:{port}")
+        )
+
+    def stand_in_backend_server(
+        self,
+        service: str,
+        version: str,
+        announce: str,
+        port: str = "8000",
+        host: str = "127.0.0.1",
+        slots: str = "10",
+        service_ms: str = "1",
+        failure_status: str = "0",
+    ) -> Pending:
+        """Run a stand-in for a backend server that announces itself to a VM.
+
+        A stop signal makes it drain for some seconds before it ends.
+
+        Args:
+            service: Name of the service.
+            version: Version that it serves.
+            announce: Address or URL of the VM's interface for backend servers.
+            port: Port to listen on.
+            host: IP address to listen on.
+            slots: Calls it runs at a time.
+            service_ms: Time a call takes, in ms.
+            failure_status: Status of all answers; 0 for success.
+        """
+
+        async def run(address, url, slot_count, milliseconds, status) -> ExitCode:
+            endpoint = Endpoint(service, version, address, slots=slot_count)
+            return await standins.run_backend_server(
+                endpoint, url, milliseconds / 1000, status
+            )
+
+        return _pending(
+            run,
+            arguments.address("host and port", f"{host}:{port}"),
+            arguments.url("announce", announce),
+            arguments.integer("slots", slots, 1, 100_000),
+            arguments.integer("service-ms", service_ms, 0, 600_000),
+            arguments.integer("failure-status", failure_status, 0, 599),
+        )
+
+    def version(self) -> Pending:
+        """Print the version of lacewingstair."""
+        try:
+            return _printing(metadata.version("lacewingstair"))
+        except metadata.PackageNotFoundError:
+            return _printing("unknown: lacewingstair is not installed as a package")
--- a/src/lacewingstair/errors.py
+++ b/src/lacewingstair/errors.py
@@ -125,3 +125,18 @@
 
     def __str__(self) -> str:
         return "; ".join(str(fault) for fault in self.faults)
+
+
+@attrs.frozen
+class OperatorUnavailable:
+    """The operators' interface of a VM did not answer as expected.
+
+    Check the address, which is that of ``[operator]`` in the VM's settings, or ask
+    another VM.
+    """
+
+    url: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"no report from {self.url!r}: {self.reason}"
--- a/src/lacewingstair/standins/backend_server.py
+++ b/src/lacewingstair/standins/backend_server.py
@@ -70,6 +70,11 @@
                 body = {"address": self.endpoint.address}
                 await self._post(session, "withdraw", body)
 
+    async def announce_once(self) -> None:
+        """Announce the endpoint as it is now, between the repetitions."""
+        async with aiohttp.ClientSession() as session:
+            await self._post(session, "announce", self._announcement())
+
     def _announcement(self) -> dict[str, object]:
         endpoint = self.endpoint
         return {
