--- a/src/lacewingstair/acceptance.py
+++ b/src/lacewingstair/acceptance.py
@@ -6,6 +6,7 @@
 
 import enum
 import hashlib
+import operator
 from collections.abc import Mapping
 from typing import Any
 
@@ -17,6 +18,13 @@
 from lacewingstair.tickets import Rollout, Route, Service, Ticket, parse_ticket
 
 MAX_REMEMBERED_REFUSALS = 32
+SECTIONS = ("services", "routes", "rollouts")
+
+# Entries are flat, so that the recursion of attrs.astuple is not needed.
+_VALUES_BY_TYPE = {
+    cls: operator.attrgetter(*(field.name for field in attrs.fields(cls)))
+    for cls in (Service, Route, Rollout)
+}
 
 
 class Verdict(enum.Enum):
@@ -140,6 +148,27 @@
     services = _merged(state.services, ticket.services)
     routes = _merged(state.routes, ticket.routes)
     rollouts = _merged(state.rollouts, ticket.rollouts)
+    return reference_faults(services, routes, rollouts)
+
+
+def configuration_digest(
+    services: Mapping[str, Service],
+    routes: Mapping[str, Route],
+    rollouts: Mapping[str, Rollout],
+) -> str:
+    """Return the digest of a whole configuration, as in `MeshState.digest`."""
+    digest = 0
+    for section, entries in zip(SECTIONS, (services, routes, rollouts), strict=True):
+        digest ^= _changes_digest(section, {}, entries)
+    return f"{digest:032x}"
+
+
+def reference_faults(
+    services: Mapping[str, Service],
+    routes: Mapping[str, Route],
+    rollouts: Mapping[str, Rollout],
+) -> tuple[Fault, ...]:
+    """Return every reference to a service or version that is missing."""
     return (*_route_faults(services, routes), *_rollout_faults(services, rollouts))
 
 
@@ -196,7 +225,7 @@
 def _apply(state: MeshState, ticket: Ticket, next_offset: int) -> MeshState:
     digest = int(state.digest, 16)
     sections: dict[str, dict[str, Any]] = {}
-    for section in ("services", "routes", "rollouts"):
+    for section in SECTIONS:
         held = getattr(state, section)
         changes = getattr(ticket, section)
         digest ^= _changes_digest(section, held, changes)
@@ -230,6 +259,6 @@
 def _entry_digest(section: str, name: str, entry: Any) -> int:
     if entry is None:
         return 0
-    text = f"{section}/{name}/{attrs.astuple(entry)!r}"
+    text = f"{section}/{name}/{_VALUES_BY_TYPE[type(entry)](entry)!r}"
     hashed = hashlib.blake2b(text.encode("utf-8", "surrogatepass"), digest_size=16)
     return int.from_bytes(hashed.digest(), "big")
--- a/src/lacewingstair/errors.py
+++ b/src/lacewingstair/errors.py
@@ -125,3 +125,16 @@
 
     def __str__(self) -> str:
         return "; ".join(str(fault) for fault in self.faults)
+
+
+@attrs.frozen
+class StateCodecError:
+    """Bytes that are not an encoded `MeshState`.
+
+    The receiver drops them and asks another source; a checkpoint is passed over.
+    """
+
+    reason: str
+
+    def __str__(self) -> str:
+        return f"invalid state: {self.reason}"
--- a/src/lacewingstair/tickets.py
+++ b/src/lacewingstair/tickets.py
@@ -159,7 +159,7 @@
     if faults:
         return Err(TicketError(tuple(faults)))
     ticket = Ticket(
-        number=document["number"],
+        number=int(document["number"]),
         digest=canonical_digest(document),
         author=document.get("author", ""),
         note=document.get("note", ""),
@@ -212,12 +212,22 @@
     lists = {key: tuple(entry[key]) for key in ("hosts", "methods") if key in entry}
     if "hosts" in lists:
         lists["hosts"] = tuple(host.lower() for host in lists["hosts"])
-    return Route(**{**entry, **lists})
+    return Route(**{**entry, **_numbers(entry, Route), **lists})
 
 
 def _rollout(entry: dict[str, Any]) -> Rollout:
     times = {key: _parse_time(entry[key]) for key in ("start", "end_by")}
-    return Rollout(**{**entry, **times})
+    return Rollout(**{**entry, **_numbers(entry, Rollout), **times})
+
+
+def _numbers(entry: dict[str, Any], cls: type) -> dict[str, Any]:
+    # JSON Schema takes 1.0 for an integer and 1 for a number. The digest of the state
+    # distinguishes them, so each field gets the one type that it is declared with.
+    return {
+        field.name: field.type(entry[field.name])
+        for field in attrs.fields(cls)
+        if field.type in (int, float) and type(entry.get(field.name)) in (int, float)
+    }
 
 
 def _parse_time(text: str) -> float:
--- /dev/null
+++ b/tests/test_state_codec.py
@@ -0,0 +1,111 @@
+import json
+
+import attrs
+import msgpack
+import pytest
+import zstandard
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err
+
+from lacewingstair.acceptance import MeshState, TicketRecord, fold
+from lacewingstair.state_codec import MAX_STATE_BYTES, decode_state, encode_state
+
+TICKETS = (
+    {
+        "number": 1,
+        "services": {"board": {"versions": ["v1", "v2"], "current": "v1"}},
+        "routes": {
+            "read": {"service": "board", "hosts": ["rota.example"], "worth": 3},
+            "late": {"service": "board", "path_prefix": "/late", "idempotent": False},
+        },
+    },
+    {
+        "number": 2,
+        "rollouts": {
+            "move": {
+                "service": "board",
+                "from_version": "v1",
+                "to_version": "v2",
+                "start": "2026-01-31T10:00:00Z",
+                "end_by": "2026-01-31T11:00:00Z",
+            }
+        },
+    },
+    {"number": 2, "note": "refused \ud800"},
+)
+
+
+def folded_state():
+    state = MeshState()
+    for offset, document in enumerate(TICKETS):
+        state, _ = fold(state, TicketRecord(offset, json.dumps(document)))
+    return state
+
+
+def pack(array):
+    packed = msgpack.packb(array, unicode_errors="surrogatepass")
+    return zstandard.ZstdCompressor().compress(packed)
+
+
+def unpack(data):
+    packed = zstandard.ZstdDecompressor().decompress(data)
+    return msgpack.unpackb(packed, unicode_errors="surrogatepass")
+
+
+def test_a_decoded_state_is_equal_and_routes_calls():
+    state = folded_state()
+    decoded = decode_state(encode_state(state)).unwrap()
+    assert decoded == state
+    assert decoded.refusals
+    named = decoded.route_table.find("rota.example", "/", "GET")
+    assert named.name == "read"
+
+
+def test_a_state_whose_digest_does_not_match_is_refused():
+    state = attrs.evolve(folded_state(), digest="0" * 32)
+    assert "digest" in str(decode_state(encode_state(state)).unwrap_err())
+
+
+@pytest.mark.parametrize(
+    ("index", "value"),
+    [
+        (0, 2),
+        (1, "3"),
+        (1, -1),
+        (2, 2.0),
+        (5, []),
+        (5, {1: [["v1"], "v1"]}),
+        (6, {"a": [1]}),
+        (8, {}),
+        (9, None),
+    ],
+)
+def test_a_field_of_a_wrong_type_or_value_is_refused(index, value):
+    array = unpack(encode_state(folded_state()))
+    array[index] = value
+    assert isinstance(decode_state(pack(array)), Err)
+
+
+def test_a_route_without_its_service_is_refused_even_with_a_matching_digest():
+    state = folded_state()
+    orphan = attrs.evolve(state, services={}, rollouts={}, rollout_numbers={})
+    stated = str(decode_state(encode_state(orphan)).unwrap_err())
+    digest = stated.split("digest is ")[1].split(",")[0]
+    answer = decode_state(encode_state(attrs.evolve(orphan, digest=digest)))
+    assert "does not exist" in str(answer.unwrap_err())
+
+
+def test_a_frame_that_would_expand_beyond_the_bound_is_refused():
+    bomb = zstandard.ZstdCompressor().compress(bytes(MAX_STATE_BYTES + 1))
+    assert "at most" in str(decode_state(bomb).unwrap_err())
+
+
+@given(st.binary(max_size=200), st.integers(0, 10_000), st.integers(0, 400))
+def test_damaged_bytes_are_an_error_and_never_raise(noise, position, length):
+    data = encode_state(folded_state())
+    start = position % len(data)
+    damaged = data[:start] + noise + data[start + length :]
+    for candidate in (damaged, noise, data[:start]):
+        answer = decode_state(candidate)
+        assert isinstance(answer, Err) or candidate == data
