Read an append back when its answer is lost

An append whose answer was lost was reported as a failure, so that an operator who published again doubled the ticket, and an outage made the command fail at once.

Appender waits out an outage with full jitter up to a time limit, and before it repeats an append it looks for the record from the offset known before the first attempt. A refusal that would repeat (400, 413 and so on) is the new LogRefused and is not retried. publish_ticket recognises a ticket by number and canonical digest, says whether the ticket may be on the log when it gives up, and reports a ticket with the same or a higher number that came first in a race.

HttpLogClient now bounds the answer, checks types and that offsets are consecutive (int(), str() accepted 1.5 and null), follows no redirects, and doubles its timeout for a slow log: with a fixed 5 s a log that answers in 6 s was never readable.

--- a/src/lacewingstair/cli.py
+++ b/src/lacewingstair/cli.py
@@ -1,17 +1,20 @@
 """Command-line tool for operators."""
 
 import json
+import random
 import sys
 from pathlib import Path
 
 import aiohttp
 import fire
 import uvloop
-from result import Err
+from result import Err, Result
 
 from lacewingstair.demo import run_demo
+from lacewingstair.errors import PublishError, TicketError
 from lacewingstair.platform.http_log import HttpLogClient
-from lacewingstair.platform.log import TICKET_STREAM
+from lacewingstair.platform.publish import PublishedTicket, publish_ticket
+from lacewingstair.runtime import SystemClock
 from lacewingstair.tickets import parse_ticket
 
 
@@ -25,14 +28,22 @@
             _fail(f"{ticket}: {parsed.err_value}")
         print(f"{ticket}: ticket {parsed.ok_value.number} is valid")
 
-    def publish(self, ticket: str, log: str) -> None:
-        """Publish a ticket file on the log at a URL."""
-        text = Path(ticket).read_text("utf-8")
-        parsed = parse_ticket(text)
-        if isinstance(parsed, Err):
-            _fail(f"{ticket}: {parsed.err_value}")
-        offset = uvloop.run(_publish(text, log))
-        print(f"{ticket}: ticket {parsed.ok_value.number} is at offset {offset}")
+    def publish(self, ticket: str, log: str, timeout: float = 60.0) -> None:
+        """Publish a ticket file on the log at a URL, waiting through an outage."""
+        try:
+            text = Path(ticket).read_text("utf-8")
+        except (OSError, ValueError) as error:
+            _fail(f"{ticket}: {error}")
+        published = uvloop.run(_publish(text, log, float(timeout)))
+        if isinstance(published, Err):
+            _fail(f"{ticket}: {published.err_value}")
+        done = published.ok_value
+        print(f"{ticket}: ticket {done.number} is at offset {done.offset}")
+        if done.conflict_offset is not None:
+            _fail(
+                f"{ticket}: will be refused, since a ticket with the same or a higher "
+                f"number is at offset {done.conflict_offset}"
+            )
 
     def report(self, operator: str) -> None:
         """Print the report of the VM whose operator URL is given."""
@@ -47,15 +58,15 @@
         sys.exit(uvloop.run(run_demo()))
 
 
-async def _publish(text: str, url: str) -> int:
+async def _publish(
+    text: str, url: str, timeout: float
+) -> Result[PublishedTicket, TicketError | PublishError]:
     client = HttpLogClient(url)
+    clock = SystemClock()
     try:
-        appended = await client.append(TICKET_STREAM, text)
+        return await publish_ticket(client, text, clock, random.Random(), timeout)
     finally:
         await client.close()
-    if isinstance(appended, Err):
-        _fail(str(appended.err_value))
-    return appended.ok_value
 
 
 async def _get(url: str) -> dict[str, object]:
--- a/src/lacewingstair/errors.py
+++ b/src/lacewingstair/errors.py
@@ -138,3 +138,53 @@
 
     def __str__(self) -> str:
         return f"invalid state: {self.reason}"
+
+
+@attrs.frozen
+class LogRefused:
+    """The log refused an append for good, for instance because it is too large.
+
+    Repeating it does not help. Make the record smaller or correct the log's address.
+    """
+
+    url: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"log at {self.url!r} refused the record: {self.reason}"
+
+
+@attrs.frozen
+class SystemRecordError:
+    """A record of the system stream is malformed or of an unknown kind.
+
+    Readers pass over it. Records of an unknown kind come from a newer release.
+    """
+
+    reason: str
+
+    def __str__(self) -> str:
+        return f"invalid system record: {self.reason}"
+
+
+@attrs.frozen
+class PublishError:
+    """A ticket could not be published.
+
+    Publish the same file again when the log answers: a ticket that is on the log
+    already counts once.
+
+    Parameters
+    ----------
+    reason : str
+        Last error of the log.
+    may_be_written : bool
+        Whether the ticket may be on the log all the same.
+    """
+
+    reason: str
+    may_be_written: bool
+
+    def __str__(self) -> str:
+        outcome = "may be on the log" if self.may_be_written else "was not written"
+        return f"the ticket {outcome}: {self.reason}"
--- a/src/lacewingstair/platform/http_log.py
+++ b/src/lacewingstair/platform/http_log.py
@@ -1,15 +1,43 @@
 """Log client over HTTP and JSON."""
 
+import asyncio
+import json
 from typing import Any
 
 import aiohttp
 from result import Err, Ok, Result
 
-from lacewingstair.errors import LogUnavailable, OffsetExpired
+from lacewingstair.errors import LogRefused, LogUnavailable, OffsetExpired
 from lacewingstair.platform.log import LogBatch, LogRecord
 
 REQUEST_TIMEOUT_SECONDS = 5.0
+# A log that answers slowly is still usable; a silent connection is found out by the
+# first, short timeout.
+MAX_REQUEST_TIMEOUT_SECONDS = 40.0
 MAX_RESPONSE_BYTES = 16 << 20
+READ_CHUNK_BYTES = 64 << 10
+# Statuses that the same append would get again.
+REFUSED_STATUSES = frozenset({400, 401, 403, 404, 405, 413, 415, 422})
+
+
+class AdaptiveTimeout:
+    """Timeout of a request without its long poll.
+
+    It doubles with each request that times out, and returns to its start with the first
+    that is answered within that.
+    """
+
+    def __init__(self) -> None:
+        self.seconds = REQUEST_TIMEOUT_SECONDS
+
+    def note_timeout(self) -> None:
+        """Take note of a request that timed out."""
+        self.seconds = min(2 * self.seconds, MAX_REQUEST_TIMEOUT_SECONDS)
+
+    def note_answer(self, elapsed_seconds: float) -> None:
+        """Take note of a request that was answered."""
+        if elapsed_seconds < REQUEST_TIMEOUT_SECONDS:
+            self.seconds = REQUEST_TIMEOUT_SECONDS
 
 
 class HttpLogClient:
@@ -24,17 +52,25 @@
     def __init__(self, url: str) -> None:
         self._url = url.rstrip("/")
         self._session: aiohttp.ClientSession | None = None
+        self._timeout = AdaptiveTimeout()
 
-    async def append(self, stream: str, value: str) -> Result[int, LogUnavailable]:
+    async def append(
+        self, stream: str, value: str
+    ) -> Result[int, LogUnavailable | LogRefused]:
         """Append a record and return its offset."""
         url = f"{self._url}/streams/{stream}/records"
         answer = await self._request("POST", url, 0.0, json={"value": value})
         if isinstance(answer, Err):
             return answer
         status, body = answer.ok_value
-        if status != 200 or not isinstance(body.get("offset"), int):
+        if status in REFUSED_STATUSES:
+            return Err(
+                LogRefused(url, f"status {status} {body.get('error', '')!r:.200}")
+            )
+        offset = body.get("offset")
+        if status not in (200, 201) or not _is_offset(offset):
             return Err(LogUnavailable(url, f"status {status} to an append"))
-        return Ok(body["offset"])
+        return Ok(offset)
 
     async def read(
         self, stream: str, from_offset: int, limit: int, wait_seconds: float
@@ -50,7 +86,7 @@
         if isinstance(answer, Err):
             return answer
         status, body = answer.ok_value
-        if status == 410 and isinstance(body.get("first_offset"), int):
+        if status == 410 and _is_offset(body.get("first_offset")):
             return Err(OffsetExpired(from_offset, body["first_offset"]))
         if status != 200:
             return Err(LogUnavailable(url, f"status {status} to a read"))
@@ -66,26 +102,64 @@
     ) -> Result[tuple[int, dict[str, Any]], LogUnavailable]:
         if self._session is None:
             self._session = aiohttp.ClientSession()
-        timeout = aiohttp.ClientTimeout(total=wait_seconds + REQUEST_TIMEOUT_SECONDS)
+        timeout = aiohttp.ClientTimeout(total=wait_seconds + self._timeout.seconds)
+        start = asyncio.get_running_loop().time()
         try:
             async with self._session.request(
-                method, url, timeout=timeout, **options
+                method, url, timeout=timeout, allow_redirects=False, **options
             ) as response:
-                body = await response.json()
-        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+                status = response.status
+                data = await _read_bounded(response)
+            body = json.loads(data)
+        except TimeoutError:
+            self._timeout.note_timeout()
+            return Err(LogUnavailable(url, f"no answer in {timeout.total:.3g} s"))
+        except (aiohttp.ClientError, OSError, ValueError, RecursionError) as error:
             return Err(LogUnavailable(url, str(error) or type(error).__name__))
+        self._timeout.note_answer(asyncio.get_running_loop().time() - start)
         if not isinstance(body, dict):
             return Err(LogUnavailable(url, "the answer is not a JSON object"))
-        return Ok((response.status, body))
+        return Ok((status, body))
+
+
+async def _read_bounded(response: aiohttp.ClientResponse) -> bytes:
+    data = bytearray()
+    async for chunk in response.content.iter_chunked(READ_CHUNK_BYTES):
+        data += chunk
+        if len(data) > MAX_RESPONSE_BYTES:
+            raise ValueError(f"the answer is larger than {MAX_RESPONSE_BYTES} bytes")
+    return bytes(data)
+
+
+def _is_offset(value: Any) -> bool:
+    return type(value) is int and 0 <= value < 1 << 63
 
 
 def _parse_batch(url: str, body: dict[str, Any]) -> Result[LogBatch, LogUnavailable]:
     try:
         records = tuple(
-            LogRecord(int(r["offset"]), int(r["time_ms"]), str(r["value"]))
+            LogRecord(_offset(r["offset"]), _offset(r["time_ms"]), _text(r["value"]))
             for r in body["records"]
         )
-        batch = LogBatch(int(body["first_offset"]), int(body["next_offset"]), records)
+        first_offset = _offset(body["first_offset"])
+        next_offset = _offset(body["next_offset"])
     except (KeyError, TypeError, ValueError) as error:
-        return Err(LogUnavailable(url, f"malformed answer: {error!r}"))
-    return Ok(batch)
+        return Err(LogUnavailable(url, f"malformed answer: {error!r:.200}"))
+    offsets = [record.offset for record in records]
+    if offsets and offsets != list(range(offsets[0], offsets[0] + len(offsets))):
+        return Err(
+            LogUnavailable(url, "the offsets of the records are not consecutive")
+        )
+    return Ok(LogBatch(first_offset, next_offset, records))
+
+
+def _offset(value: Any) -> int:
+    if not _is_offset(value):
+        raise ValueError(f"{value!r:.80} is not an integer from 0 to 2^63 - 1")
+    return value
+
+
+def _text(value: Any) -> str:
+    if type(value) is not str:
+        raise ValueError(f"{value!r:.80} is not a string")
+    return value
--- a/src/lacewingstair/platform/log.py
+++ b/src/lacewingstair/platform/log.py
@@ -5,7 +5,7 @@
 import attrs
 from result import Result
 
-from lacewingstair.errors import LogUnavailable, OffsetExpired
+from lacewingstair.errors import LogRefused, LogUnavailable, OffsetExpired
 
 TICKET_STREAM = "tickets"
 SYSTEM_STREAM = "system"
@@ -52,10 +52,13 @@
 class LogClient(Protocol):
     """Client of the log."""
 
-    async def append(self, stream: str, value: str) -> Result[int, LogUnavailable]:
+    async def append(
+        self, stream: str, value: str
+    ) -> Result[int, LogUnavailable | LogRefused]:
         """Append a record and return its offset.
 
-        After an error the record may be in the stream or not.
+        After `LogUnavailable` the record may be in the stream or not; after
+        `LogRefused` it is not.
         """
         ...
 
