Add the system stream, leases, checkpoints and the log reader

A reader whose offset had expired retried for ever, take-back marks were lost with the last VM that knew them, and the status said only whether the last read worked.

The stream `system` holds one JSON envelope (writer, sequence, kind, body) around leases, checkpoint chunks and take-back marks. SystemView folds it by offsets and log times alone. A lease is granted when none of another writer is live at its log time; chunks count under the newest granted, unexpired lease only. LogReader runs the tail and the upkeep of the stream while the overlay makes the VM a reader; all other VMs have one timer of 1 to 2 s. Take-back marks that wait out an outage are not queued: they are the difference between the marks held and those on the log, which is bounded by the rollouts and cannot drop one.

--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -22,7 +22,7 @@
 from lacewingstair.operator.report import build_report
 from lacewingstair.overlay import region_readers
 from lacewingstair.platform.http_log import HttpLogClient
-from lacewingstair.platform.tail import LogTail
+from lacewingstair.platform.reader import LogReader
 from lacewingstair.runtime import Clock, SystemClock
 from lacewingstair.settings import Settings, load_settings
 from lacewingstair.store import StateStore
@@ -44,7 +44,7 @@
     directory: Directory
     marks: Marks
     node: VmNode
-    tail: LogTail
+    log_reader: LogReader
     log: HttpLogClient
     announcements: AnnouncementServer
     calls: CallServer
@@ -73,7 +73,7 @@
             served = await self._serve(address, runner)
             if isinstance(served, Err):
                 return served
-        runs = (self.node.run(), self.tail.run(), self.announcements.run())
+        runs = (self.node.run(), self.log_reader.run(), self.announcements.run())
         self._tasks.extend(asyncio.create_task(run) for run in runs)
         events.info("daemon_started", vm=settings.vm_id)
         return Ok(None)
@@ -138,12 +138,21 @@
             "next_offset": store.state.next_offset,
             "vms": len(directory.live()),
             "links": sorted(node.peers_by_vm_id),
-            "is_reader": is_reader(),
-            "is_log_up": tail.is_log_up,
+            "log": attrs.asdict(log_reader.status),
         }
 
     log = HttpLogClient(settings.log_url)
-    tail = LogTail(log, store, node.publish_records, is_reader, clock, rng)
+    log_reader = LogReader(
+        log=log,
+        writer_id=f"{settings.mesh}/{settings.vm_id}/{own.incarnation}",
+        store=store,
+        marks=marks,
+        publish_records=node.publish_records,
+        publish_take_back=node.publish_take_back,
+        is_reader=is_reader,
+        clock=clock,
+        rng=rng,
+    )
     announcements = AnnouncementServer(node.set_endpoints, clock)
     calls = CallServer(store, directory, rng)
     operator = OperatorApi(
@@ -158,7 +167,7 @@
         directory=directory,
         marks=marks,
         node=node,
-        tail=tail,
+        log_reader=log_reader,
         log=log,
         announcements=announcements,
         calls=calls,
--- a/src/lacewingstair/platform/tail.py
+++ b/src/lacewingstair/platform/tail.py
@@ -1,4 +1,4 @@
-"""Tails the ticket stream while this VM is a log reader."""
+"""Tails the ticket stream: one long poll at a time."""
 
 import random
 from collections.abc import Callable, Iterable
@@ -7,15 +7,23 @@
 
 from lacewingstair import events
 from lacewingstair.acceptance import TicketRecord
-from lacewingstair.platform.log import TICKET_STREAM, LogClient
+from lacewingstair.errors import LogUnavailable, OffsetExpired
+from lacewingstair.platform.checkpoint import decode_checkpoint
+from lacewingstair.platform.log import TICKET_STREAM, LogBatch, LogClient
+from lacewingstair.platform.status import LogStatus
+from lacewingstair.platform.system_stream import SystemStream
 from lacewingstair.runtime import Clock, full_jitter
 from lacewingstair.store import StateStore
 
-READ_LIMIT = 100
-POLL_SECONDS = 20.0
-ROLE_CHECK_SECONDS = 1.0
+READ_LIMIT = 128
+# A connection that has gone silent is noticed after this time and the client's timeout.
+POLL_SECONDS = 10.0
+POLL_JITTER = 0.25
+MIN_POLL_SECONDS = 1.0
 RETRY_BASE_SECONDS = 0.5
 RETRY_CAP_SECONDS = 10.0
+# How often a VM looks whether another one has closed its gap.
+GAP_RETRY_SECONDS = 10.0
 
 
 class LogTail:
@@ -25,54 +33,135 @@
     ----------
     log : LogClient
         The platform's log.
+    system : SystemStream
+        Source of checkpoints.
     store : StateStore
-        Gives the offset to read from.
+        Gives the offset to read from; takes the state of a checkpoint.
     publish : callable
         Takes the records read.
-    is_reader : callable
-        Whether this VM reads the log now.
+    status : LogStatus
+        Kept up to date.
     clock, rng
         Time and randomness.
+
+    Attributes
+    ----------
+    first_offset : int
+        Oldest offset that the log keeps, as last seen.
     """
 
     def __init__(
         self,
         log: LogClient,
+        system: SystemStream,
         store: StateStore,
         publish: Callable[[Iterable[TicketRecord]], object],
-        is_reader: Callable[[], bool],
+        status: LogStatus,
         clock: Clock,
         rng: random.Random,
     ) -> None:
         self._log = log
+        self._system = system
         self._store = store
         self._publish = publish
-        self._is_reader = is_reader
+        self._status = status
         self._clock = clock
         self._rng = rng
-        self.is_log_up = False
-
-    async def run(self) -> None:
-        """Tail until cancelled."""
-        attempt = 0
-        while True:
-            if not self._is_reader():
-                await self._clock.sleep(ROLE_CHECK_SECONDS)
+        self._attempt = 0
+        self._limit = READ_LIMIT
+        self.first_offset = 0
+
+    async def poll(self) -> None:
+        """Read once, waiting for a new record, and hand on what came."""
+        start = self._store.state.next_offset
+        began = self._clock.monotonic()
+        jitter = self._rng.uniform(1.0 - POLL_JITTER, 1.0)
+        answer = await self._log.read(
+            TICKET_STREAM, start, self._limit, POLL_SECONDS * jitter
+        )
+        if isinstance(answer, Err):
+            await self._handle_error(answer.err_value)
+            return
+        batch = answer.ok_value
+        self._limit = min(READ_LIMIT, 2 * self._limit)
+        self.first_offset = batch.first_offset
+        if batch.next_offset < start:
+            self._report_lost_data(start, batch)
+            await self._back_off()
+            return
+        self._status.has_lost_data = False
+        self._close_gap()
+        self._publish([TicketRecord(r.offset, r.value) for r in batch.records])
+        has_waited = self._clock.monotonic() - began >= MIN_POLL_SECONDS
+        if self._store.state.next_offset > start or has_waited:
+            self._attempt = 0
+            return
+        # A log that answers at once with nothing new is not asked in a tight loop.
+        await self._back_off()
+
+    async def start_from_checkpoint(self) -> None:
+        """Take over the newest checkpoint that is newer than the state held."""
+        for stored in reversed(self._system.view.checkpoints):
+            if stored.next_offset <= self._store.state.next_offset:
                 continue
-            start = self._store.state.next_offset
-            result = await self._log.read(
-                TICKET_STREAM, start, READ_LIMIT, POLL_SECONDS
-            )
-            if isinstance(result, Err):
-                self.is_log_up = False
-                events.warning("log_read_failed", reason=result.err_value)
-                delay = full_jitter(
-                    self._rng, attempt, RETRY_BASE_SECONDS, RETRY_CAP_SECONDS
+            decoded = decode_checkpoint(stored.data)
+            if isinstance(decoded, Err):
+                events.error(
+                    "checkpoint_invalid", token=stored.token, reason=decoded.err_value
                 )
-                attempt += 1
-                await self._clock.sleep(delay)
                 continue
-            attempt = 0
-            self.is_log_up = True
-            records = result.ok_value.records
-            self._publish(TicketRecord(r.offset, r.value) for r in records)
+            state = decoded.ok_value.state
+            if self._store.adopt(state):
+                events.info(
+                    "checkpoint_adopted",
+                    token=stored.token,
+                    number=state.number,
+                    next_offset=state.next_offset,
+                )
+                return
+
+    async def _handle_error(self, error: LogUnavailable | OffsetExpired) -> None:
+        if isinstance(error, OffsetExpired):
+            await self._recover(error)
+            return
+        # An answer may have been larger than the client accepts, or too slow.
+        self._limit = max(1, self._limit // 2)
+        await self._back_off()
+
+    async def _recover(self, error: OffsetExpired) -> None:
+        self.first_offset = error.first_offset
+        caught_up = await self._system.catch_up()
+        if isinstance(caught_up, Err):
+            await self._back_off()
+            return
+        await self.start_from_checkpoint()
+        held = self._store.state.next_offset
+        if held > error.offset and held >= error.first_offset:
+            return
+        if held >= error.first_offset:
+            await self._back_off()
+            return
+        if not self._status.has_gap:
+            self._status.has_gap = True
+            events.error("log_gap", held=held, first_offset=error.first_offset)
+        await self._clock.sleep(GAP_RETRY_SECONDS * self._rng.uniform(0.5, 1.0))
+
+    def _close_gap(self) -> None:
+        if self._status.has_gap:
+            self._status.has_gap = False
+            events.info("log_gap_closed", held=self._store.state.next_offset)
+
+    def _report_lost_data(self, start: int, batch: LogBatch) -> None:
+        if self._status.has_lost_data:
+            return
+        self._status.has_lost_data = True
+        events.error(
+            "log_lost_data", stream=TICKET_STREAM, held=start, log=batch.next_offset
+        )
+
+    async def _back_off(self) -> None:
+        delay = full_jitter(
+            self._rng, self._attempt, RETRY_BASE_SECONDS, RETRY_CAP_SECONDS
+        )
+        self._attempt += 1
+        await self._clock.sleep(delay)
