--- a/src/lacewingstair/operator/health.py
+++ b/src/lacewingstair/operator/health.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from lacewingstair.platform.status import LogStatus
+
 
 @attrs.frozen
 class Health:
@@ -36,8 +38,7 @@
     is_configured: bool,
     is_leaving: bool,
     is_reader: bool,
-    is_log_up: bool,
-    is_log_gap: bool,
+    log_status: LogStatus,
     links: int,
     live_vms: int,
 ) -> Health:
@@ -48,10 +49,12 @@
     if is_leaving:
         reasons.append("the VM is leaving")
     warnings = []
-    if is_reader and not is_log_up:
+    if is_reader and not log_status.is_log_up:
         warnings.append("the log does not answer; the state held is served")
-    if is_log_gap:
+    if log_status.has_gap:
         warnings.append("records of the log have expired that no checkpoint covers")
+    if log_status.has_lost_data:
+        warnings.append("the log ends before records that this VM has applied")
     if links == 0 and live_vms > 1:
         warnings.append("no link to another VM")
     return Health(not reasons, tuple(reasons), tuple(warnings))
