--- a/src/lacewingstair/cli/main.py
+++ b/src/lacewingstair/cli/main.py
@@ -1,5 +1,6 @@
 """Entry point of the command-line tool."""
 
+import inspect
 import sys
 from collections.abc import Sequence
 from typing import Any
@@ -31,10 +32,24 @@
     """
     if arguments and arguments[-1] in ("-h", "--help"):
         return [*arguments[:1], "--", "--help"] if len(arguments) > 1 else _HELP
-    return [*arguments[:1], *map(_quoted, arguments[1:])]
+    flags = _flags_without_value()
+    return [*arguments[:1], *(_completed(a, flags) for a in arguments[1:])]
 
 
-def _quoted(argument: str) -> str:
+def _flags_without_value() -> frozenset[str]:
+    return frozenset(
+        f"--{name.replace('_', separator)}"
+        for _, method in inspect.getmembers(Commands, inspect.isfunction)
+        for name, parameter in inspect.signature(method).parameters.items()
+        if parameter.default is False
+        for separator in "-_"
+    )
+
+
+def _completed(argument: str, flags: frozenset[str]) -> str:
+    # fire would take the next argument as the value of the flag.
+    if argument in flags:
+        return f"{argument}=True"
     name, equals, value = argument.partition("=")
     if argument.startswith("--"):
         return f"{name}={_as_literal(value)}" if equals else argument
--- a/src/lacewingstair/cli/operator_client.py
+++ b/src/lacewingstair/cli/operator_client.py
@@ -43,7 +43,9 @@
                 body = await response.json(content_type=None)
         except aiohttp.ClientConnectorError as error:
             number = error.os_error.errno
-            reason = os.strerror(number) if number else str(error.os_error)
+            reason = (
+                os.strerror(number) if number and number > 0 else str(error.os_error)
+            )
             return Err(OperatorUnavailable(url, reason))
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return Err(OperatorUnavailable(url, str(error) or "no answer in time"))
--- a/src/lacewingstair/settings_values.py
+++ b/src/lacewingstair/settings_values.py
@@ -11,6 +11,9 @@
 MAX_NAME_CHARACTERS = 100
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]{1,100}")
 
+# Names, IPv4 and IPv6 addresses; the latter contain colons.
+_HOST = re.compile(r"[0-9A-Za-z:][0-9A-Za-z.:_-]*")
+
 
 class Kind(Protocol):
     """How the text of a setting is read.
@@ -91,6 +94,8 @@
         parts = urlsplit(text)
         if parts.scheme not in ("http", "https") or not parts.hostname:
             raise ValueError(text)
+        if not _HOST.fullmatch(parts.hostname):
+            raise ValueError(text)
         if parts.query or parts.fragment or any(c.isspace() for c in text):
             raise ValueError(text)
         # Reading the port raises ValueError when it is not a port number.
--- a/src/lacewingstair/vm/transport.py
+++ b/src/lacewingstair/vm/transport.py
@@ -172,6 +172,10 @@
             stream = TcpStream(reader, writer)
             try:
                 await on_stream(stream)
+            except asyncio.CancelledError:
+                # The stop of the process. CPython 3.11 logs a traceback when the task
+                # of a connection ends as cancelled.
+                return
             finally:
                 stream.close()
 
