--- a/src/lacewingstair/events.py
+++ b/src/lacewingstair/events.py
@@ -97,7 +97,7 @@
         """Return whether the next decision is logged."""
         return self._rng.random() < self._share
 
-    def call_routed(self, *, route: str, version: str, endpoint: str) -> None:
+    def call_routed(self, **fields: Any) -> None:
         """Log where a call went, if it is sampled."""
         if self.is_sampled():
-            info("call_routed", route=route, version=version, endpoint=endpoint)
+            info("call_routed", **fields)
