--- a/src/lacewingstair/cli/standins.py
+++ b/src/lacewingstair/cli/standins.py
@@ -39,9 +39,8 @@
         announcing.append(asyncio.create_task(server.announce_until_cancelled()))
 
     async def drain() -> None:
-        announcing[0].cancel()
         server.endpoint = attrs.evolve(endpoint, state=EndpointState.DRAINING)
-        announcing[0] = asyncio.create_task(server.announce_until_cancelled())
+        await server.announce_once()
         await asyncio.sleep(DRAIN_SECONDS)
         announcing[0].cancel()
         await asyncio.gather(*announcing, return_exceptions=True)
