--- a/src/lacewingstair/cli/output.py
+++ b/src/lacewingstair/cli/output.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
-_MOVE_COLUMNS = ("move", "service", "from", "to", "state", "since", "reason")
+_MOVE_COLUMNS = ("move", "service", "from", "to", "state", "share", "since", "reason")
 
 
 def table(columns: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
@@ -65,17 +65,30 @@
         f"move {name} of {move.get('service')} from {move.get('from_version')}"
         f" to {move.get('to_version')} is {move.get('state')}"
     )
-    if move.get("share") is not None:
-        text += f", share {move['share']}"
+    share = share_text(move)
+    if share:
+        text += f", share {share}"
     details = [str(move[key]) for key in ("reason", "evidence") if move.get(key)]
     return f"{text}: {'; '.join(details)}" if details else text
 
 
+def share_text(move: Mapping[str, Any]) -> str:
+    """Return the new version's share, from the lowest to the highest of all zones."""
+    shares = [stage["share"] for stage in move.get("stages", ())]
+    if not shares:
+        return ""
+    low, high = min(shares), max(shares)
+    return f"{low:.0%}" if low == high else f"{low:.0%} to {high:.0%}"
+
+
 def _visible(move: Mapping[str, Any]) -> tuple[Any, ...]:
-    return tuple(move.get(key) for key in ("state", "reason", "share", "since"))
+    fields = tuple(move.get(key) for key in ("state", "reason", "number"))
+    return (*fields, share_text(move))
 
 
 def _move_row(name: str, move: Mapping[str, Any]) -> tuple[str, ...]:
     reason = "; ".join(str(move[k]) for k in ("reason", "evidence") if move.get(k))
-    keys = ("service", "from_version", "to_version", "state", "since")
-    return (name, *(str(move.get(key) or "-") for key in keys), reason or "-")
+    keys = ("service", "from_version", "to_version", "state")
+    cells = [str(move.get(key) or "-") for key in keys]
+    since = str(move.get("since") or "-")
+    return (name, *cells, share_text(move) or "-", since, reason or "-")
--- a/tests/cli/test_report.py
+++ b/tests/cli/test_report.py
@@ -80,6 +80,15 @@
         assert part in line
 
 
+def test_share_is_that_of_the_slowest_and_the_fastest_zone():
+    stages = [{"share": 0.1}, {"share": 0.5}, {"share": 0.25}]
+    held = move("in progress", stages=stages)
+    assert "  10% to 50%  " in report_text(report(m=held).ok_value)
+    further = move("in progress", stages=[{"share": 0.5}])
+    (line,) = changes(report(m=held).ok_value, report(m=further).ok_value)
+    assert line.endswith("is in progress, share 50%")
+
+
 def test_changes_name_each_difference_once():
     before = report(1, m=move("in progress")).ok_value
     refusal = {"number": 2, "offset": 4, "faults": ["number: taken"]}
