--- a/src/lacewingstair/cli/output.py
+++ b/src/lacewingstair/cli/output.py
@@ -74,6 +74,8 @@
 
 def share_text(move: Mapping[str, Any]) -> str:
     """Return the new version's share, from the lowest to the highest of all zones."""
+    if move.get("state") == "taken back":
+        return ""
     shares = [stage["share"] for stage in move.get("stages", ())]
     if not shares:
         return ""
--- a/src/lacewingstair/demo.py
+++ b/src/lacewingstair/demo.py
@@ -104,6 +104,8 @@
     async def _first_ticket(self) -> None:
         zones = len(set(ZONES))
         self._say(f"{len(ZONES)} VMs in {zones} availability zones have started.")
+        await self._until("all VMs are linked", self._mesh.is_linked)
+        self._say("They have found each other, and some of them read the log.")
         await self._mesh.start_servers(SERVICE, "v1")
         route = {"service": SERVICE, "path_prefix": "/rota", "worth": 5}
         seconds = await self._publish(
--- a/src/lacewingstair/http_server.py
+++ b/src/lacewingstair/http_server.py
@@ -13,6 +13,7 @@
 # limit only removes connections whose other end has gone silent.
 KEEPALIVE_SECONDS = 600.0
 MAX_HEADERS = 128
+READ_BYTES = 64 << 10
 
 CallHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -47,7 +48,14 @@
         return Request(message, payload, protocol, writer, task, server._loop)
 
     server = web.Server(
-        handler, request_factory=make_request, **_limits(max_header_bytes)
+        handler,
+        request_factory=make_request,
+        # A caller that leaves cancels its call.
+        handler_cancellation=True,
+        # Bodies are passed on as they came.
+        auto_decompress=False,
+        read_bufsize=READ_BYTES,
+        **_limits(max_header_bytes),
     )
     return web.ServerRunner(server, shutdown_timeout=drain_seconds)
 
--- a/src/lacewingstair/standins/local_mesh.py
+++ b/src/lacewingstair/standins/local_mesh.py
@@ -126,6 +126,12 @@
         """Append a ticket to the log and return its offset."""
         return self.log.append(TICKET_STREAM, json.dumps(ticket))
 
+    def is_linked(self) -> bool:
+        """Return whether all VMs have links and one of them reads the log."""
+        statuses = [daemon.status() for daemon in self.daemons]
+        is_read = any(status["log"]["is_log_up"] for status in statuses)
+        return is_read and all(status["links"] for status in statuses)
+
     def is_in_force(self, number: int) -> bool:
         """Return whether all VMs apply a ticket."""
         return all(daemon.store.state.number >= number for daemon in self.daemons)
--- a/tests/cli/test_report.py
+++ b/tests/cli/test_report.py
@@ -87,6 +87,9 @@
     further = move("in progress", stages=[{"share": 0.5}])
     (line,) = changes(report(m=held).ok_value, report(m=further).ok_value)
     assert line.endswith("is in progress, share 50%")
+    over = move("taken back", stages=stages)
+    (line,) = changes(report(m=held).ok_value, report(m=over).ok_value)
+    assert line.endswith("is taken back")
 
 
 def test_changes_name_each_difference_once():
