--- a/src/lacewingstair/cli/commands.py
+++ b/src/lacewingstair/cli/commands.py
@@ -1,5 +1,6 @@
 """Commands of the tool, as fire shows them."""
 
+import random
 from collections.abc import Callable, Coroutine
 from importlib import metadata
 from typing import Any
@@ -85,22 +86,25 @@
     ) -> Pending:
         """Publish a ticket on the log.
 
-        A lost answer is settled by reading the log, so that the ticket is published
-        once. With --operator the command waits until that VM has decided: exit code 3
-        if the ticket is refused, 4 if there is no decision in time.
+        An outage of the log is waited out, and a lost answer is settled by reading the
+        log, so that the ticket is published once. With --operator the command waits
+        until that VM has decided: exit code 3 if the ticket is refused, 4 if there is
+        no decision in time.
 
         Args:
             ticket: Ticket file.
             log: URL of the platform's log, as http://10.0.0.1:7000.
             operator: Address or URL of a VM's operator interface.
-            timeout: Seconds to wait for the decision.
+            timeout: Seconds to wait for the log, and then for the decision.
         """
 
         async def run(log_url: str, seconds: float, operator_url: str) -> ExitCode:
             client = HttpLogClient(log_url)
             vm = OperatorClient(operator_url) if operator else None
             try:
-                return await publish_file(ticket, client, vm, seconds, SystemClock())
+                return await publish_file(
+                    ticket, client, vm, seconds, SystemClock(), random.Random()
+                )
             finally:
                 await client.close()
                 if vm is not None:
--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from typing import Any
 
+import attrs
 from aiohttp import web
 from result import Err, Ok, Result
 
@@ -22,7 +23,7 @@
 from lacewingstair.operator.report import build_report
 from lacewingstair.overlay import region_readers
 from lacewingstair.platform.http_log import HttpLogClient
-from lacewingstair.platform.tail import LogTail
+from lacewingstair.platform.reader import LogReader
 from lacewingstair.runtime import Clock
 from lacewingstair.settings import Settings
 from lacewingstair.store import StateStore
@@ -61,8 +62,16 @@
             rng=rng,
         )
         self.log = HttpLogClient(settings.log_url)
-        self.tail = LogTail(
-            self.log, self.store, self.node.publish_records, self.is_reader, clock, rng
+        self.log_reader = LogReader(
+            log=self.log,
+            writer_id=f"{settings.mesh}/{settings.vm_id}/{self.node.own.incarnation}",
+            store=self.store,
+            marks=self.marks,
+            publish_records=self.node.publish_records,
+            publish_take_back=self.node.publish_take_back,
+            is_reader=self.is_reader,
+            clock=clock,
+            rng=rng,
         )
         self.announcements = AnnouncementServer(self.node.set_endpoints, clock)
         self.calls = CallServer(self.store, self.directory, rng)
@@ -78,7 +87,7 @@
             report=self.report,
             health=self.health,
             is_reader=self.is_reader,
-            is_log_up=lambda: self.tail.is_log_up,
+            log_status=self.log_reader.status,
         )
         self._runners: list[web.AppRunner | web.ServerRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -93,7 +102,7 @@
             served = await listen(runner, address)
             if isinstance(served, Err):
                 return served
-        runs = (self.node.run(), self.tail.run(), self.announcements.run())
+        runs = (self.node.run(), self.log_reader.run(), self.announcements.run())
         self._tasks.extend(asyncio.create_task(run) for run in runs)
         settings = self.settings
         events.info(
@@ -149,7 +158,7 @@
             "endpoints": sum(len(record.endpoints) for record in live),
             "links": sorted(self.node.peers_by_vm_id),
             "is_reader": self.is_reader(),
-            "is_log_up": self.tail.is_log_up,
+            "log": attrs.asdict(self.log_reader.status),
             "health": self.health().document(),
         }
 
@@ -159,8 +168,7 @@
             is_configured=not self.store.state.is_empty,
             is_leaving=self.is_leaving,
             is_reader=self.is_reader(),
-            is_log_up=self.tail.is_log_up,
-            is_log_gap=False,
+            log_status=self.log_reader.status,
             links=len(self.node.peers_by_vm_id),
             live_vms=len(self.directory.live()),
         )
--- a/src/lacewingstair/metrics.py
+++ b/src/lacewingstair/metrics.py
@@ -67,9 +67,6 @@
         self.refused_tickets = self._counter(
             "refused_tickets", "Records of the ticket stream that were refused."
         )
-        self.log_failures = self._counter(
-            "log_failures", "Requests to the log that failed."
-        )
         self.ticket_number = self._gauge(
             "ticket_number", "Number of the ticket in force."
         )
@@ -83,6 +80,10 @@
         self.log_gap = self._gauge(
             "log_gap", "1 while records have expired that no checkpoint covers."
         )
+        self.log_lost_data = self._gauge(
+            "log_lost_data",
+            "1 while the log ends before records that this VM has applied.",
+        )
         self.log_reader = self._gauge("log_reader", "1 while this VM reads the log.")
         self.links = self._gauge("links", "Open links to other VMs.")
         self.vms = self._gauge("vms", "VMs in the directory, by status.", ("status",))
--- a/src/lacewingstair/operator/observe.py
+++ b/src/lacewingstair/operator/observe.py
@@ -14,6 +14,7 @@
     follow_labelled,
 )
 from lacewingstair.operator.health import Health
+from lacewingstair.platform.status import LogStatus
 from lacewingstair.store import StateStore
 
 _STATUS_NAMES = tuple(status.name.lower() for status in VmStatus)
@@ -29,14 +30,18 @@
     report: Callable[[], Mapping[str, Any]],
     health: Callable[[], Health],
     is_reader: Callable[[], bool],
-    is_log_up: Callable[[], bool],
+    log_status: LogStatus,
 ) -> None:
     """Let the metrics follow the parts; values are read when ``/metrics`` is."""
     follow(metrics.ticket_number, lambda: store.state.number)
     follow(metrics.links, lambda: len(links))
     follow(metrics.endpoints, lambda: _endpoints(directory))
     follow(metrics.take_backs, lambda: len(marks.take_backs_by_key))
-    follow(metrics.log_up, lambda: float(is_log_up()))
+    follow(metrics.log_up, lambda: float(log_status.is_log_up))
+    follow(metrics.log_gap, lambda: float(log_status.has_gap))
+    follow(metrics.log_lost_data, lambda: float(log_status.has_lost_data))
+    take_backs = metrics.queue_size.labels("take_backs")
+    follow(take_backs, lambda: log_status.pending_take_backs)
     follow(metrics.log_reader, lambda: float(is_reader()))
     follow(metrics.ready, lambda: float(health().ready))
     follow_labelled(metrics.vms, _STATUS_NAMES, lambda: _statuses(directory))
