--- a/tests/platform/readers.py
+++ b/tests/platform/readers.py
@@ -43,14 +43,16 @@
         self.retention_seconds = retention_seconds
         self.log = LogStreams(self.clock, retention_seconds)
         self.vms = []
+        self.started = 0
 
     def start_vm(self, faults=None, is_reader=lambda: True):
+        self.started += 1
         store = StateStore()
         marks = Marks()
         client = MemoryLogClient(self.log, self.clock, faults)
         reader = LogReader(
             log=client,
-            writer_id=f"vm-{len(self.vms)}",
+            writer_id=f"vm-{self.started}",
             store=store,
             marks=marks,
             publish_records=store.apply,
