--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -20,7 +20,6 @@
 from lacewingstair.marks import Marks
 from lacewingstair.operator.api import OperatorApi
 from lacewingstair.operator.report import build_report
-from lacewingstair.overlay import region_readers
 from lacewingstair.platform.http_log import HttpLogClient
 from lacewingstair.platform.tail import LogTail
 from lacewingstair.runtime import Clock, SystemClock
@@ -127,10 +126,6 @@
         rng=rng,
     )
 
-    def is_reader() -> bool:
-        readers = region_readers(directory.live(), settings.region)
-        return any(reader.vm_id == settings.vm_id for reader in readers)
-
     def status() -> dict[str, Any]:
         return {
             "vm": settings.vm_id,
@@ -138,12 +133,12 @@
             "next_offset": store.state.next_offset,
             "vms": len(directory.live()),
             "links": sorted(node.peers_by_vm_id),
-            "is_reader": is_reader(),
+            "is_reader": node.is_log_reader(),
             "is_log_up": tail.is_log_up,
         }
 
     log = HttpLogClient(settings.log_url)
-    tail = LogTail(log, store, node.publish_records, is_reader, clock, rng)
+    tail = LogTail(log, store, node.publish_records, node.is_log_reader, clock, rng)
     announcements = AnnouncementServer(node.set_endpoints, clock)
     calls = CallServer(store, directory, rng)
     operator = OperatorApi(
--- a/src/lacewingstair/directory.py
+++ b/src/lacewingstair/directory.py
@@ -7,11 +7,12 @@
 
 import enum
 import hashlib
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 
 BUCKETS = 256
+TOMBSTONE_SECONDS = 3600
 
 
 class VmStatus(enum.IntEnum):
@@ -77,6 +78,10 @@
         Status for this incarnation.
     endpoints : tuple of Endpoint
         Backend servers announced to this VM.
+    died_at : int
+        Seconds since the Unix epoch, whole minutes, of the declaration as dead; 0
+        before. All VMs drop the tombstone by this time, so that none of them gets it
+        back from another that keeps it longer.
     """
 
     vm_id: str
@@ -87,6 +92,7 @@
     sequence: int = 0
     status: VmStatus = VmStatus.ALIVE
     endpoints: tuple[Endpoint, ...] = ()
+    died_at: int = 0
 
     @property
     def order(self) -> tuple[int, int, int]:
@@ -99,41 +105,68 @@
         return self.status in (VmStatus.ALIVE, VmStatus.SUSPECT)
 
 
+@attrs.frozen
+class _Entry:
+    record: VmRecord
+    digest: int
+
+
+OnRecord = Callable[[VmRecord | None, VmRecord | None], None]
+
+
 class Directory:
-    """Newest known record of each VM."""
+    """Newest known record of each VM.
+
+    Attributes
+    ----------
+    digest : int
+        64-bit digest that is equal for equal directories.
+    version : int
+        Raised by every change.
+    """
 
     def __init__(self) -> None:
-        self.records_by_vm_id: dict[str, VmRecord] = {}
+        self._entries_by_vm_id: dict[str, _Entry] = {}
+        self._vm_ids_by_bucket: list[set[str]] = [set() for _ in range(BUCKETS)]
         self._bucket_digests = [0] * BUCKETS
+        self._listeners: list[OnRecord] = []
         self.digest = 0
         self.version = 0
 
+    def subscribe(self, listener: OnRecord) -> None:
+        """Call `listener` with the record before and after each change, or None."""
+        self._listeners.append(listener)
+
     def merge(self, record: VmRecord) -> bool:
         """Keep `record` if it is newer than the one held; return whether it was."""
-        held = self.records_by_vm_id.get(record.vm_id)
-        if held is not None and not _is_newer(record, held):
+        held = self._entries_by_vm_id.get(record.vm_id)
+        if held is not None and record.order < held.record.order:
             return False
-        self._toggle_digest(held)
-        self.records_by_vm_id[record.vm_id] = record
-        self._toggle_digest(record)
-        self.version += 1
+        entry = _Entry(record, record_digest(record))
+        # Two processes that claim one VM id can issue records of the same order; the
+        # digest makes every VM keep the same one.
+        is_tie = held is not None and record.order == held.record.order
+        if is_tie and entry.digest <= held.digest:
+            return False
+        self._replace(record.vm_id, held, entry)
         return True
 
     def remove(self, vm_id: str) -> None:
         """Forget a VM, after its tombstone has been kept long enough."""
-        held = self.records_by_vm_id.pop(vm_id, None)
-        self._toggle_digest(held)
-        self.version += 1
+        held = self._entries_by_vm_id.get(vm_id)
+        if held is not None:
+            self._replace(vm_id, held, None)
 
     def get(self, vm_id: str) -> VmRecord | None:
         """Return the record of a VM, or None."""
-        return self.records_by_vm_id.get(vm_id)
+        held = self._entries_by_vm_id.get(vm_id)
+        return None if held is None else held.record
 
     def __len__(self) -> int:
-        return len(self.records_by_vm_id)
+        return len(self._entries_by_vm_id)
 
     def __iter__(self) -> Iterator[VmRecord]:
-        return iter(self.records_by_vm_id.values())
+        return (entry.record for entry in self._entries_by_vm_id.values())
 
     def live(self) -> list[VmRecord]:
         """Return the records of VMs that take part in the overlay."""
@@ -143,32 +176,42 @@
         """Return the digest of each bucket, 64 bits each."""
         return list(self._bucket_digests)
 
-    def in_buckets(self, buckets: Iterable[int]) -> list[VmRecord]:
-        """Return the records whose VM falls into the given buckets."""
-        wanted = set(buckets)
-        return [record for record in self if bucket_of(record.vm_id) in wanted]
+    def digests_in_bucket(self, bucket: int) -> dict[int, str]:
+        """Return the VM ids of a bucket by the digest of their records."""
+        vm_ids = self._vm_ids_by_bucket[bucket]
+        return {self._entries_by_vm_id[vm_id].digest: vm_id for vm_id in vm_ids}
 
-    def _toggle_digest(self, record: VmRecord | None) -> None:
-        if record is None:
-            return
-        digest = _record_digest(record)
-        self._bucket_digests[bucket_of(record.vm_id)] ^= digest
-        self.digest ^= digest
+    def _replace(self, vm_id: str, held: _Entry | None, entry: _Entry | None) -> None:
+        bucket = bucket_of(vm_id)
+        changed = (held.digest if held else 0) ^ (entry.digest if entry else 0)
+        self._bucket_digests[bucket] ^= changed
+        self.digest ^= changed
+        self.version += 1
+        if entry is None:
+            del self._entries_by_vm_id[vm_id]
+            self._vm_ids_by_bucket[bucket].discard(vm_id)
+        else:
+            self._entries_by_vm_id[vm_id] = entry
+            self._vm_ids_by_bucket[bucket].add(vm_id)
+        before = held.record if held else None
+        after = entry.record if entry else None
+        for listener in self._listeners:
+            listener(before, after)
 
 
 def bucket_of(vm_id: str) -> int:
     """Return the bucket of a VM, from 0 to `BUCKETS` - 1."""
-    return hashlib.blake2b(vm_id.encode(), digest_size=1).digest()[0]
-
-
-def _is_newer(record: VmRecord, held: VmRecord) -> bool:
-    if record.order != held.order:
-        return record.order > held.order
-    # Two processes that claim one VM id can issue records of the same order; the digest
-    # makes every VM keep the same one.
-    return _record_digest(record) > _record_digest(held)
-
-
-def _record_digest(record: VmRecord) -> int:
-    text = repr(attrs.astuple(record)).encode("utf-8", "surrogatepass")
-    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big")
+    hashed = hashlib.blake2b(vm_id.encode("utf-8", "surrogatepass"), digest_size=1)
+    return hashed.digest()[0]
+
+
+def record_digest(record: VmRecord) -> int:
+    """Return a 64-bit digest of all fields of a record."""
+    endpoints = [
+        (e.service, e.version, e.address, e.slots, e.connections, int(e.state))
+        for e in record.endpoints
+    ]
+    place = (record.vm_id, record.region, record.availability_zone, record.address)
+    text = repr((place, record.order, record.died_at, endpoints))
+    hashed = hashlib.blake2b(text.encode("utf-8", "surrogatepass"), digest_size=8)
+    return int.from_bytes(hashed.digest(), "big")
--- a/src/lacewingstair/errors.py
+++ b/src/lacewingstair/errors.py
@@ -138,3 +138,13 @@
 
     def __str__(self) -> str:
         return f"invalid state: {self.reason}"
+
+
+@attrs.frozen
+class SnapshotError:
+    """A snapshot from a peer is not valid. It is dropped and another peer is asked."""
+
+    reason: str
+
+    def __str__(self) -> str:
+        return f"invalid snapshot: {self.reason}"
--- a/src/lacewingstair/overlay.py
+++ b/src/lacewingstair/overlay.py
@@ -1,14 +1,17 @@
 """Overlay: neighbours, relays and log readers, worked out from the directory.
 
-Every VM derives its own links from its own directory; nobody is elected.
+Every VM derives its own links from its own directory; nobody is elected. The order of
+the VMs is kept sorted and changes only with the set of live VMs, so that a change costs
+two hashes and two insertions and a heartbeat costs nothing.
 """
 
+import bisect
 import hashlib
 from collections.abc import Iterable
 
 import attrs
 
-from lacewingstair.directory import VmRecord
+from lacewingstair.directory import Directory, VmRecord
 
 TREE_ARITY = 8
 TREE_SALTS = ("tree-a", "tree-b")
@@ -18,25 +21,28 @@
 
 @attrs.frozen
 class Link:
-    """A link to one neighbour.
+    """A link that this VM keeps open.
 
     Parameters
     ----------
-    vm_id, address : str
-        The neighbour.
+    key : str
+        Tells this VM's links apart.
+    vm_ids : tuple of str
+        VMs to try in turn; a link between zones has the zone's relays.
     is_eager : bool
         Whether news is sent at once. A lazy link carries heartbeats and pulls when the
         digests still differ after one interval.
     """
 
-    vm_id: str
-    address: str
+    key: str
+    vm_ids: tuple[str, ...]
     is_eager: bool = True
 
 
 def rank_key(vm_id: str, salt: str) -> bytes:
     """Return the hash by which VMs are ordered under a salt."""
-    return hashlib.blake2b(f"{salt}/{vm_id}".encode(), digest_size=8).digest()
+    text = f"{salt}/{vm_id}".encode("utf-8", "surrogatepass")
+    return hashlib.blake2b(text, digest_size=8).digest()
 
 
 def ranked(records: Iterable[VmRecord], salt: str) -> list[VmRecord]:
@@ -56,56 +62,188 @@
     return ranked(in_region, TREE_SALTS[0])[:READERS_PER_REGION]
 
 
-def outgoing_links(live: list[VmRecord], own: VmRecord) -> list[Link]:
-    """Return the links that this VM opens: its parents and its links as a relay.
+class _Order:
+    """VM ids sorted by their hash under one salt."""
 
-    Children open their links to this VM, so that each pair has one opener.
+    def __init__(self, salt: str) -> None:
+        self._salt = salt
+        self._keyed: list[tuple[bytes, str]] = []
+
+    def __len__(self) -> int:
+        return len(self._keyed)
+
+    def add(self, vm_id: str) -> None:
+        bisect.insort(self._keyed, (rank_key(vm_id, self._salt), vm_id))
+
+    def remove(self, vm_id: str) -> None:
+        del self._keyed[self.position(vm_id)]
+
+    def position(self, vm_id: str) -> int:
+        return bisect.bisect_left(self._keyed, (rank_key(vm_id, self._salt), vm_id))
+
+    def at(self, position: int) -> str:
+        return self._keyed[position][1]
+
+    def between(self, start: int, stop: int) -> list[str]:
+        return [vm_id for _, vm_id in self._keyed[start:stop]]
+
+    def keyed(self, stop: int) -> list[tuple[bytes, str]]:
+        return self._keyed[:stop]
+
+
+class Overlay:
+    """Neighbours of one VM, kept up to date with its directory.
+
+    Parameters
+    ----------
+    directory : Directory
+        Source of the live VMs.
+    own : VmRecord
+        The VM.
+    eager_trees : int
+        Number of trees on whose links news is pushed; the others are lazy.
+
+    Attributes
+    ----------
+    eager_trees : int
+        As given.
+    version : int
+        Raised when the set of live VMs changes.
     """
-    links_by_vm_id: dict[str, Link] = {}
-    for link in (*_relay_links(live, own), *_parent_links(live, own)):
-        held = links_by_vm_id.get(link.vm_id)
-        if held is None or link.is_eager:
-            links_by_vm_id[link.vm_id] = link
-    links_by_vm_id.pop(own.vm_id, None)
-    return list(links_by_vm_id.values())
-
-
-def _parent_links(live: list[VmRecord], own: VmRecord) -> list[Link]:
-    in_zone = [r for r in live if r.availability_zone == own.availability_zone]
-    links: list[Link] = []
-    for salt in TREE_SALTS:
-        order = ranked(in_zone, salt)
-        position = next((i for i, r in enumerate(order) if r.vm_id == own.vm_id), 0)
-        if position > 0:
-            parent = order[(position - 1) // TREE_ARITY]
-            links.append(Link(parent.vm_id, parent.address))
-    return links
-
-
-def _relay_links(live: list[VmRecord], own: VmRecord) -> list[Link]:
-    own_relays = zone_relays(live, own.availability_zone)
-    rank = next((i for i, r in enumerate(own_relays) if r.vm_id == own.vm_id), None)
-    if rank is None:
-        return []
-    links: list[Link] = []
-    for zone in sorted({r.availability_zone for r in live} - {own.availability_zone}):
-        relays = zone_relays(live, zone)
-        peer = relays[min(rank, len(relays) - 1)]
-        if peer.region != own.region and not _are_region_relays(live, own, peer):
-            continue
-        # One side of a pair opens the link.
-        if own.vm_id < peer.vm_id or rank > 0:
-            links.append(Link(peer.vm_id, peer.address, is_eager=rank == 0))
-    return links
-
-
-def _are_region_relays(live: list[VmRecord], own: VmRecord, peer: VmRecord) -> bool:
-    return all(
-        record.availability_zone == _first_zone(live, record.region)
-        for record in (own, peer)
-    )
-
-
-def _first_zone(live: list[VmRecord], region: str) -> str:
-    zones = {r.availability_zone for r in live if r.region == region}
-    return min(zones, key=lambda zone: rank_key(zone, "zone"))
+
+    def __init__(
+        self, directory: Directory, own: VmRecord, eager_trees: int = 1
+    ) -> None:
+        self._own = own
+        self.eager_trees = eager_trees
+        self._orders_by_zone: dict[str, _Order] = {}
+        self._regions_by_zone: dict[str, str] = {}
+        self._second_order = _Order(TREE_SALTS[1])
+        self.version = 0
+        for record in directory.live():
+            self._add(record)
+        directory.subscribe(self._update)
+
+    def zones(self) -> list[str]:
+        """Return the zones that have live VMs, in the order of their names."""
+        return sorted(self._orders_by_zone)
+
+    def relays(self, availability_zone: str) -> list[str]:
+        """Return the VM ids of a zone's relays, first one first."""
+        order = self._orders_by_zone.get(availability_zone)
+        return order.between(0, RELAYS_PER_ZONE) if order else []
+
+    def readers(self, region: str, reachable_zones: Iterable[str]) -> list[str]:
+        """Return the log readers of a region among the zones that can be reached."""
+        keyed: list[tuple[bytes, str]] = []
+        for zone in reachable_zones:
+            order = self._orders_by_zone.get(zone)
+            if order and self._regions_by_zone[zone] == region:
+                keyed.extend(order.keyed(READERS_PER_REGION))
+        return [vm_id for _, vm_id in sorted(keyed)[:READERS_PER_REGION]]
+
+    def parents(self) -> list[str | None]:
+        """Return the parent in each tree, None for the root."""
+        return [self._parent(order) for order in self._trees()]
+
+    def children(self, tree: int) -> list[str]:
+        """Return the children in one tree."""
+        order = self._trees()[tree]
+        first = order.position(self._own.vm_id) * TREE_ARITY + 1
+        return order.between(first, first + TREE_ARITY)
+
+    def relay_rank(self) -> int | None:
+        """Return 0 for the zone's first relay, 1 for the second, else None."""
+        relays = self.relays(self._own.availability_zone)
+        own = self._own.vm_id
+        return relays.index(own) if own in relays else None
+
+    def links(self) -> list[Link]:
+        """Return the links that this VM opens: its parents and its links as a relay.
+
+        Children open their links to this VM, so that each pair has one opener.
+        """
+        links = {link.key: link for link in self._relay_links()}
+        for tree, parent in enumerate(self.parents()):
+            if parent is not None and parent not in links:
+                links[parent] = Link(parent, (parent,), self._is_eager(tree, parent))
+        return list(links.values())
+
+    def _trees(self) -> tuple[_Order, _Order]:
+        first = self._orders_by_zone.get(self._own.availability_zone)
+        return (first or _Order(TREE_SALTS[0]), self._second_order)
+
+    def _parent(self, order: _Order) -> str | None:
+        position = order.position(self._own.vm_id)
+        if position == 0 or not len(order):
+            return None
+        return order.at((position - 1) // TREE_ARITY)
+
+    def _is_eager(self, tree: int, parent: str) -> bool:
+        # The parent in a lazy tree can be a child in an eager one; the two VMs share
+        # one connection and have to agree on its mode.
+        eager = range(self.eager_trees)
+        return tree in eager or any(parent in self.children(t) for t in eager)
+
+    def _relay_links(self) -> list[Link]:
+        rank = self.relay_rank()
+        if rank is None:
+            return []
+        own_zone = self._own.availability_zone
+        links: list[Link] = []
+        for zone in self.zones():
+            # The zone whose name sorts first opens the link.
+            if zone <= own_zone or not self._are_linked(own_zone, zone):
+                continue
+            relays = self.relays(zone)
+            # The second relay starts with the other zone's second relay, so that the
+            # loss of one VM never takes both links.
+            targets = relays if rank == 0 else relays[::-1]
+            # A new first relay is another link, so that it replaces the old one.
+            key = f"zone {zone} by {targets[0]}"
+            links.append(Link(key, tuple(targets), rank == 0))
+        return links
+
+    def _are_linked(self, zone: str, other: str) -> bool:
+        if self._regions_by_zone[zone] == self._regions_by_zone[other]:
+            return True
+        return self._is_first_zone(zone) and self._is_first_zone(other)
+
+    def _is_first_zone(self, zone: str) -> bool:
+        region = self._regions_by_zone[zone]
+        zones = [z for z, r in self._regions_by_zone.items() if r == region]
+        return zone == min(zones, key=lambda name: rank_key(name, "zone"))
+
+    def _update(self, before: VmRecord | None, after: VmRecord | None) -> None:
+        was_live = before is not None and before.is_live
+        is_live = after is not None and after.is_live
+        is_moved = was_live and is_live and _place(before) != _place(after)
+        if was_live == is_live and not is_moved:
+            return
+        if was_live:
+            self._remove(before)
+        if is_live:
+            self._add(after)
+        self.version += 1
+
+    def _add(self, record: VmRecord) -> None:
+        zone = record.availability_zone
+        if zone not in self._orders_by_zone:
+            self._orders_by_zone[zone] = _Order(TREE_SALTS[0])
+            self._regions_by_zone[zone] = record.region
+        self._orders_by_zone[zone].add(record.vm_id)
+        if zone == self._own.availability_zone:
+            self._second_order.add(record.vm_id)
+
+    def _remove(self, record: VmRecord) -> None:
+        zone = record.availability_zone
+        self._orders_by_zone[zone].remove(record.vm_id)
+        if zone == self._own.availability_zone:
+            self._second_order.remove(record.vm_id)
+        if not len(self._orders_by_zone[zone]):
+            del self._orders_by_zone[zone]
+            del self._regions_by_zone[zone]
+
+
+def _place(record: VmRecord) -> tuple[str, str, str]:
+    return (record.region, record.availability_zone, record.address)
--- /dev/null
+++ b/src/lacewingstair/vm/links.py
@@ -0,0 +1,323 @@
+"""Opening, accepting and closing the connections between VMs."""
+
+import asyncio
+import enum
+import random
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+import attrs
+from result import Err, Ok, Result
+
+from lacewingstair import events
+from lacewingstair.directory import VmRecord
+from lacewingstair.errors import FrameError, ListenError
+from lacewingstair.runtime import Clock, full_jitter
+from lacewingstair.vm import messages
+from lacewingstair.vm.peers import Peer, PeerTable
+from lacewingstair.vm.transport import Listener, MessageStream, Transport
+
+RECONNECT_BASE_SECONDS = 0.1
+RECONNECT_CAP_SECONDS = 10.0
+HELLO_TIMEOUT_SECONDS = 2.0
+# A connection that ends sooner counts as a failure, so that a peer that closes at once
+# is not called again without delay.
+SERVED_SECONDS = 1.0
+BUSY_RETRY_MS = 2000
+# 16 children, the relays of 8 other zones and their second relays make 32 links; the
+# rest is for contacts and for reconnects that overlap with the connection they replace.
+MAX_ACCEPTED_CONNECTIONS = 128
+
+
+class _NoPeer(enum.Enum):
+    """Why a connection did not become a link."""
+
+    SILENT = "silent"
+    REFUSED = "refused"
+
+
+@attrs.frozen
+class Target:
+    """A VM to connect to; `vm_id` is empty when only the address is known."""
+
+    vm_id: str
+    address: str
+
+
+@attrs.frozen
+class Dial:
+    """A connection that is wanted to any one of some VMs.
+
+    Parameters
+    ----------
+    key : str
+        Tells the wanted connections apart.
+    targets : tuple of Target
+        VMs to try in turn.
+    is_eager : bool
+        Whether news is pushed over it.
+    """
+
+    key: str
+    targets: tuple[Target, ...]
+    is_eager: bool
+
+
+class LinkListener(Protocol):
+    """Told what happens on the links."""
+
+    def on_open(self, peer: Peer) -> None:
+        """Take a new link into use."""
+        ...
+
+    def on_close(self, peer: Peer) -> None:
+        """Note that a link has ended."""
+        ...
+
+    def on_message(self, peer: Peer, body: Any) -> None:
+        """Handle a message."""
+        ...
+
+    def on_unreachable(self, vm_id: str) -> None:
+        """Note that a new connection to a VM was not answered."""
+        ...
+
+    def on_refused(self) -> None:
+        """Note that a VM answered that it accepts no more connections."""
+        ...
+
+    def on_own_id(self, hello: messages.Hello) -> None:
+        """Note that another process says Hello with the id of this VM."""
+        ...
+
+
+class LinkKeeper:
+    """Keeps the wanted connections open and accepts those of other VMs.
+
+    Parameters
+    ----------
+    mesh : str
+        Name of the mesh; connections from another mesh are refused.
+    own : callable
+        Returns the record of this VM.
+    transport : Transport
+        Opens and accepts streams.
+    peers : PeerTable
+        Filled with the open links.
+    listener : LinkListener
+        Told of links and messages.
+    clock, rng
+        Time and randomness.
+    max_accepted : int
+        Connections accepted at a time; further ones are answered with Busy.
+    """
+
+    def __init__(
+        self,
+        mesh: str,
+        own: Callable[[], VmRecord],
+        transport: Transport,
+        peers: PeerTable,
+        listener: LinkListener,
+        clock: Clock,
+        rng: random.Random,
+        max_accepted: int = MAX_ACCEPTED_CONNECTIONS,
+    ) -> None:
+        self._mesh = mesh
+        self._own = own
+        self._transport = transport
+        self._peers = peers
+        self._listener = listener
+        self._clock = clock
+        self._rng = rng
+        self._max_accepted = max_accepted
+        self._accepted = 0
+        self._is_full = False
+        self._dials_by_key: dict[str, Dial] = {}
+        self._tasks_by_key: dict[str, asyncio.Task[None]] = {}
+        self._server: Listener | None = None
+
+    async def listen(self) -> Result[Listener, ListenError]:
+        """Accept connections of other VMs."""
+        result = await self._transport.listen(self._own().address, self._accept)
+        if isinstance(result, Ok):
+            self._server = result.ok_value
+        return result
+
+    def want(self, dials: Iterable[Dial]) -> None:
+        """Replace the wanted connections and open those that are missing."""
+        self._dials_by_key = {dial.key: dial for dial in dials}
+        for dial in self._dials_by_key.values():
+            self._set_mode(dial)
+            task = self._tasks_by_key.get(dial.key)
+            if (task is None or task.done()) and not self._is_linked(dial.targets[0]):
+                self._tasks_by_key[dial.key] = asyncio.create_task(self._keep(dial.key))
+
+    async def close(self) -> None:
+        """Close all connections and stop accepting."""
+        tasks = list(self._tasks_by_key.values())
+        for task in tasks:
+            task.cancel()
+        for peer in self._peers:
+            peer.stream.send(messages.Goodbye("stopping"))
+            peer.stream.close()
+        if self._server is not None:
+            await self._server.close()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _is_linked(self, target: Target) -> bool:
+        return self._peers.get(target.vm_id) is not None
+
+    def _set_mode(self, dial: Dial) -> None:
+        for target in dial.targets:
+            peer = self._peers.get(target.vm_id)
+            if peer is not None and peer.is_eager != dial.is_eager:
+                peer.is_eager = dial.is_eager
+                peer.stream.send(messages.LinkMode(dial.is_eager))
+
+    async def _keep(self, key: str) -> None:
+        failures = 0
+        while True:
+            dial = self._dials_by_key.get(key)
+            if dial is None:
+                break
+            target = dial.targets[failures % len(dial.targets)]
+            if self._is_linked(target):
+                break
+            is_served = await self._open(target, dial.is_eager)
+            failures = 0 if is_served else failures + 1
+            delay = full_jitter(
+                self._rng, failures, RECONNECT_BASE_SECONDS, RECONNECT_CAP_SECONDS
+            )
+            await self._clock.sleep(delay)
+        self._tasks_by_key.pop(key, None)
+
+    async def _open(self, target: Target, is_eager: bool) -> bool:
+        connected = await self._transport.connect(target.address)
+        if isinstance(connected, Err):
+            events.debug("link_failed", peer=target.vm_id, address=target.address)
+            self._listener.on_unreachable(target.vm_id)
+            return False
+        stream = connected.ok_value
+        try:
+            greeted = await self._greet(stream, True, is_eager)
+            if isinstance(greeted, Err):
+                if greeted.err_value is _NoPeer.SILENT:
+                    self._listener.on_unreachable(target.vm_id)
+                return False
+            peer = greeted.ok_value
+            if target.vm_id not in ("", peer.vm_id):
+                # Another VM has taken over the address.
+                self._listener.on_unreachable(target.vm_id)
+            started_at = self._clock.monotonic()
+            await self._serve(peer)
+            return self._clock.monotonic() - started_at >= SERVED_SECONDS
+        finally:
+            stream.close()
+
+    async def _accept(self, stream: MessageStream) -> None:
+        if self._accepted >= self._max_accepted:
+            self._report_full()
+            stream.send(messages.Busy(BUSY_RETRY_MS, True))
+            return
+        self._accepted += 1
+        self._is_full = self._is_full and self._accepted > self._max_accepted // 2
+        try:
+            greeted = await self._greet(stream, False, True)
+            if isinstance(greeted, Ok):
+                await self._serve(greeted.ok_value)
+        finally:
+            self._accepted -= 1
+            stream.close()
+
+    def _report_full(self) -> None:
+        # One line for a rush of connections, not one for each of them.
+        if not self._is_full:
+            self._is_full = True
+            events.warning("connections_refused", limit=self._max_accepted)
+
+    async def _greet(
+        self, stream: MessageStream, is_opened_here: bool, is_eager: bool
+    ) -> Result[Peer, "_NoPeer"]:
+        own = self._own()
+        stream.send(
+            messages.Hello(
+                self._mesh,
+                own.vm_id,
+                own.region,
+                own.availability_zone,
+                own.incarnation,
+                is_eager,
+            )
+        )
+        try:
+            async with asyncio.timeout(HELLO_TIMEOUT_SECONDS):
+                received = await stream.receive()
+        except TimeoutError:
+            events.info("hello_timeout", seconds=HELLO_TIMEOUT_SECONDS)
+            return Err(_NoPeer.SILENT)
+        if isinstance(received, Err):
+            _log_end("", received.err_value)
+            return Err(_NoPeer.SILENT)
+        hello = received.ok_value
+        if not self._is_welcome(hello):
+            return Err(_NoPeer.REFUSED)
+        peer = Peer(
+            vm_id=hello.vm_id,
+            region=hello.region,
+            availability_zone=hello.availability_zone,
+            stream=stream,
+            last_heard=self._clock.monotonic(),
+            is_opened_here=is_opened_here,
+            is_eager=is_eager if is_opened_here else hello.is_eager,
+        )
+        return Ok(peer)
+
+    def _is_welcome(self, hello: Any) -> bool:
+        if isinstance(hello, messages.Busy):
+            events.debug("peer_busy", retry_after_ms=hello.retry_after_ms)
+            self._listener.on_refused()
+            return False
+        if not isinstance(hello, messages.Hello) or hello.mesh != self._mesh:
+            events.warning("peer_refused", hello=f"{hello!r:.200}")
+            return False
+        if hello.protocol != messages.PROTOCOL_VERSION:
+            events.warning("peer_refused", peer=hello.vm_id, protocol=hello.protocol)
+            return False
+        if hello.vm_id == self._own().vm_id:
+            self._listener.on_own_id(hello)
+            return False
+        return True
+
+    async def _serve(self, peer: Peer) -> None:
+        replaced = self._peers.admit(peer)
+        if replaced is peer:
+            return
+        if replaced is not None:
+            replaced.stream.close()
+        try:
+            self._listener.on_open(peer)
+            await self._receive_all(peer)
+        finally:
+            if self._peers.remove(peer):
+                self._listener.on_close(peer)
+
+    async def _receive_all(self, peer: Peer) -> None:
+        while True:
+            received = await peer.stream.receive()
+            if isinstance(received, Err):
+                _log_end(peer.vm_id, received.err_value)
+                return
+            peer.last_heard = self._clock.monotonic()
+            body = received.ok_value
+            if isinstance(body, messages.Goodbye):
+                events.debug("link_ended", peer=peer.vm_id, reason=body.reason)
+                return
+            self._listener.on_message(peer, body)
+
+
+def _log_end(vm_id: str, error: FrameError) -> None:
+    if error.reason == "closed":
+        events.debug("link_closed", peer=vm_id)
+        return
+    events.warning("link_broken", peer=vm_id, reason=error)
--- a/src/lacewingstair/vm/messages.py
+++ b/src/lacewingstair/vm/messages.py
@@ -4,6 +4,7 @@
 every type, since nothing that a peer sends is trusted to be well formed.
 """
 
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
@@ -12,12 +13,13 @@
 from result import Err, Ok, Result
 
 from lacewingstair.acceptance import TicketRecord
-from lacewingstair.directory import VmRecord
+from lacewingstair.directory import EndpointState, VmRecord, VmStatus
 from lacewingstair.errors import FrameError, InvariantError
 from lacewingstair.evidence import EvidenceReport
 from lacewingstair.marks import StageMark, TakeBack
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
+MAX_TEXT_IN_ERROR = 80
 
 _types_by_code: dict[int, type] = {}
 _codes_by_type: dict[type, int] = {}
@@ -39,13 +41,17 @@
 @message(1)
 @attrs.frozen
 class Hello:
-    """First message of each side of a connection."""
+    """First message of each side of a connection.
+
+    The side that opened the connection decides whether the link is eager.
+    """
 
     mesh: str
     vm_id: str
     region: str
     availability_zone: str
     incarnation: int
+    is_eager: bool = True
     protocol: int = PROTOCOL_VERSION
 
 
@@ -74,7 +80,7 @@
 @message(4)
 @attrs.frozen
 class StateRequest:
-    """Asks for the records from `next_offset` on, or a snapshot."""
+    """Asks for the records from `next_offset` on."""
 
     next_offset: int
 
@@ -94,9 +100,13 @@
 @message(6)
 @attrs.frozen
 class Busy:
-    """The peer serves no snapshot now; ask again later or elsewhere."""
+    """The peer serves no snapshot now; ask again later or elsewhere.
+
+    `is_joined` tells whether the peer has a snapshot to give.
+    """
 
     retry_after_ms: int
+    is_joined: bool
 
 
 @message(7)
@@ -110,17 +120,20 @@
 @message(8)
 @attrs.frozen
 class DirectoryDigests:
-    """Digest of each bucket of the sender's directory."""
+    """Digest of each bucket of the sender's directory.
 
-    buckets: tuple[int, ...]
+    `buckets` holds the low 4 bytes of each digest in order, big-endian.
+    """
+
+    buckets: bytes
 
 
 @message(9)
 @attrs.frozen
 class DirectoryRequest:
-    """Asks for the records of the given buckets."""
+    """Asks for the records with the given digests."""
 
-    buckets: tuple[int, ...]
+    digests: tuple[int, ...]
 
 
 @message(10)
@@ -154,49 +167,170 @@
     reason: str
 
 
-def _strict(kind: type) -> Any:
-    def structure(value: Any, target: type) -> Any:
+@message(14)
+@attrs.frozen
+class SnapshotRequest:
+    """Asks for a snapshot of the state if it is newer than `next_offset`."""
+
+    next_offset: int
+    with_directory: bool
+
+
+@attrs.frozen
+class BucketSummary:
+    """Digests of all records in one bucket."""
+
+    bucket: int
+    digests: tuple[int, ...]
+
+
+@message(15)
+@attrs.frozen
+class BucketSummaries:
+    """Answer to `DirectoryDigests`: the buckets that differ."""
+
+    summaries: tuple[BucketSummary, ...]
+
+
+@message(16)
+@attrs.frozen
+class LinkMode:
+    """The opener of the connection changes whether the link is eager."""
+
+    is_eager: bool
+
+
+@message(17)
+@attrs.frozen
+class RecordsExpired:
+    """The records asked for are not kept any more; a snapshot replaces them."""
+
+    next_offset: int
+
+
+def _strict(kind: type) -> Callable[[Any, Any], Any]:
+    def structure(value: Any, _: Any) -> Any:
         if type(value) is not kind:
-            raise ValueError(f"{value!r:.80} is not of type {kind.__name__}")
-        return value if target is kind else target(value)
+            shown = f"{value!r:.{MAX_TEXT_IN_ERROR}}"
+            raise ValueError(f"{shown} is not of type {kind.__name__}")
+        return value
 
     return structure
 
 
-def _structure_float(value: Any, _: type) -> float:
+def _structure_float(value: Any, _: Any) -> float:
     if type(value) not in (int, float):
-        raise ValueError(f"{value!r:.80} is not a number")
+        raise ValueError(f"{value!r:.{MAX_TEXT_IN_ERROR}} is not a number")
     return float(value)
 
 
+def _from_number(cls: type) -> Callable[[Any, Any], Any]:
+    members_by_number = {int(member): member for member in cls}
+
+    def structure(value: Any, _: Any) -> Any:
+        member = members_by_number.get(value) if type(value) is int else None
+        if member is None:
+            shown = f"{value!r:.{MAX_TEXT_IN_ERROR}}"
+            raise ValueError(f"{shown} is not a {cls.__name__}")
+        return member
+
+    return structure
+
+
+def _from_tuple(cls: type) -> Callable[[Any, Any], Any]:
+    # cattrs accepts a tuple of another length and fills in defaults.
+    fields = attrs.fields(cls)
+    hooks = [
+        (_converter.get_structure_hook(field.type), field.type) for field in fields
+    ]
+
+    def structure(value: Any, _: Any) -> Any:
+        if type(value) is not tuple or len(value) != len(hooks):
+            shown = f"{value!r:.{MAX_TEXT_IN_ERROR}}"
+            raise ValueError(f"{shown} is not {len(hooks)} {cls.__name__} fields")
+        parts = zip(value, hooks, strict=True)
+        return cls(*(hook(part, target) for part, (hook, target) in parts))
+
+    return structure
+
+
 _converter = cattrs.Converter(
     unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE, detailed_validation=False
 )
 for _kind in (int, str, bytes, bool):
     _converter.register_structure_hook(_kind, _strict(_kind))
 _converter.register_structure_hook(float, _structure_float)
+for _kind in (EndpointState, VmStatus):
+    # Without a hook of their own they would be taken for int.
+    _converter.register_structure_hook(_kind, _from_number(_kind))
+_converter.register_structure_hook_factory(attrs.has, _from_tuple)
+
+_DECODE_ERRORS = (
+    ValueError,
+    TypeError,
+    KeyError,
+    OverflowError,
+    RecursionError,
+    msgpack.UnpackException,
+)
+
+
+def pack(value: Any) -> bytes:
+    """Return the msgpack form of plain values.
+
+    Texts of refused tickets can hold lone surrogates, which are kept.
+    """
+    return msgpack.packb(value, unicode_errors="surrogatepass")
+
+
+def unpack(data: bytes) -> Result[Any, FrameError]:
+    """Return the plain values in msgpack; arrays become tuples, maps are refused."""
+    try:
+        return Ok(
+            msgpack.unpackb(
+                data, use_list=False, max_map_len=0, unicode_errors="surrogatepass"
+            )
+        )
+    except _DECODE_ERRORS as error:
+        return Err(FrameError(f"not msgpack: {type(error).__name__} {error}"))
 
 
 def encode(body: Any) -> bytes:
     """Return the msgpack form of a message."""
     code = _codes_by_type[type(body)]
-    return msgpack.packb([code, *_converter.unstructure(body)])
+    return pack([code, *_converter.unstructure(body)])
 
 
 def decode(data: bytes) -> Result[Any, FrameError]:
     """Return the message in a msgpack array."""
-    try:
-        array = msgpack.unpackb(data, use_list=False, strict_map_key=True)
-    except (ValueError, TypeError, msgpack.UnpackException, RecursionError) as error:
-        return Err(FrameError(f"not msgpack: {error}"))
+    unpacked = unpack(data)
+    if isinstance(unpacked, Err):
+        return unpacked
+    array = unpacked.ok_value
     if not isinstance(array, tuple) or not array or type(array[0]) is not int:
         return Err(FrameError("not an array that starts with a type code"))
     cls = _types_by_code.get(array[0])
     if cls is None:
         return Err(FrameError(f"unknown message type {array[0]}"))
-    if len(array) - 1 != len(attrs.fields(cls)):
-        return Err(FrameError(f"{cls.__name__} with {len(array) - 1} fields"))
+    return _structure(array[1:], cls)
+
+
+def encode_vm_records(records: Iterable[VmRecord]) -> bytes:
+    """Return the msgpack form of records of VMs."""
+    return pack([_converter.unstructure(record) for record in records])
+
+
+def decode_vm_records(data: bytes) -> Result[tuple[VmRecord, ...], FrameError]:
+    """Return the records in the form of `encode_vm_records`."""
+    unpacked = unpack(data)
+    if isinstance(unpacked, Err):
+        return unpacked
+    return _structure(unpacked.ok_value, tuple[VmRecord, ...])
+
+
+def _structure(value: Any, target: Any) -> Result[Any, FrameError]:
     try:
-        return Ok(_converter.structure_attrs_fromtuple(array[1:], cls))
-    except (ValueError, TypeError, KeyError) as error:
-        return Err(FrameError(f"malformed {cls.__name__}: {error}"))
+        return Ok(_converter.structure(value, target))
+    except _DECODE_ERRORS as error:
+        name = getattr(target, "__name__", str(target))
+        return Err(FrameError(f"malformed {name}: {error}"))
--- /dev/null
+++ b/src/lacewingstair/vm/neighbours.py
@@ -0,0 +1,113 @@
+"""Which connections this VM wants, worked out once a heartbeat."""
+
+from lacewingstair.directory import Directory
+from lacewingstair.overlay import TREE_SALTS, Overlay
+from lacewingstair.runtime import Clock
+from lacewingstair.vm import messages
+from lacewingstair.vm.discovery import Discovery
+from lacewingstair.vm.links import Dial, LinkKeeper, Target
+from lacewingstair.vm.peers import Peer, PeerTable
+
+CHILD_GRACE_SECONDS = 3.0
+UNWANTED_TICKS = 3
+
+
+class Neighbours:
+    """Opens the links of the overlay, calls on missing children, closes the rest.
+
+    Parameters
+    ----------
+    directory : Directory
+        Gives the addresses.
+    overlay : Overlay
+        Gives parents, children and relays.
+    peers : PeerTable
+        Open links.
+    links : LinkKeeper
+        Opens connections.
+    discovery : Discovery
+        Gives contacts.
+    clock : Clock
+        Time.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        overlay: Overlay,
+        peers: PeerTable,
+        links: LinkKeeper,
+        discovery: Discovery,
+        clock: Clock,
+    ) -> None:
+        self._directory = directory
+        self._overlay = overlay
+        self._peers = peers
+        self._links = links
+        self._discovery = discovery
+        self._clock = clock
+        self._missing_since: dict[str, float] = {}
+        self._unwanted_ticks: dict[str, int] = {}
+
+    def tick(self, is_joined: bool) -> None:
+        """Bring the connections in line with the overlay."""
+        dials = self._overlay_dials()
+        contacts = self._discovery.dials(is_alone=not len(self._peers))
+        self._links.want([*dials, *self._missing_children(), *contacts])
+        if is_joined and not contacts:
+            self._close_unwanted(dials)
+
+    def _overlay_dials(self) -> list[Dial]:
+        dials: list[Dial] = []
+        for link in self._overlay.links():
+            targets = tuple(
+                Target(vm_id, self._directory.get(vm_id).address)
+                for vm_id in link.vm_ids
+            )
+            dials.append(Dial(link.key, targets, link.is_eager))
+        return dials
+
+    def _missing_children(self) -> list[Dial]:
+        now = self._clock.monotonic()
+        missing_since: dict[str, float] = {}
+        dials: list[Dial] = []
+        for tree in range(len(TREE_SALTS)):
+            for vm_id in self._overlay.children(tree):
+                if self._peers.get(vm_id) is not None or vm_id in missing_since:
+                    continue
+                since = self._missing_since.get(vm_id, now)
+                missing_since[vm_id] = since
+                if now - since >= CHILD_GRACE_SECONDS:
+                    dials.append(self._child_dial(vm_id, tree))
+        self._missing_since = missing_since
+        return dials
+
+    def _child_dial(self, vm_id: str, tree: int) -> Dial:
+        # A child that never connects would otherwise not be suspected by anyone.
+        address = self._directory.get(vm_id).address
+        is_eager = tree < self._overlay.eager_trees
+        return Dial(f"child {vm_id}", (Target(vm_id, address),), is_eager)
+
+    def _close_unwanted(self, dials: list[Dial]) -> None:
+        wanted = {self._wanted_target(dial) for dial in dials}
+        for tree in range(len(TREE_SALTS)):
+            wanted.update(self._overlay.children(tree))
+        has_wanted = any(peer.vm_id in wanted for peer in self._peers)
+        ticks: dict[str, int] = {}
+        for peer in self._peers:
+            if not peer.is_opened_here or peer.vm_id in wanted:
+                continue
+            ticks[peer.vm_id] = self._unwanted_ticks.get(peer.vm_id, 0) + 1
+            if ticks[peer.vm_id] >= UNWANTED_TICKS and (has_wanted or not wanted):
+                _end(peer)
+        self._unwanted_ticks = ticks
+
+    def _wanted_target(self, dial: Dial) -> str:
+        vm_ids = [target.vm_id for target in dial.targets]
+        linked = [vm_id for vm_id in vm_ids if self._peers.get(vm_id) is not None]
+        return (linked or vm_ids)[0]
+
+
+def _end(peer: Peer) -> None:
+    peer.stream.send(messages.Goodbye("no longer a neighbour"))
+    peer.stream.close()
--- a/src/lacewingstair/vm/node.py
+++ b/src/lacewingstair/vm/node.py
@@ -1,40 +1,49 @@
-"""Membership of one VM in the mesh: links, heartbeats and dissemination."""
+"""One VM's part in the mesh: wires links, repair, membership and dissemination."""
 
-import asyncio
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from typing import Any
 
-import attrs
-from result import Err
+from result import Result
 
-from lacewingstair import events
 from lacewingstair.acceptance import Decision, TicketRecord
 from lacewingstair.directory import Directory, Endpoint, VmRecord, VmStatus
+from lacewingstair.errors import ListenError
+from lacewingstair.evidence import EvidenceReport
 from lacewingstair.marks import Marks, StageMark, TakeBack
-from lacewingstair.overlay import Link, outgoing_links
-from lacewingstair.runtime import Clock, full_jitter
+from lacewingstair.overlay import Overlay
+from lacewingstair.runtime import Clock
 from lacewingstair.store import StateStore
 from lacewingstair.vm import messages
-from lacewingstair.vm.transport import Listener, MessageStream, Transport
+from lacewingstair.vm.discovery import Discovery
+from lacewingstair.vm.dissemination import (
+    DirectoryPublisher,
+    MarkPublisher,
+    TicketPublisher,
+    merge_records,
+)
+from lacewingstair.vm.evidence_relay import EvidenceRelay
+from lacewingstair.vm.failure_detector import FailureDetector
+from lacewingstair.vm.links import LinkKeeper
+from lacewingstair.vm.membership import Membership
+from lacewingstair.vm.neighbours import Neighbours
+from lacewingstair.vm.peers import Peer, PeerTable
+from lacewingstair.vm.reader_role import ReaderRole
+from lacewingstair.vm.repair import Repair
+from lacewingstair.vm.snapshot_client import SnapshotClient
+from lacewingstair.vm.snapshot_server import SnapshotServer
+from lacewingstair.vm.transport import Listener, Transport
 
 HEARTBEAT_SECONDS = 1.0
-RECONNECT_BASE_SECONDS = 0.1
-RECONNECT_CAP_SECONDS = 10.0
-HELLO_TIMEOUT_SECONDS = 2.0
-
-
-@attrs.define
-class Peer:
-    """An open connection to another VM."""
-
-    vm_id: str
-    stream: MessageStream
-    last_heard: float
-    is_eager: bool = True
+SILENCE_SECONDS = 3.0
+# A longer time between two heartbeats of this VM means that it was itself paused.
+PAUSE_SECONDS = 2.5
+# A VM that hears nobody is more likely cut off than the only one alive.
+ISOLATION_SECONDS = 30.0
 
 
 class VmNode:
-    """Keeps the links of this VM and passes news on over them.
+    """Keeps this VM's state equal with the other VMs of the mesh.
 
     Parameters
     ----------
@@ -43,13 +52,22 @@
     own : VmRecord
         First record of this VM.
     contacts : iterable of str
-        Addresses tried while no other VM is known.
+        Addresses tried while no other VM is known, and now and then afterwards.
     store, directory, marks
         State that is kept equal with the other VMs.
     transport : Transport
         Opens and accepts streams.
     clock, rng
         Time and randomness.
+    eager_trees : int
+        Trees of the zone on which news is pushed.
+
+    Attributes
+    ----------
+    overlay : Overlay
+        Neighbours of this VM.
+    snapshot_server : SnapshotServer
+        Counts snapshots served.
     """
 
     def __init__(
@@ -64,248 +82,233 @@
         transport: Transport,
         clock: Clock,
         rng: random.Random,
+        eager_trees: int = 1,
     ) -> None:
-        self._mesh = mesh
-        self.own = own
-        self._contacts = tuple(contacts)
-        self._store = store
-        self._directory = directory
-        self._marks = marks
-        self._transport = transport
         self._clock = clock
         self._rng = rng
-        self.peers_by_vm_id: dict[str, Peer] = {}
-        self._tasks_by_address: dict[str, asyncio.Task[None]] = {}
-        self._listener: Listener | None = None
-        self._directory.merge(own)
-
-    async def listen(self):
+        self._directory = directory
+        self._peers = PeerTable(own)
+        self.overlay = Overlay(directory, own, eager_trees)
+        self._publisher = DirectoryPublisher(self._peers, clock)
+        self._membership = Membership(directory, own, self._announce, clock)
+        self._detector = FailureDetector(directory, own, self._publish_status, clock)
+        self._tickets = TicketPublisher(own, store, self._peers)
+        self._marks = MarkPublisher(marks, self._peers)
+        self._snapshots = SnapshotClient(
+            own, self._peers, store, self._merge_snapshot, clock, rng
+        )
+        self.snapshot_server = SnapshotServer(
+            store, directory, lambda: self._snapshots.is_joined, clock, rng
+        )
+        self.repair = Repair(
+            own.region, store, directory, marks, self._marks, self._snapshots
+        )
+        self._evidence = EvidenceRelay(own, self.overlay, self._peers, clock)
+        discovery = Discovery(
+            own, contacts, directory, self._detector.dead_addresses, clock, rng
+        )
+        self._links = LinkKeeper(
+            mesh, lambda: self.own, transport, self._peers, self, clock, rng
+        )
+        self._neighbours = Neighbours(
+            directory, self.overlay, self._peers, self._links, discovery, clock
+        )
+        self._reader_role = ReaderRole(
+            own, self.overlay, self._peers, discovery.has_contacts, clock, rng
+        )
+        self._heard_at = clock.monotonic()
+        self._ticked_at = self._heard_at
+        self._handlers = self._message_handlers()
+
+    @property
+    def own(self) -> VmRecord:
+        """The record of this VM."""
+        return self._membership.own
+
+    @property
+    def peers_by_vm_id(self) -> dict[str, Peer]:
+        """The open links."""
+        return self._peers.by_vm_id
+
+    @property
+    def is_joined(self) -> bool:
+        """Whether this VM has the directory of the mesh."""
+        return self._snapshots.is_joined
+
+    async def listen(self) -> Result[Listener, ListenError]:
         """Accept connections of other VMs; return the listener or an error."""
-        result = await self._transport.listen(self.own.address, self._accept)
-        if not isinstance(result, Err):
-            self._listener = result.ok_value
-        return result
+        return await self._links.listen()
 
     async def run(self) -> None:
         """Keep links and heartbeats until cancelled."""
         try:
+            self._ticked_at = self._clock.monotonic()
+            self._tick()
+            # VMs that start at the same moment do not stay in step.
+            await self._clock.sleep(self._rng.uniform(0.0, HEARTBEAT_SECONDS))
             while True:
-                self._open_links()
-                self._send_heartbeats()
+                self._tick()
                 await self._clock.sleep(HEARTBEAT_SECONDS)
         finally:
-            await self._close()
+            await self._publisher.close()
+            await self.snapshot_server.close()
+            await self._links.close()
 
     def set_endpoints(self, endpoints: Iterable[Endpoint]) -> None:
         """Announce the backend servers of this VM to the mesh."""
-        self._update_own(endpoints=tuple(endpoints))
+        self._membership.update(endpoints=tuple(endpoints))
 
     def set_status(self, status: VmStatus) -> None:
         """Announce the status of this VM to the mesh."""
-        self._update_own(status=status)
+        self._membership.update(status=status)
 
     def publish_records(self, records: Iterable[TicketRecord]) -> list[Decision]:
         """Fold records read from the log and pass them on."""
-        return self._apply_records(tuple(records), None)
+        return self._tickets.apply(tuple(records), None)
 
     def publish_stage(self, mark: StageMark) -> None:
         """Merge a stage mark and pass it on."""
-        if self._marks.merge_stage(mark):
-            self._broadcast(messages.MarksDelta(stages=(mark,)), None)
+        self._marks.apply((mark,), (), None)
 
     def publish_take_back(self, mark: TakeBack) -> None:
         """Merge a take-back and pass it on."""
-        if self._marks.merge_take_back(mark):
-            self._broadcast(messages.MarksDelta(take_backs=(mark,)), None)
-
-    def _update_own(self, **changes) -> None:
-        sequence = self.own.sequence + 1
-        self.own = attrs.evolve(self.own, sequence=sequence, **changes)
-        self._directory.merge(self.own)
-        self._broadcast(messages.DirectoryDelta((self.own,)), None)
-
-    def _open_links(self) -> None:
-        live = self._directory.live()
-        links = outgoing_links(live, self.own)
-        if len(live) <= 1:
-            links = [Link("", address) for address in self._contacts]
-        for link in links:
-            task = self._tasks_by_address.get(link.address)
-            if link.address == self.own.address or (task and not task.done()):
-                continue
-            task = asyncio.create_task(self._keep_link(link))
-            self._tasks_by_address[link.address] = task
-
-    async def _keep_link(self, link: Link) -> None:
-        attempt = 0
-        while self._is_wanted(link):
-            connected = await self._transport.connect(link.address)
-            if isinstance(connected, Err):
-                events.debug("link_failed", address=link.address)
-                attempt += 1
-            else:
-                attempt = 0
-                await self._serve(connected.ok_value, link.is_eager)
-            delay = full_jitter(
-                self._rng, attempt, RECONNECT_BASE_SECONDS, RECONNECT_CAP_SECONDS
-            )
-            await self._clock.sleep(delay)
-
-    def _is_wanted(self, link: Link) -> bool:
-        live = self._directory.live()
-        if not link.vm_id:
-            return len(live) <= 1
-        return any(
-            wanted.vm_id == link.vm_id for wanted in outgoing_links(live, self.own)
-        )
+        self._marks.apply((), (mark,), None)
+
+    def is_log_reader(self) -> bool:
+        """Return whether this VM is to tail the log now."""
+        return self._reader_role.is_reader(self._snapshots.is_joined)
+
+    def send_evidence(self, report: EvidenceReport) -> None:
+        """Send a subtree report to the parent, a zone total to the other zones."""
+        self._evidence.send_evidence(report)
+
+    def is_zone_root(self) -> bool:
+        """Return whether this VM is the root of the zone's first tree."""
+        return self._evidence.is_zone_root()
+
+    def on_evidence(self, listener: Callable[[EvidenceReport], None]) -> None:
+        """Call `listener` with each report that arrives."""
+        self._evidence.on_evidence(listener)
+
+    def on_child_lost(self, listener: Callable[[str], None]) -> None:
+        """Call `listener` with the VM id of each child whose link has closed."""
+        self._evidence.on_child_lost(listener)
+
+    def on_open(self, peer: Peer) -> None:
+        """Introduce this VM on a new link."""
+        records = [self.own]
+        held = self._directory.get(peer.vm_id)
+        if held is not None and held.status is not VmStatus.ALIVE:
+            # The peer answers and can refute what is said of it.
+            records.append(held)
+        peer.stream.send(messages.DirectoryDelta(tuple(records)))
+        peer.stream.send(self.repair.heartbeat())
+        self._snapshots.poll()
+
+    def on_close(self, peer: Peer) -> None:
+        """Note that a link has ended."""
+        self._snapshots.on_close(peer)
+        self._evidence.on_close(peer)
+
+    def on_message(self, peer: Peer, body: Any) -> None:
+        """Handle a message."""
+        self._heard_at = peer.last_heard
+        handler = self._handlers.get(type(body))
+        if handler is not None:
+            handler(peer, body)
+
+    def on_unreachable(self, vm_id: str) -> None:
+        """Suspect a neighbour whose new connection was not answered."""
+        since = self._clock.monotonic() - self._heard_at
+        is_isolated = since > SILENCE_SECONDS
+        if vm_id and (not is_isolated or since > ISOLATION_SECONDS):
+            self._detector.suspect(vm_id)
+
+    def on_refused(self) -> None:
+        """Note that there is a VM to wait for."""
+        self._reader_role.on_contact()
+
+    def on_own_id(self, hello: messages.Hello) -> None:
+        """Report another process with the id of this VM."""
+        if hello.incarnation != self.own.incarnation:
+            self._membership.report_conflict(f"incarnation {hello.incarnation}")
+
+    def _message_handlers(self) -> dict[type, Callable[[Peer, Any], None]]:
+        repair = self.repair
+        return {
+            messages.Heartbeat: repair.compare,
+            messages.TicketDelta: self._apply_tickets,
+            messages.StateRequest: repair.answer_state,
+            messages.RecordsExpired: self._on_records_expired,
+            messages.SnapshotRequest: self.snapshot_server.serve,
+            messages.SnapshotChunk: self._snapshots.on_chunk,
+            messages.Busy: self._snapshots.on_busy,
+            messages.DirectoryDelta: self._merge_directory,
+            messages.DirectoryDigests: repair.answer_digests,
+            messages.BucketSummaries: repair.answer_summaries,
+            messages.DirectoryRequest: repair.answer_request,
+            messages.MarksDelta: self._merge_marks,
+            messages.MarksRequest: self._send_marks,
+            messages.Evidence: self._receive_evidence,
+            messages.LinkMode: _set_mode,
+        }
+
+    def _tick(self) -> None:
+        now = self._clock.monotonic()
+        gap = now - self._ticked_at
+        self._ticked_at = now
+        if gap > PAUSE_SECONDS:
+            self._resume(now, gap)
+        self._close_silent(now)
+        self._detector.tick()
+        self._neighbours.tick(self._snapshots.is_joined)
+        self._reader_role.tick()
+        self._snapshots.poll()
+        heartbeat = self.repair.next_heartbeat()
+        for peer in self._peers:
+            peer.stream.send(heartbeat)
 
-    async def _accept(self, stream: MessageStream) -> None:
-        await self._serve(stream, True)
+    def _resume(self, now: float, gap: float) -> None:
+        self._heard_at = now
+        self._detector.postpone(gap)
+        for peer in self._peers:
+            peer.last_heard = now
 
-    async def _serve(self, stream: MessageStream, is_eager: bool) -> None:
-        stream.send(self._hello())
-        peer: Peer | None = None
-        try:
-            peer = await self._greet(stream, is_eager)
-            if peer is not None:
-                await self._receive_all(peer)
-        finally:
-            stream.close()
-            if peer is not None and self.peers_by_vm_id.get(peer.vm_id) is peer:
-                del self.peers_by_vm_id[peer.vm_id]
-
-    def _hello(self) -> messages.Hello:
-        own = self.own
-        return messages.Hello(
-            self._mesh, own.vm_id, own.region, own.availability_zone, own.incarnation
-        )
+    def _close_silent(self, now: float) -> None:
+        for peer in self._peers:
+            if now - peer.last_heard >= SILENCE_SECONDS:
+                peer.stream.close()
 
-    async def _greet(self, stream: MessageStream, is_eager: bool) -> Peer | None:
-        try:
-            async with asyncio.timeout(HELLO_TIMEOUT_SECONDS):
-                received = await stream.receive()
-        except TimeoutError:
-            return None
-        if isinstance(received, Err):
-            return None
-        hello = received.ok_value
-        if not isinstance(hello, messages.Hello) or hello.mesh != self._mesh:
-            events.warning("peer_refused", hello=hello)
-            return None
-        peer = Peer(hello.vm_id, stream, self._clock.monotonic(), is_eager)
-        self.peers_by_vm_id[hello.vm_id] = peer
-        stream.send(messages.DirectoryDelta(tuple(self._directory)))
-        stream.send(self._heartbeat())
-        return peer
-
-    async def _receive_all(self, peer: Peer) -> None:
-        while True:
-            received = await peer.stream.receive()
-            if isinstance(received, Err):
-                events.info("link_closed", peer=peer.vm_id, reason=received.err_value)
-                return
-            peer.last_heard = self._clock.monotonic()
-            self._handle(peer, received.ok_value)
-
-    def _handle(self, peer: Peer, body: object) -> None:
-        match body:
-            case messages.Heartbeat():
-                self._compare(peer, body)
-            case messages.TicketDelta():
-                self._apply_records(body.records, peer)
-            case messages.StateRequest():
-                records = self._store.records_since(body.next_offset)
-                if records:
-                    peer.stream.send(_delta(records))
-            case messages.DirectoryDelta():
-                self._merge_directory(body, peer)
-            case messages.MarksDelta():
-                self._merge_marks(body, peer)
-            case messages.MarksRequest():
-                peer.stream.send(self._all_marks())
-            case _:
-                events.debug("message_ignored", peer=peer.vm_id)
-
-    def _compare(self, peer: Peer, heartbeat: messages.Heartbeat) -> None:
-        if heartbeat.next_offset > self._store.state.next_offset:
-            peer.stream.send(messages.StateRequest(self._store.state.next_offset))
-        if heartbeat.directory_digest != self._directory.digest:
-            peer.stream.send(messages.DirectoryDelta(tuple(self._directory)))
-        if heartbeat.marks_digest != self._marks.digest():
-            peer.stream.send(self._all_marks())
-
-    def _apply_records(
-        self, records: tuple[TicketRecord, ...], source: Peer | None
-    ) -> list[Decision]:
-        before = self._store.state.next_offset
-        decisions = self._store.apply(records)
-        for decision in decisions:
-            events.info(
-                "ticket_decided",
-                offset=decision.offset,
-                number=decision.number,
-                verdict=decision.verdict.value,
-                faults="; ".join(map(str, decision.faults)),
-            )
-        fresh = tuple(r for r in records if r.offset >= before)[: len(decisions)]
-        if fresh:
-            self._broadcast(_delta(fresh), source)
-        return decisions
-
-    def _merge_directory(self, delta: messages.DirectoryDelta, source: Peer) -> None:
-        news = tuple(r for r in delta.records if self._merge_record(r))
-        if news:
-            self._broadcast(messages.DirectoryDelta(news), source)
-
-    def _merge_record(self, record: VmRecord) -> bool:
-        if record.vm_id == self.own.vm_id:
-            return False
-        return self._directory.merge(record)
-
-    def _merge_marks(self, delta: messages.MarksDelta, source: Peer) -> None:
-        stages = tuple(m for m in delta.stages if self._marks.merge_stage(m))
-        taken = tuple(m for m in delta.take_backs if self._marks.merge_take_back(m))
-        if stages or taken:
-            self._broadcast(messages.MarksDelta(stages, taken), source)
-
-    def _all_marks(self) -> messages.MarksDelta:
-        stages = tuple(
-            StageMark(key, zone, route, stage)
-            for (key, zone, route), stage in self._marks.stages_by_place.items()
-        )
-        return messages.MarksDelta(
-            stages, tuple(self._marks.take_backs_by_key.values())
-        )
+    def _announce(self, record: VmRecord) -> None:
+        self._publisher.queue(record, None)
 
-    def _broadcast(self, body: object, source: Peer | None) -> None:
-        for peer in list(self.peers_by_vm_id.values()):
-            if peer is not source and peer.is_eager:
-                peer.stream.send(body)
-
-    def _heartbeat(self) -> messages.Heartbeat:
-        state = self._store.state
-        return messages.Heartbeat(
-            state.next_offset,
-            state.number,
-            state.digest,
-            self._directory.digest,
-            self._marks.digest(),
-        )
+    def _publish_status(self, record: VmRecord) -> None:
+        merge_records(self._membership, self._publisher, (record,), None)
 
-    def _send_heartbeats(self) -> None:
-        heartbeat = self._heartbeat()
-        for peer in list(self.peers_by_vm_id.values()):
-            peer.stream.send(heartbeat)
+    def _merge_directory(self, peer: Peer, delta: messages.DirectoryDelta) -> None:
+        merge_records(self._membership, self._publisher, delta.records, peer)
+
+    def _merge_snapshot(self, records: tuple[VmRecord, ...]) -> None:
+        # The neighbours have these records, so they are not passed on.
+        for record in records:
+            self._membership.accept(record)
+        self._neighbours.tick(True)
+
+    def _apply_tickets(self, peer: Peer, delta: messages.TicketDelta) -> None:
+        self._tickets.apply(delta.records, peer)
+
+    def _on_records_expired(self, _: Peer, body: messages.RecordsExpired) -> None:
+        self._snapshots.need_state(body.next_offset)
+
+    def _merge_marks(self, peer: Peer, delta: messages.MarksDelta) -> None:
+        self._marks.apply(delta.stages, delta.take_backs, peer)
+
+    def _send_marks(self, peer: Peer, _: messages.MarksRequest) -> None:
+        self._marks.send_all(peer)
 
-    async def _close(self) -> None:
-        for task in self._tasks_by_address.values():
-            task.cancel()
-        for peer in list(self.peers_by_vm_id.values()):
-            peer.stream.send(messages.Goodbye("stopping"))
-            peer.stream.close()
-        if self._listener is not None:
-            await self._listener.close()
+    def _receive_evidence(self, peer: Peer, body: messages.Evidence) -> None:
+        self._evidence.receive(peer, body.report)
 
 
-def _delta(records: tuple[TicketRecord, ...]) -> messages.TicketDelta:
-    return messages.TicketDelta(records[0].offset, records[-1].offset + 1, records)
+def _set_mode(peer: Peer, mode: messages.LinkMode) -> None:
+    peer.is_eager = mode.is_eager
--- /dev/null
+++ b/src/lacewingstair/vm/peers.py
@@ -0,0 +1,116 @@
+"""Open connections to other VMs and the rule of who gets news at once."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+
+from lacewingstair.directory import VmRecord
+from lacewingstair.vm.transport import MessageStream
+
+FRESH_SECONDS = 1.5
+
+
+@attrs.define(eq=False)
+class Peer:
+    """An open connection to another VM.
+
+    Parameters
+    ----------
+    vm_id, region, availability_zone : str
+        The other VM.
+    stream : MessageStream
+        The connection.
+    last_heard : float
+        Monotonic seconds of the last message.
+    is_opened_here : bool
+        Whether this VM opened the connection.
+    is_eager : bool
+        Whether news is pushed.
+    state_lag, directory_lag, marks_lag : int
+        Heartbeats in a row that showed a difference.
+    """
+
+    vm_id: str
+    region: str
+    availability_zone: str
+    stream: MessageStream
+    last_heard: float
+    is_opened_here: bool
+    is_eager: bool
+    state_lag: int = 0
+    directory_lag: int = 0
+    marks_lag: int = 0
+
+
+class PeerTable:
+    """One connection for each linked VM.
+
+    Parameters
+    ----------
+    own : VmRecord
+        This VM; only its id and place are used.
+    """
+
+    def __init__(self, own: VmRecord) -> None:
+        self._own = own
+        self.by_vm_id: dict[str, Peer] = {}
+
+    def __iter__(self) -> Iterator[Peer]:
+        return iter(list(self.by_vm_id.values()))
+
+    def __len__(self) -> int:
+        return len(self.by_vm_id)
+
+    def get(self, vm_id: str) -> Peer | None:
+        """Return the connection to a VM, or None."""
+        return self.by_vm_id.get(vm_id)
+
+    def admit(self, peer: Peer) -> Peer | None:
+        """Add a connection; return the one that is to be closed, if any.
+
+        When two VMs connect to each other at the same moment, both keep the connection
+        that the VM with the smaller id opened.
+        """
+        held = self.by_vm_id.get(peer.vm_id)
+        if held is not None and self._keeps(held, peer):
+            return peer
+        self.by_vm_id[peer.vm_id] = peer
+        return held
+
+    def remove(self, peer: Peer) -> bool:
+        """Remove a connection; return whether it was the current one to its VM."""
+        if self.by_vm_id.get(peer.vm_id) is not peer:
+            return False
+        del self.by_vm_id[peer.vm_id]
+        return True
+
+    def push(self, body: Any, source: Peer | None) -> None:
+        """Send news to the peers that get it from this VM at once."""
+        for peer in self:
+            if self.is_push_target(peer, source):
+                peer.stream.send(body)
+
+    def is_push_target(self, peer: Peer, source: Peer | None) -> bool:
+        """Return whether news from `source`, or of this VM, is pushed to `peer`.
+
+        The zones of a region, and the regions, are each linked pair by pair. News from
+        one of them reaches the others directly, so that it crosses each link once.
+        """
+        if peer is source or not peer.is_eager:
+            return False
+        if source is None:
+            return True
+        own = self._own
+        if source.region != own.region:
+            return peer.region == own.region
+        if source.availability_zone != own.availability_zone:
+            is_beside = peer.availability_zone != own.availability_zone
+            return not (is_beside and peer.region == own.region)
+        return True
+
+    def _keeps(self, held: Peer, peer: Peer) -> bool:
+        is_stale = peer.last_heard - held.last_heard > FRESH_SECONDS
+        if is_stale or held.is_opened_here == peer.is_opened_here:
+            return False
+        return held.is_opened_here == (self._own.vm_id < peer.vm_id)
--- /dev/null
+++ b/src/lacewingstair/vm/repair.py
@@ -0,0 +1,198 @@
+"""Repair of what was missed, by the digests that heartbeats carry.
+
+A difference on a link that pushes news is a missed push, since frames arrive in order;
+on a lazy link the push may still be under way elsewhere. The directory changes all the
+time, so only a difference that lasts is looked into, and with one peer an interval.
+"""
+
+import struct
+
+from lacewingstair import events
+from lacewingstair.directory import BUCKETS, Directory
+from lacewingstair.marks import Marks
+from lacewingstair.store import StateStore
+from lacewingstair.vm import messages
+from lacewingstair.vm.dissemination import (
+    MarkPublisher,
+    directory_deltas,
+    ticket_delta,
+)
+from lacewingstair.vm.peers import Peer
+from lacewingstair.vm.snapshot_client import SnapshotClient
+
+LASTING_HEARTBEATS = 2
+_BUCKET_DIGESTS = struct.Struct(f">{BUCKETS}I")
+_LOW_32_BITS = 0xFFFFFFFF
+
+
+class Repair:
+    """Compares digests and asks for what is missing.
+
+    Parameters
+    ----------
+    region : str
+        Region of this VM.
+    store, directory, marks
+        State that is kept equal with the other VMs.
+    mark_publisher : MarkPublisher
+        Sends all marks.
+    snapshots : SnapshotClient
+        Gets a state whose records are not kept.
+
+    Attributes
+    ----------
+    digest_exchanges : int
+        Exchanges of bucket digests started, since the start.
+    """
+
+    def __init__(
+        self,
+        region: str,
+        store: StateStore,
+        directory: Directory,
+        marks: Marks,
+        mark_publisher: MarkPublisher,
+        snapshots: SnapshotClient,
+    ) -> None:
+        self._region = region
+        self._store = store
+        self._directory = directory
+        self._marks = marks
+        self._mark_publisher = mark_publisher
+        self._snapshots = snapshots
+        self._marks_digest = marks.digest()
+        self._may_ask_state = True
+        self._may_ask_directory = True
+        self._diverged_offset = -1
+        self.digest_exchanges = 0
+
+    def next_heartbeat(self) -> messages.Heartbeat:
+        """Return the heartbeat of a new interval."""
+        self._may_ask_state = True
+        self._may_ask_directory = True
+        return self.heartbeat()
+
+    def heartbeat(self) -> messages.Heartbeat:
+        """Return the digests of this VM."""
+        self._marks_digest = self._marks.digest()
+        state = self._store.state
+        return messages.Heartbeat(
+            state.next_offset,
+            state.number,
+            state.digest,
+            self._directory.digest,
+            self._marks_digest,
+        )
+
+    def compare(self, peer: Peer, heartbeat: messages.Heartbeat) -> None:
+        """Compare the digests of a peer with those of this VM."""
+        self._compare_state(peer, heartbeat)
+        self._compare_marks(peer, heartbeat)
+        self._compare_directory(peer, heartbeat)
+
+    def answer_state(self, peer: Peer, request: messages.StateRequest) -> None:
+        """Send the records asked for, or say that they are not kept."""
+        records = self._store.records_since(request.next_offset)
+        if records == ():
+            return
+        delta = ticket_delta(records or ())
+        if delta is None:
+            peer.stream.send(messages.RecordsExpired(self._store.state.next_offset))
+            return
+        peer.stream.send(delta)
+
+    def answer_digests(self, peer: Peer, digests: messages.DirectoryDigests) -> None:
+        """Send the summaries of the buckets that differ."""
+        if len(digests.buckets) != _BUCKET_DIGESTS.size or not self._is_joined:
+            return
+        theirs = _BUCKET_DIGESTS.unpack(digests.buckets)
+        ours = self._low_digests()
+        summaries = tuple(
+            messages.BucketSummary(
+                bucket, tuple(self._directory.digests_in_bucket(bucket))
+            )
+            for bucket in range(BUCKETS)
+            if theirs[bucket] != ours[bucket]
+        )
+        if summaries:
+            peer.stream.send(messages.BucketSummaries(summaries))
+
+    def answer_summaries(self, peer: Peer, body: messages.BucketSummaries) -> None:
+        """Send the records that the peer lacks, and ask for those lacking here."""
+        missing_here: list[int] = []
+        missing_there: list[str] = []
+        for summary in body.summaries:
+            if not 0 <= summary.bucket < BUCKETS:
+                continue
+            ours = self._directory.digests_in_bucket(summary.bucket)
+            theirs = set(summary.digests)
+            missing_here.extend(theirs - ours.keys())
+            missing_there.extend(ours[d] for d in ours.keys() - theirs)
+        self._send_records(peer, missing_there)
+        if missing_here:
+            peer.stream.send(messages.DirectoryRequest(tuple(missing_here)))
+
+    def answer_request(self, peer: Peer, request: messages.DirectoryRequest) -> None:
+        """Send the records with the digests asked for, if they are still current."""
+        wanted = set(request.digests)
+        vm_ids = [
+            vm_id
+            for bucket in range(BUCKETS)
+            for digest, vm_id in self._directory.digests_in_bucket(bucket).items()
+            if digest in wanted
+        ]
+        self._send_records(peer, vm_ids)
+
+    @property
+    def _is_joined(self) -> bool:
+        return self._snapshots.is_joined
+
+    def _compare_state(self, peer: Peer, heartbeat: messages.Heartbeat) -> None:
+        state = self._store.state
+        if heartbeat.next_offset <= state.next_offset:
+            peer.state_lag = 0
+            is_same_offset = heartbeat.next_offset == state.next_offset
+            if is_same_offset and heartbeat.state_digest != state.digest:
+                self._report_divergence(peer)
+            return
+        peer.state_lag += 1
+        is_pushed = peer.is_eager and peer.region == self._region
+        if not is_pushed and peer.state_lag < LASTING_HEARTBEATS:
+            return
+        if self._may_ask_state:
+            self._may_ask_state = False
+            peer.stream.send(messages.StateRequest(state.next_offset))
+
+    def _compare_marks(self, peer: Peer, heartbeat: messages.Heartbeat) -> None:
+        is_same = heartbeat.marks_digest == self._marks_digest
+        peer.marks_lag = 0 if is_same else peer.marks_lag + 1
+        if peer.marks_lag >= LASTING_HEARTBEATS:
+            peer.marks_lag = 0
+            self._mark_publisher.send_all(peer)
+            peer.stream.send(messages.MarksRequest())
+
+    def _compare_directory(self, peer: Peer, heartbeat: messages.Heartbeat) -> None:
+        is_same = heartbeat.directory_digest == self._directory.digest
+        peer.directory_lag = 0 if is_same else peer.directory_lag + 1
+        if peer.directory_lag < LASTING_HEARTBEATS or not self._is_joined:
+            return
+        if self._may_ask_directory:
+            self._may_ask_directory = False
+            peer.directory_lag = 0
+            self.digest_exchanges += 1
+            data = _BUCKET_DIGESTS.pack(*self._low_digests())
+            peer.stream.send(messages.DirectoryDigests(data))
+
+    def _low_digests(self) -> list[int]:
+        return [digest & _LOW_32_BITS for digest in self._directory.bucket_digests()]
+
+    def _send_records(self, peer: Peer, vm_ids: list[str]) -> None:
+        records = [r for r in map(self._directory.get, vm_ids) if r is not None]
+        for delta in directory_deltas(records):
+            peer.stream.send(delta)
+
+    def _report_divergence(self, peer: Peer) -> None:
+        offset = self._store.state.next_offset
+        if self._diverged_offset != offset:
+            self._diverged_offset = offset
+            events.error("state_diverged", peer=peer.vm_id, next_offset=offset)
--- /dev/null
+++ b/src/lacewingstair/vm/snapshot_server.py
@@ -0,0 +1,114 @@
+"""Serving snapshots to VMs that start or are far behind."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import attrs
+
+from lacewingstair.directory import Directory
+from lacewingstair.runtime import Clock
+from lacewingstair.store import StateStore
+from lacewingstair.vm import messages
+from lacewingstair.vm.peers import Peer
+from lacewingstair.vm.snapshots import cut, encode_snapshot
+
+SNAPSHOT_SLOTS = 4
+RETRY_AFTER_MS = 500
+# What changes while a snapshot is reused reaches the receiver as news or is repaired
+# by digests.
+REUSE_SECONDS = 2.0
+
+
+@attrs.frozen
+class _Built:
+    next_offset: int
+    with_directory: bool
+    at: float
+    chunks: list[messages.SnapshotChunk]
+
+
+class SnapshotServer:
+    """Serves a few snapshots at a time and answers Busy beyond that.
+
+    Parameters
+    ----------
+    store, directory
+        What is served.
+    is_ready : callable
+        Returns whether this VM has got its own first snapshot.
+    clock, rng
+        Time and randomness.
+    slots : int
+        Snapshots served at a time.
+
+    Attributes
+    ----------
+    served, refused, most_at_once : int
+        Counts since the start.
+    """
+
+    def __init__(
+        self,
+        store: StateStore,
+        directory: Directory,
+        is_ready: Callable[[], bool],
+        clock: Clock,
+        rng: random.Random,
+        slots: int = SNAPSHOT_SLOTS,
+    ) -> None:
+        self._store = store
+        self._directory = directory
+        self._is_ready = is_ready
+        self._clock = clock
+        self._rng = rng
+        self._slots = slots
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._built: _Built | None = None
+        self.served = 0
+        self.refused = 0
+        self.most_at_once = 0
+
+    def serve(self, peer: Peer, request: messages.SnapshotRequest) -> None:
+        """Send a snapshot, or Busy."""
+        is_ready = self._is_ready()
+        if not is_ready or len(self._tasks) >= self._slots:
+            self.refused += 1
+            peer.stream.send(messages.Busy(RETRY_AFTER_MS, is_ready))
+            return
+        task = asyncio.create_task(self._send(peer, request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        self.most_at_once = max(self.most_at_once, len(self._tasks))
+
+    async def close(self) -> None:
+        """Stop serving."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _send(self, peer: Peer, request: messages.SnapshotRequest) -> None:
+        for chunk in self._chunks(request):
+            peer.stream.send(chunk)
+            await peer.stream.drain()
+        self.served += 1
+
+    def _chunks(self, request: messages.SnapshotRequest) -> list:
+        state = self._store.state
+        has_state = state.next_offset > request.next_offset
+        next_offset = state.next_offset if has_state else -1
+        now = self._clock.monotonic()
+        built = self._built
+        if (
+            built is not None
+            and built.next_offset == next_offset
+            and built.with_directory == request.with_directory
+            and now - built.at <= REUSE_SECONDS
+        ):
+            return built.chunks
+        records = self._directory if request.with_directory else ()
+        data = encode_snapshot(state if has_state else None, records)
+        chunks = cut(self._rng.getrandbits(32), data)
+        self._built = _Built(next_offset, request.with_directory, now, chunks)
+        return chunks
--- /dev/null
+++ b/src/lacewingstair/vm/snapshots.py
@@ -0,0 +1,125 @@
+"""Compressed snapshots of the state and the directory, sent in chunks."""
+
+import hashlib
+from collections.abc import Iterable
+
+import attrs
+import zstandard
+from result import Err, Ok, Result
+
+from lacewingstair.acceptance import MeshState
+from lacewingstair.directory import VmRecord
+from lacewingstair.errors import SnapshotError
+from lacewingstair.state_codec import decode_state, encode_state
+from lacewingstair.vm import messages
+
+SNAPSHOT_FORMAT = 1
+CHUNK_BYTES = 64 << 10
+MAX_CHUNKS = 1024
+MAX_RECORDS_BYTES = 64 << 20
+
+
+@attrs.frozen
+class Snapshot:
+    """Contents of a snapshot; `state` is None when it was not asked for."""
+
+    state: MeshState | None
+    records: tuple[VmRecord, ...]
+
+
+def encode_snapshot(state: MeshState | None, records: Iterable[VmRecord]) -> bytes:
+    """Return the form of a snapshot that is cut into chunks."""
+    packed = messages.encode_vm_records(records)
+    state_data = b"" if state is None else encode_state(state)
+    return messages.pack([SNAPSHOT_FORMAT, state_data, zstandard.compress(packed)])
+
+
+def decode_snapshot(data: bytes) -> Result[Snapshot, SnapshotError]:
+    """Return the snapshot in the form of `encode_snapshot`."""
+    unpacked = messages.unpack(data)
+    if isinstance(unpacked, Err):
+        return Err(SnapshotError(str(unpacked.err_value)))
+    array = unpacked.ok_value
+    is_known = isinstance(array, tuple) and array[:1] == (SNAPSHOT_FORMAT,)
+    if not is_known or [type(part) for part in array[1:]] != [bytes, bytes]:
+        return Err(SnapshotError(f"not a snapshot of format {SNAPSHOT_FORMAT}"))
+    _, state_data, records_data = array
+    records = _decode_records(records_data)
+    if isinstance(records, Err):
+        return records
+    if not state_data:
+        return Ok(Snapshot(None, records.ok_value))
+    state = decode_state(state_data)
+    if isinstance(state, Err):
+        return Err(SnapshotError(str(state.err_value)))
+    return Ok(Snapshot(state.ok_value, records.ok_value))
+
+
+def _decode_records(data: bytes) -> Result[tuple[VmRecord, ...], SnapshotError]:
+    try:
+        size = zstandard.frame_content_size(data)
+        if not 0 <= size <= MAX_RECORDS_BYTES:
+            reason = f"{size} bytes of records, at most {MAX_RECORDS_BYTES} are allowed"
+            return Err(SnapshotError(reason))
+        packed = zstandard.decompress(data)
+    except zstandard.ZstdError as error:
+        return Err(SnapshotError(f"not zstd: {error}"))
+    decoded = messages.decode_vm_records(packed)
+    if isinstance(decoded, Err):
+        return Err(SnapshotError(str(decoded.err_value)))
+    return decoded
+
+
+def cut(snapshot_id: int, data: bytes) -> list[messages.SnapshotChunk]:
+    """Return the chunks of an encoded snapshot."""
+    digest = _digest(data)
+    starts = range(0, len(data), CHUNK_BYTES)
+    return [
+        messages.SnapshotChunk(
+            snapshot_id, index, len(starts), digest, data[start : start + CHUNK_BYTES]
+        )
+        for index, start in enumerate(starts)
+    ]
+
+
+class SnapshotAssembler:
+    """Joins the chunks of one snapshot, which arrive in order on one stream."""
+
+    def __init__(self) -> None:
+        self._parts: list[messages.SnapshotChunk] = []
+
+    def add(
+        self, chunk: messages.SnapshotChunk
+    ) -> Result[Snapshot | None, SnapshotError]:
+        """Add a chunk; return the snapshot when it is whole, None before.
+
+        Chunks of another snapshot, out of order, or with a wrong digest are an error,
+        and the parts so far are dropped.
+        """
+        reason = self._fault(chunk)
+        if reason:
+            self._parts.clear()
+            return Err(SnapshotError(reason))
+        self._parts.append(chunk)
+        if len(self._parts) < chunk.count:
+            return Ok(None)
+        data = b"".join(part.data for part in self._parts)
+        self._parts.clear()
+        if _digest(data) != chunk.digest:
+            return Err(SnapshotError("the digest does not match the chunks"))
+        return decode_snapshot(data)
+
+    def _fault(self, chunk: messages.SnapshotChunk) -> str:
+        if not 1 <= chunk.count <= MAX_CHUNKS:
+            return f"{chunk.count} chunks, 1 to {MAX_CHUNKS} are allowed"
+        if chunk.index != len(self._parts):
+            return f"chunk {chunk.index} in place of {len(self._parts)}"
+        first = self._parts[0] if self._parts else chunk
+        identity = (chunk.snapshot_id, chunk.count, chunk.digest)
+        if identity != (first.snapshot_id, first.count, first.digest):
+            return "chunk of another snapshot"
+        return ""
+
+
+def _digest(data: bytes) -> str:
+    return hashlib.blake2b(data, digest_size=16).hexdigest()
--- a/src/lacewingstair/vm/transport.py
+++ b/src/lacewingstair/vm/transport.py
@@ -1,24 +1,23 @@
-"""Framed streams between VMs over TCP.
-
-A frame is a 4-byte big-endian length, a flag byte and the message. Flag 1 marks a
-message compressed with zstd.
-"""
+"""Streams of messages between VMs over TCP."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
-import zstandard
 from result import Err, Ok, Result
 
+from lacewingstair import events
 from lacewingstair.errors import ConnectError, FrameError, ListenError
-from lacewingstair.vm import messages
+from lacewingstair.vm.frames import (
+    HEADER_BYTES,
+    MAX_FRAME_BYTES,
+    FrameEncoder,
+    decode_frame,
+    parse_header,
+)
 
-MAX_FRAME_BYTES = 1 << 20
-COMPRESS_ABOVE_BYTES = 512
 MAX_SEND_BUFFER_BYTES = 8 << 20
 CONNECT_TIMEOUT_SECONDS = 2.0
-_LENGTH_BYTES = 4
 
 
 class MessageStream(Protocol):
@@ -32,6 +31,10 @@
         """Queue a message; a peer that does not read is disconnected."""
         ...
 
+    async def drain(self) -> None:
+        """Wait until the peer has taken most of what is queued."""
+        ...
+
     def close(self) -> None:
         """End the stream."""
         ...
@@ -62,31 +65,6 @@
         ...
 
 
-def encode_frame(body: Any) -> bytes:
-    """Return a message as a frame."""
-    data = messages.encode(body)
-    flag = 0
-    if len(data) > COMPRESS_ABOVE_BYTES:
-        data = zstandard.compress(data)
-        flag = 1
-    return len(data).to_bytes(_LENGTH_BYTES, "big") + bytes([flag]) + data
-
-
-def decode_frame(flag: int, data: bytes) -> Result[Any, FrameError]:
-    """Return the message of a frame without its length."""
-    if flag == 0:
-        return messages.decode(data)
-    if flag != 1:
-        return Err(FrameError(f"unknown flag {flag}"))
-    try:
-        plain = zstandard.ZstdDecompressor().decompress(
-            data, max_output_size=8 * MAX_FRAME_BYTES
-        )
-    except zstandard.ZstdError as error:
-        return Err(FrameError(f"not zstd: {error}"))
-    return messages.decode(plain)
-
-
 class TcpStream:
     """Message stream over one TCP connection.
 
@@ -97,40 +75,57 @@
     """
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        encoder: FrameEncoder,
     ) -> None:
         self._reader = reader
         self._writer = writer
+        self._encoder = encoder
         self.bytes_received = 0
         self.bytes_sent = 0
 
     async def receive(self) -> Result[Any, FrameError]:
         """Return the next message; an error when the stream has ended or is broken."""
         try:
-            header = await self._reader.readexactly(_LENGTH_BYTES + 1)
-            length = int.from_bytes(header[:_LENGTH_BYTES], "big")
-            if length > MAX_FRAME_BYTES:
-                reason = f"{length} bytes, at most {MAX_FRAME_BYTES} are allowed"
-                return Err(FrameError(reason))
+            header = await self._reader.readexactly(HEADER_BYTES)
+            parsed = parse_header(header)
+            if isinstance(parsed, Err):
+                return parsed
+            length, flag = parsed.ok_value
             data = await self._reader.readexactly(length)
         except asyncio.IncompleteReadError as error:
-            reason = "closed" if not error.partial else "truncated"
-            return Err(FrameError(reason))
+            # An end within the header or the data loses bytes; one between frames does
+            # not.
+            is_clean = not error.partial and error.expected == HEADER_BYTES
+            return Err(FrameError("closed" if is_clean else "truncated"))
         except OSError as error:
             return Err(FrameError(str(error)))
-        self.bytes_received += len(header) + len(data)
-        return decode_frame(header[_LENGTH_BYTES], data)
+        self.bytes_received += HEADER_BYTES + length
+        return decode_frame(flag, data)
 
     def send(self, body: Any) -> None:
         """Queue a message; a peer that does not read is disconnected."""
         if self._writer.is_closing():
             return
-        frame = encode_frame(body)
+        frame = self._encoder.encode(body)
+        if len(frame) > MAX_FRAME_BYTES + HEADER_BYTES:
+            kind = type(body).__name__
+            events.error("frame_too_large", message=kind, bytes=len(frame))
+            return
         self.bytes_sent += len(frame)
         self._writer.write(frame)
         if self._writer.transport.get_write_buffer_size() > MAX_SEND_BUFFER_BYTES:
             self._writer.transport.abort()
 
+    async def drain(self) -> None:
+        """Wait until the peer has taken most of what is queued."""
+        try:
+            await self._writer.drain()
+        except OSError:
+            self.close()
+
     def close(self) -> None:
         """End the stream."""
         if not self._writer.is_closing():
@@ -151,6 +146,9 @@
 class TcpTransport:
     """Streams over TCP."""
 
+    def __init__(self) -> None:
+        self._encoder = FrameEncoder()
+
     async def connect(self, address: str) -> Result[MessageStream, ConnectError]:
         """Open a stream to ``ip:port``."""
         host, _, port = address.rpartition(":")
@@ -159,7 +157,7 @@
                 reader, writer = await asyncio.open_connection(host, int(port))
         except (OSError, TimeoutError, ValueError) as error:
             return Err(ConnectError(address, str(error) or type(error).__name__))
-        return Ok(TcpStream(reader, writer))
+        return Ok(TcpStream(reader, writer, self._encoder))
 
     async def listen(
         self, address: str, on_stream: OnStream
@@ -169,7 +167,7 @@
         async def accept(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
-            stream = TcpStream(reader, writer)
+            stream = TcpStream(reader, writer, self._encoder)
             try:
                 await on_stream(stream)
             finally:
