Test the VM side in virtual time and correct what the tests found

Scenario tests run whole meshes in virtual time: lost, doubled and late deltas, missed deltas, silent connections, a zone cut off with and without the log, 40 VMs restarted at once, a paused VM, the death of a relay and of a leaf, an id used again, parts that declared each other dead, malformed frames, limits on connections. Frames are fuzzed; the directory's merge and the overlay's kept order are properties.

--- a/src/lacewingstair/standins/mesh_cluster.py
+++ b/src/lacewingstair/standins/mesh_cluster.py
@@ -240,15 +240,14 @@
         """Return the names of a region's zones."""
         return [p.availability_zone for p in self.places if p.region == region]
 
-    def publish(self, number: int, padding: str = "") -> None:
-        """Append a ticket to the log."""
+    def publish(self, number: int, min_length: int = 0) -> None:
+        """Append a ticket to the log, filled up with spaces to a length."""
         document = {
             "number": number,
-            "note": padding,
             "services": {"board": {"versions": ["v1"], "current": "v1"}},
             "routes": {"read": {"service": "board", "worth": number}},
         }
-        self.log.append(json.dumps(document))
+        self.log.append(json.dumps(document).ljust(min_length))
 
     def is_settled(self) -> bool:
         """Return whether all VMs have the same directory, with all of them alive."""
--- a/src/lacewingstair/vm/discovery.py
+++ b/src/lacewingstair/vm/discovery.py
@@ -7,8 +7,8 @@
 from lacewingstair.runtime import Clock
 from lacewingstair.vm.links import Dial, Target
 
-CONTACTS_AT_ONCE = 2
-ALONE_ROTATION_SECONDS = 5.0
+CONTACTS_AT_ONCE = 3
+ALONE_ROTATION_SECONDS = 3.0
 CONTACT_INTERVAL_SECONDS = (20.0, 60.0)
 CONTACT_SECONDS = 6.0
 
--- a/src/lacewingstair/vm/peers.py
+++ b/src/lacewingstair/vm/peers.py
@@ -27,6 +27,8 @@
         Whether this VM opened the connection.
     is_eager : bool
         Whether news is pushed.
+    next_offset : int
+        Offset in its last heartbeat.
     state_lag, directory_lag, marks_lag : int
         Heartbeats in a row that showed a difference.
     """
@@ -38,6 +40,7 @@
     last_heard: float
     is_opened_here: bool
     is_eager: bool
+    next_offset: int = 0
     state_lag: int = 0
     directory_lag: int = 0
     marks_lag: int = 0
--- a/src/lacewingstair/vm/reader_role.py
+++ b/src/lacewingstair/vm/reader_role.py
@@ -10,7 +10,7 @@
 UNREACHABLE_SECONDS = 10.0
 # Jittered, so that VMs that restart together without reaching a contact do not all
 # start to read the log at once.
-ALONE_SECONDS = (3.0, 10.0)
+ALONE_SECONDS = (5.0, 15.0)
 
 
 class ReaderRole:
--- a/src/lacewingstair/vm/repair.py
+++ b/src/lacewingstair/vm/repair.py
@@ -86,6 +86,7 @@
 
     def compare(self, peer: Peer, heartbeat: messages.Heartbeat) -> None:
         """Compare the digests of a peer with those of this VM."""
+        peer.next_offset = heartbeat.next_offset
         self._compare_state(peer, heartbeat)
         self._compare_marks(peer, heartbeat)
         self._compare_directory(peer, heartbeat)
--- a/src/lacewingstair/vm/snapshot_client.py
+++ b/src/lacewingstair/vm/snapshot_client.py
@@ -104,7 +104,7 @@
             return
         self._retry_later(busy.retry_after_ms)
         if busy.is_joined:
-            self._joins_alone_at = self._clock.monotonic() + 2 * RETRY_CAP_SECONDS
+            self._wait_longer()
 
     def on_close(self, peer: Peer) -> None:
         """Drop what a closed connection has sent so far."""
@@ -115,6 +115,7 @@
         """Add a chunk; take the snapshot over when it is whole."""
         if not self._is_from_source(peer):
             return
+        self._wait_longer()
         self._fetch.give_up_at = self._clock.monotonic() + ANSWER_TIMEOUT_SECONDS
         added = self._fetch.assembler.add(chunk)
         if isinstance(added, Err):
@@ -143,6 +144,10 @@
 
     def _choose(self) -> Peer | None:
         peers = list(self._peers)
+        if self.is_joined:
+            # Only the state is missing, and neighbours can lack it as well.
+            held = self._store.state.next_offset
+            peers = [peer for peer in peers if peer.next_offset > held]
         fresh = [peer for peer in peers if peer.vm_id not in self._asked]
         if not fresh:
             self._asked.clear()
@@ -167,6 +172,10 @@
         self._attempt += 1
         self._retry_at = self._clock.monotonic() + delay
 
+    def _wait_longer(self) -> None:
+        # There is a snapshot to be had, so do not start without.
+        self._joins_alone_at = self._clock.monotonic() + 2 * RETRY_CAP_SECONDS
+
     def _check_bootstrap(self, now: float) -> None:
         if self.is_joined:
             return
--- /dev/null
+++ b/tests/test_directory.py
@@ -0,0 +1,75 @@
+import itertools
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lacewingstair.directory import (
+    BUCKETS,
+    Directory,
+    Endpoint,
+    VmRecord,
+    VmStatus,
+    bucket_of,
+    record_digest,
+)
+
+records = st.builds(
+    VmRecord,
+    vm_id=st.sampled_from(["vm-0", "vm-1", "vm-2"]),
+    region=st.just("r"),
+    availability_zone=st.just("z"),
+    address=st.sampled_from(["a:1", "b:1"]),
+    incarnation=st.integers(0, 2),
+    sequence=st.integers(0, 2),
+    status=st.sampled_from(VmStatus),
+    endpoints=st.sampled_from([(), (Endpoint("s", "v", "e:1"),)]),
+    died_at=st.sampled_from([0, 60]),
+)
+
+
+def merged(*parts):
+    directory = Directory()
+    for record in itertools.chain(*parts):
+        directory.merge(record)
+    return directory
+
+
+def contents(directory):
+    return ({r.vm_id: r for r in directory}, directory.digest)
+
+
+@given(st.lists(records), st.lists(records), st.lists(records))
+def test_merge_is_commutative_associative_and_idempotent(first, second, third):
+    expected = contents(merged(first, second, third))
+    assert contents(merged(third, first, second)) == expected
+    inner = merged(second, third)
+    assert contents(merged(first, inner)) == expected
+    assert contents(merged(first, second, third, second, first)) == expected
+
+
+@given(st.lists(records), st.lists(st.sampled_from(["vm-0", "vm-1"])))
+def test_digests_match_a_directory_built_from_the_result(updates, removed):
+    directory = merged(updates)
+    for vm_id in removed:
+        directory.remove(vm_id)
+    rebuilt = merged(list(directory))
+    assert directory.digest == rebuilt.digest
+    assert directory.bucket_digests() == rebuilt.bucket_digests()
+    listed = {
+        vm_id: digest
+        for bucket in range(BUCKETS)
+        for digest, vm_id in directory.digests_in_bucket(bucket).items()
+    }
+    assert listed == {r.vm_id: record_digest(r) for r in directory}
+    assert all(
+        vm_id in directory.digests_in_bucket(bucket_of(vm_id)).values()
+        for vm_id in listed
+    )
+
+
+@given(records)
+def test_the_dead_stay_dead_for_updates_of_the_same_incarnation(record):
+    dead = VmRecord("vm-0", "r", "z", "a:1", 1, 0, VmStatus.DEAD, (), 60)
+    directory = merged([dead], [record])
+    held = directory.get("vm-0")
+    assert held.status is VmStatus.DEAD or held.incarnation > 1
--- /dev/null
+++ b/tests/test_overlay.py
@@ -0,0 +1,112 @@
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lacewingstair.directory import Directory, VmRecord, VmStatus
+from lacewingstair.overlay import (
+    TREE_ARITY,
+    TREE_SALTS,
+    Overlay,
+    ranked,
+    region_readers,
+    zone_relays,
+)
+
+ZONES = {"z0": "r0", "z1": "r0", "z2": "r1", "z3": "r1"}
+
+
+def record(index, zone="z0", incarnation=1, status=VmStatus.ALIVE):
+    vm_id = f"{zone}-{index}"
+    return VmRecord(vm_id, ZONES[zone], zone, f"{vm_id}:1", incarnation, 0, status)
+
+
+def directory_of(*records):
+    directory = Directory()
+    for item in records:
+        directory.merge(item)
+    return directory
+
+
+changes = st.lists(
+    st.builds(
+        record,
+        st.integers(0, 40),
+        st.sampled_from(sorted(ZONES)),
+        st.integers(0, 3),
+        st.sampled_from(VmStatus),
+    ),
+    max_size=80,
+)
+
+
+@given(changes)
+def test_kept_order_equals_one_worked_out_from_scratch(updates):
+    own = record(0, incarnation=9)
+    directory = directory_of(own)
+    overlay = Overlay(directory, own)
+    for update in updates:
+        directory.merge(update)
+    live = directory.live()
+    in_zone = [r for r in live if r.availability_zone == "z0"]
+    for tree, salt in enumerate(TREE_SALTS):
+        order = [r.vm_id for r in ranked(in_zone, salt)]
+        position = order.index(own.vm_id)
+        parent = order[(position - 1) // TREE_ARITY] if position else None
+        assert overlay.parents()[tree] == parent
+        first = position * TREE_ARITY + 1
+        assert overlay.children(tree) == order[first : first + TREE_ARITY]
+    for zone in ZONES:
+        assert overlay.relays(zone) == [r.vm_id for r in zone_relays(live, zone)]
+    readers = [r.vm_id for r in region_readers(live, "r0")]
+    assert overlay.readers("r0", ZONES) == readers
+
+
+def test_every_vm_has_a_path_of_eager_links_to_every_other():
+    records = [record(i, zone) for zone in ZONES for i in range(30)]
+    linked = {r.vm_id: {r.vm_id} for r in records}
+    for own in records:
+        for link in Overlay(directory_of(*records), own).links():
+            if link.is_eager:
+                linked[own.vm_id].add(link.vm_ids[0])
+                linked[link.vm_ids[0]].add(own.vm_id)
+    reached, waiting = set(), [records[0].vm_id]
+    while waiting:
+        vm_id = waiting.pop()
+        waiting.extend(linked[vm_id] - reached)
+        reached |= linked[vm_id]
+    assert reached == set(linked)
+
+
+def test_both_ends_of_a_link_agree_on_its_mode():
+    # The parent in the lazy tree can be a child in the eager one.
+    records = [record(i) for i in range(6)]
+    overlays = {r.vm_id: Overlay(directory_of(*records), r) for r in records}
+    modes = {}
+    for vm_id, overlay in overlays.items():
+        for link in overlay.links():
+            pair = frozenset((vm_id, link.vm_ids[0]))
+            assert modes.setdefault(pair, link.is_eager) == link.is_eager
+    assert set(modes.values()) == {True, False}
+
+
+def test_a_change_of_endpoints_or_sequence_does_not_touch_the_overlay():
+    directory = directory_of(*(record(i) for i in range(5)))
+    overlay = Overlay(directory, record(0))
+    rng = random.Random(1)
+    for sequence in range(1, 20):
+        item = record(rng.randrange(5))
+        directory.merge(VmRecord(*_fields(item), sequence=sequence))
+    assert overlay.version == 0
+    directory.merge(record(3, status=VmStatus.DEAD))
+    assert overlay.version == 1
+
+
+def _fields(item):
+    return (
+        item.vm_id,
+        item.region,
+        item.availability_zone,
+        item.address,
+        item.incarnation,
+    )
--- /dev/null
+++ b/tests/vm/test_node.py
@@ -0,0 +1,371 @@
+"""Whole meshes in virtual time."""
+
+import asyncio
+import functools
+import json
+
+import pytest
+
+from lacewingstair.directory import Endpoint, VmStatus
+from lacewingstair.evidence import EvidenceCounter, EvidenceReport
+from lacewingstair.marks import RolloutKey, StageMark, TakeBack
+from lacewingstair.standins.memory_network import Faults
+from lacewingstair.standins.mesh_cluster import Cluster, zones
+from lacewingstair.standins.virtual_time import run_virtual
+from lacewingstair.vm import messages
+from lacewingstair.vm.links import MAX_ACCEPTED_CONNECTIONS
+
+ROLLOUT = RolloutKey("move", 1)
+
+
+def in_mesh(zone_count=3, regions=2, vms_per_zone=4, **options):
+    """Run a test coroutine on a settled mesh; errors in any VM fail the test."""
+
+    def decorate(scenario):
+        @functools.wraps(scenario)
+        def run():
+            async def main():
+                cluster = Cluster(zones(zone_count, regions), vms_per_zone, **options)
+                await cluster.start()
+                failures = []
+                loop = asyncio.get_running_loop()
+                loop.set_exception_handler(lambda _, context: failures.append(context))
+                await scenario(cluster)
+                await cluster.stop()
+                assert failures == []
+
+            run_virtual(main())
+
+        del run.__wrapped__
+        return run
+
+    return decorate
+
+
+def watch_numbers(cluster):
+    """Return a list that gets every change of a VM to an older ticket or offset."""
+    backward = []
+
+    def note(before, after):
+        if after.number < before.number or after.next_offset < before.next_offset:
+            backward.append((before.number, after.number))
+
+    for vm in cluster:
+        vm.store.subscribe(note)
+    return backward
+
+
+def statuses(vm):
+    return {record.vm_id: record.status for record in vm.directory}
+
+
+@in_mesh()
+async def test_lost_doubled_and_late_deltas_do_no_harm(cluster):
+    backward = watch_numbers(cluster)
+    cluster.network.faults = Faults(lost=0.2, doubled=0.3, late=0.3)
+    for number in range(1, 21):
+        cluster.publish(number)
+        vm = cluster.rng.choice(list(cluster))
+        vm.node.set_endpoints([Endpoint("s", f"v{number}", "e:1")])
+        await asyncio.sleep(0.3)
+    cluster.network.faults = Faults()
+    await cluster.until(lambda: cluster.has_ticket(20) and cluster.is_settled(), 20)
+    assert backward == []
+    assert len({vm.store.state.digest for vm in cluster}) == 1
+
+
+@in_mesh()
+async def test_a_vm_that_misses_a_delta_catches_up_by_the_next_heartbeats(cluster):
+    cluster.network.faults = Faults(lost=1.0)
+    cluster.publish(1)
+    first = next(iter(cluster))
+    first.node.publish_stage(StageMark(ROLLOUT, "z", "read", 2))
+    first.node.publish_take_back(TakeBack(ROLLOUT, "bad", "", 1.0, "vm"))
+    first.node.set_endpoints([])
+    await asyncio.sleep(0.5)
+    assert not cluster.has_ticket(1)
+    cluster.network.faults = Faults()
+
+    def is_repaired():
+        marks = {vm.marks.digest() for vm in cluster}
+        return cluster.has_ticket(1) and cluster.is_settled() and len(marks) == 1
+
+    await cluster.until(is_repaired, 15)
+    assert first.marks.is_taken_back(ROLLOUT)
+
+
+@in_mesh()
+async def test_connections_that_go_silent_for_good_are_replaced(cluster):
+    assert cluster.network.silence(lambda one, other: True) > 0
+    cluster.publish(1)
+    await cluster.until(lambda: cluster.has_ticket(1), 8)
+    await asyncio.sleep(20)
+    assert set(statuses(next(iter(cluster))).values()) == {VmStatus.ALIVE}
+    # The new connection was tried first, so that nobody had to refute a suspicion.
+    incarnations = {vm.node.own.incarnation for vm in cluster}
+    assert len(incarnations) == 1
+
+
+@in_mesh(zone_count=4)
+async def test_a_zone_cut_off_and_rejoined_settles_forward(cluster):
+    backward = watch_numbers(cluster)
+    cut, *others = [place.availability_zone for place in cluster.places][::-1]
+    cluster.network.cut([cut], others)
+    cluster.log.cut_zones.add(cut)
+    cluster.publish(1)
+    inside = cluster.in_zone(cut)[0]
+    inside.node.set_endpoints([Endpoint("inside", "v2", "e:1")])
+    await asyncio.sleep(60)
+    assert all(vm.number == 0 for vm in cluster.in_zone(cut))
+    assert sum(vm.number == 1 for vm in cluster) == 12
+    # A partition between zones declares nobody dead.
+    assert set(statuses(inside).values()) == {VmStatus.ALIVE}
+    cluster.network.heal()
+    await cluster.until(lambda: cluster.has_ticket(1) and cluster.is_settled(), 30)
+    assert backward == []
+
+
+@in_mesh(zone_count=4)
+async def test_a_zone_cut_off_with_the_log_reads_it_itself(cluster):
+    cut, *others = [place.availability_zone for place in cluster.places][::-1]
+    cluster.network.cut([cut], others)
+    await asyncio.sleep(15)
+    cluster.publish(1)
+    await cluster.until(lambda: cluster.has_ticket(1), 25)
+    assert 1 <= sum(vm.node.is_log_reader() for vm in cluster.in_zone(cut)) <= 2
+
+
+@in_mesh(vms_per_zone=20, decodes=False)
+async def test_a_zone_restarts_at_once_with_bounded_snapshots_and_reads(cluster):
+    cluster.publish(1)
+    await cluster.until(lambda: cluster.has_ticket(1), 10)
+    restarted = [vm for vm in cluster if vm.place != cluster.places[0]]
+    assert len(restarted) == 40
+    others = cluster.in_zone(cluster.places[0].availability_zone)
+    for vm in restarted:
+        await cluster.crash(vm.vm_id)
+    new = [
+        await cluster.add(vm.place, index)
+        for vm in restarted
+        for index in [int(vm.vm_id.rsplit("-")[1]) + 100]
+    ]
+    records_read = cluster.log.records_read
+    await cluster.until(lambda: cluster.has_ticket(1), 30)
+    assert all(vm.node.snapshot_server.most_at_once <= 4 for vm in cluster)
+    assert cluster.log.records_read - records_read <= 4
+    await cluster.until(cluster.is_settled, 120)
+    assert sum(vm.node.snapshot_server.served for vm in [*others, *new]) >= 40
+
+
+@in_mesh()
+async def test_a_paused_vm_is_declared_dead_and_refutes(cluster):
+    paused, *others = cluster.in_zone(cluster.places[1].availability_zone)
+    before = paused.node.own.incarnation
+    paused.transport.running.clear()
+    await asyncio.sleep(20)
+    assert statuses(others[0])[paused.vm_id] is VmStatus.DEAD
+    paused.transport.running.set()
+    await cluster.until(cluster.is_settled, 20)
+    assert paused.node.own.incarnation > before
+    # The paused VM has heard nobody for 20 s and must not blame them for it.
+    assert set(statuses(paused).values()) == {VmStatus.ALIVE}
+
+
+@in_mesh(zone_count=4)
+async def test_the_death_of_a_relay_delays_a_ticket_by_no_more_than_the_target(cluster):
+    zone = cluster.places[1].availability_zone
+    (relay,) = [vm for vm in cluster.in_zone(zone) if vm.node.is_zone_root()]
+    await cluster.crash(relay.vm_id)
+    cluster.publish(1)
+    await cluster.until(lambda: cluster.has_ticket(1), 5)
+    await cluster.until(lambda: statuses(next(iter(cluster)))[relay.vm_id] == 3, 20)
+    roots = [vm for vm in cluster.in_zone(zone) if vm.node.is_zone_root()]
+    assert len(roots) == 1
+    # The next heartbeats open the links to the new relay.
+    await asyncio.sleep(3)
+    cluster.publish(2)
+    assert await cluster.until(lambda: cluster.has_ticket(2), 5) < 0.5
+
+
+@in_mesh()
+async def test_a_leaf_that_dies_is_noticed_without_a_link_to_it(cluster):
+    victim = cluster.in_zone(cluster.places[0].availability_zone)[-1]
+    # Its neighbours restart as well, so that nobody had a connection to it.
+    for vm in cluster.in_zone(cluster.places[0].availability_zone):
+        await cluster.crash(vm.vm_id)
+    for index in range(10, 13):
+        await cluster.add(cluster.places[0], index)
+    await cluster.until(cluster.is_settled, 90)
+    assert statuses(next(iter(cluster)))[victim.vm_id] is VmStatus.DEAD
+
+
+@in_mesh()
+async def test_a_vm_that_restarts_with_its_id_replaces_its_record(cluster):
+    old = await cluster.crash(
+        cluster.in_zone(cluster.places[0].availability_zone)[1].vm_id
+    )
+    new = await cluster.add(old.place, int(old.vm_id[-1]))
+    await cluster.until(cluster.is_settled, 30)
+    held = next(iter(cluster)).directory.get(new.vm_id)
+    assert held.incarnation >= new.node.own.incarnation > old.node.own.incarnation
+
+
+@in_mesh(zone_count=2, regions=1)
+async def test_a_vm_far_behind_gets_the_state_as_a_snapshot(cluster):
+    zone = cluster.places[1].availability_zone
+    cluster.network.cut([zone], [cluster.places[0].availability_zone])
+    cluster.log.cut_zones.add(zone)
+    for number in range(1, 301):
+        cluster.publish(number)
+    await asyncio.sleep(30)
+    assert {vm.number for vm in cluster.in_zone(zone)} == {0}
+    cluster.network.heal()
+    await cluster.until(lambda: cluster.has_ticket(300), 30)
+    assert sum(vm.node.snapshot_server.served for vm in cluster) >= 1
+
+
+@in_mesh(zone_count=2, regions=1)
+async def test_parts_that_declared_each_other_dead_join_again(cluster):
+    zone = cluster.places[0].availability_zone
+    vms = cluster.in_zone(zone)
+    for vm in vms[:2]:
+        vm.transport.running.clear()
+    await asyncio.sleep(60)
+    assert statuses(vms[2])[vms[0].vm_id] is VmStatus.DEAD
+    for vm in vms[:2]:
+        vm.transport.running.set()
+    await cluster.until(cluster.is_settled, 90)
+
+
+@in_mesh(zone_count=9, regions=4, vms_per_zone=3)
+async def test_a_change_crosses_each_link_between_regions_about_once(cluster):
+    await asyncio.sleep(30)
+    counted = cluster.network.far_frames_by_type
+    before = counted["DirectoryDelta"]
+    cluster.in_zone("r1z1")[0].node.set_endpoints([])
+    await cluster.until(cluster.is_settled, 5)
+    # One frame to each of the three other regions.
+    assert counted["DirectoryDelta"] - before == 3
+    tickets = counted["TicketDelta"]
+    cluster.publish(1)
+    await cluster.until(lambda: cluster.has_ticket(1), 5)
+    # Each region reads the log itself.
+    assert counted["TicketDelta"] == tickets
+
+
+@in_mesh(vms_per_zone=20, decodes=False)
+async def test_repair_sends_only_the_records_that_differ(cluster):
+    await asyncio.sleep(30)
+    cluster.network.faults = Faults(lost=1.0)
+    next(iter(cluster)).node.set_endpoints([])
+    await asyncio.sleep(1)
+    sent = []
+    record = messages.DirectoryDelta
+    push = cluster.network.delays
+
+    def note(body):
+        if isinstance(body, record):
+            sent.append(len(body.records))
+        return push(body)
+
+    cluster.network.delays = note
+    cluster.network.faults = Faults()
+    await cluster.until(cluster.is_settled, 15)
+    assert sum(sent) < 3 * 60
+    assert max(sent) == 1
+
+
+def evidence(source, sequence, is_zone_total):
+    counter = EvidenceCounter(ROLLOUT, "read", "v2", 1, 10, 1, 9, 2)
+    return EvidenceReport(source, is_zone_total, sequence, (counter,))
+
+
+@in_mesh(zone_count=5, regions=2)
+async def test_zone_totals_reach_the_root_of_every_zone_once(cluster):
+    roots = [vm for vm in cluster if vm.node.is_zone_root()]
+    assert len(roots) == 5
+    received = []
+    for vm in cluster:
+        vm.node.on_evidence(lambda report, vm=vm: received.append((vm, report.source)))
+    for sequence in (1, 2, 2, 1):
+        for root in roots:
+            zone = root.place.availability_zone
+            root.node.send_evidence(evidence(zone, sequence, True))
+        await asyncio.sleep(0.5)
+    for root in roots:
+        sources = [source for vm, source in received if vm is root]
+        others = {vm.place.availability_zone for vm in roots} - {
+            root.place.availability_zone
+        }
+        assert sorted(sources) == sorted([*others, *others])
+
+
+@in_mesh(vms_per_zone=12)
+async def test_subtree_reports_go_to_the_parent_and_lost_children_are_told(cluster):
+    zone = cluster.in_zone(cluster.places[0].availability_zone)
+    parents = {vm: vm.node.overlay.parents()[0] for vm in zone}
+    child, parent_id = next((vm, p) for vm, p in parents.items() if p is not None)
+    received, lost = [], []
+    parent = cluster.vms_by_id[parent_id]
+    for vm in cluster:
+        vm.node.on_evidence(lambda report, vm=vm: received.append((vm, report.source)))
+    parent.node.on_child_lost(lost.append)
+    child.node.send_evidence(evidence(child.vm_id, 1, False))
+    await asyncio.sleep(0.1)
+    assert received == [(parent, child.vm_id)]
+    await cluster.crash(child.vm_id)
+    await asyncio.sleep(5)
+    assert lost == [child.vm_id]
+
+
+@in_mesh()
+async def test_a_malformed_frame_closes_its_connection_only(cluster):
+    vm = next(iter(cluster))
+    other = (await cluster.add(vm.place, 99)).transport
+    stream = (await other.connect(vm.node.own.address)).unwrap()
+    hello = messages.Hello("cluster", "stranger", "r", "z", 1)
+    stream.send(hello)
+    await asyncio.sleep(0.1)
+    assert "stranger" in vm.node.peers_by_vm_id
+    stream.inject(b"\0\0\0\1\0\xc1")
+    await asyncio.sleep(0.1)
+    assert "stranger" not in vm.node.peers_by_vm_id
+    cluster.publish(1)
+    await cluster.until(lambda: cluster.has_ticket(1), 5)
+
+
+@in_mesh()
+async def test_connections_without_a_hello_are_limited_in_time_and_number(cluster):
+    vm, other = list(cluster)[:2]
+    address = vm.node.own.address
+    streams = [
+        (await other.transport.connect(address)).unwrap()
+        for _ in range(MAX_ACCEPTED_CONNECTIONS)
+    ]
+    late = (await other.transport.connect(address)).unwrap()
+    assert isinstance((await late.receive()).unwrap(), messages.Busy)
+    assert isinstance((await streams[0].receive()).unwrap(), messages.Hello)
+    # Each is closed when its time for a Hello is over.
+    async with asyncio.timeout(3):
+        assert (await streams[0].receive()).is_err()
+    again = (await other.transport.connect(address)).unwrap()
+    assert isinstance((await again.receive()).unwrap(), messages.Hello)
+
+
+@in_mesh()
+async def test_a_ticket_too_long_to_push_still_arrives(cluster):
+    cluster.publish(1, min_length=600_000)
+    await cluster.until(lambda: cluster.has_ticket(1), 20)
+
+
+@pytest.mark.parametrize("number", [1])
+def test_one_vm_alone_reads_the_log_itself(number):
+    async def main():
+        cluster = Cluster(zones(1, 1), 1)
+        cluster.publish(number)
+        await cluster.start()
+        await cluster.until(lambda: cluster.has_ticket(number), 30)
+        await cluster.stop()
+        return json.loads(cluster.log.values[0])["number"]
+
+    assert run_virtual(main()) == number
