--- a/src/lacewingstair/standins/memory_network.py
+++ b/src/lacewingstair/standins/memory_network.py
@@ -82,8 +82,10 @@
         Applied to `MANGLED_TYPES`.
     bytes_by_region_pair : Counter
         Bytes of frames sent, by the regions of sender and receiver.
-    far_frames_by_type : Counter
-        Frames sent between regions, by the name of the message type.
+    bytes_by_type : Counter
+        Bytes of frames sent, by the name of the message type.
+    far_frames_by_type, far_bytes_by_type : Counter
+        The frames sent between regions, and their bytes.
     """
 
     def __init__(
@@ -98,7 +100,9 @@
         self.faults = Faults()
         self.encoder = FrameEncoder()
         self.bytes_by_region_pair: Counter[tuple[str, str]] = Counter()
+        self.bytes_by_type: Counter[str] = Counter()
         self.far_frames_by_type: Counter[str] = Counter()
+        self.far_bytes_by_type: Counter[str] = Counter()
         self._transports_by_address: dict[str, MemoryTransport] = {}
         self._streams: set[MemoryStream] = set()
         self._cut_pairs: set[frozenset[str]] = set()
@@ -269,8 +273,11 @@
         self._transport.bytes_sent += size
         regions = (self.place.region, self.far_place.region)
         self._network.bytes_by_region_pair[regions] += size
+        kind = type(body).__name__
+        self._network.bytes_by_type[kind] += size
         if regions[0] != regions[1]:
-            self._network.far_frames_by_type[type(body).__name__] += 1
+            self._network.far_frames_by_type[kind] += 1
+            self._network.far_bytes_by_type[kind] += size
 
 
 class MemoryListener:
--- a/src/lacewingstair/standins/mesh_cluster.py
+++ b/src/lacewingstair/standins/mesh_cluster.py
@@ -39,8 +39,12 @@
     ----------
     values : list of str
         Records, by offset.
-    reads, records_read, bytes_read : int
-        Reads answered, records in them and the length of these.
+    reads, records_read : int
+        Reads answered, and records in them.
+    count_poll : callable
+        Returns the bytes of a poll on the wire from the records in its answer.
+    far_poll_bytes : int
+        Bytes of polls from other regions than that of the log.
     cut_zones : set of str
         Zones that cannot reach the log.
     """
@@ -52,7 +56,8 @@
         self.values: list[str] = []
         self.reads = 0
         self.records_read = 0
-        self.bytes_read = 0
+        self.count_poll: Callable[[list[str]], int] = lambda values: 0
+        self.far_poll_bytes = 0
         self.cut_zones: set[str] = set()
 
     def append(self, value: str) -> None:
@@ -80,7 +85,8 @@
             return None
         self.reads += 1
         self.records_read += len(records)
-        self.bytes_read += sum(len(record.value) for record in records)
+        if reader.region != self._place.region:
+            self.far_poll_bytes += self.count_poll([r.value for r in records])
         return records
 
 
