--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -21,7 +21,6 @@
 from lacewingstair.operator.health import Health, build_health
 from lacewingstair.operator.observe import observe
 from lacewingstair.operator.report import build_report
-from lacewingstair.overlay import region_readers
 from lacewingstair.platform.http_log import HttpLogClient
 from lacewingstair.platform.reader import LogReader
 from lacewingstair.runtime import Clock
@@ -135,8 +134,7 @@
 
     def is_reader(self) -> bool:
         """Return whether this VM reads the log now."""
-        readers = region_readers(self.directory.live(), self.settings.region)
-        return any(reader.vm_id == self.settings.vm_id for reader in readers)
+        return self.node.is_log_reader()
 
     def report(self) -> Mapping[str, Any]:
         """Return the JSON object of ``/report``."""
--- a/src/lacewingstair/errors.py
+++ b/src/lacewingstair/errors.py
@@ -203,3 +203,13 @@
 
     def __str__(self) -> str:
         return f"no report from {self.url!r}: {self.reason}"
+
+
+@attrs.frozen
+class SnapshotError:
+    """A snapshot from a peer is not valid. It is dropped and another peer is asked."""
+
+    reason: str
+
+    def __str__(self) -> str:
+        return f"invalid snapshot: {self.reason}"
--- a/src/lacewingstair/tickets.py
+++ b/src/lacewingstair/tickets.py
@@ -289,12 +289,13 @@
 
 def _schema_faults(document: Any) -> list[Fault]:
     errors = itertools.islice(_TICKET_VALIDATOR.iter_errors(document), MAX_FAULTS)
-    faults = [_schema_fault((), error) for error in errors]
-    if faults:
-        return sorted(faults, key=str)
+    faults = sorted((_schema_fault((), error) for error in errors), key=str)
     for section in SECTIONS:
         validator = _VALIDATORS_BY_SECTION[section]
-        for name, entry in document.get(section, {}).items():
+        entries = document.get(section) if isinstance(document, dict) else None
+        if not isinstance(entries, dict):
+            continue
+        for name, entry in entries.items():
             if entry is None:
                 continue
             errors = validator.iter_errors(entry)
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -6,11 +6,11 @@
 import threading
 
 import pytest
-from tests.processes import ENVIRONMENT
 
 from lacewingstair.cli.exit_codes import ExitCode
 from lacewingstair.cli.main import main
 from lacewingstair.standins.local import free_ports
+from tests.processes import ENVIRONMENT
 
 
 @pytest.fixture
--- a/tests/cli/test_publish.py
+++ b/tests/cli/test_publish.py
@@ -2,13 +2,13 @@
 import random
 
 import pytest
-from tests.cli.test_report import DOWN, Vm, report
 
 from lacewingstair.cli.exit_codes import ExitCode
 from lacewingstair.cli.publish import publish_file
 from lacewingstair.platform.log import TICKET_STREAM
 from lacewingstair.standins.memory_log import LogFaults, LogStreams, MemoryLogClient
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
+from tests.cli.test_report import DOWN, Vm, report
 
 BEHIND = report()
 BEHIND.ok_value["next_offset"] = 0
--- a/tests/platform/test_append.py
+++ b/tests/platform/test_append.py
@@ -2,7 +2,6 @@
 import random
 
 import pytest
-from tests.ticket_texts import ticket
 
 from lacewingstair.errors import LogRefused, PublishError, TicketError
 from lacewingstair.platform.append import Appender
@@ -15,6 +14,7 @@
     MemoryLogClient,
 )
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
+from tests.ticket_texts import ticket
 
 
 class Operator:
--- a/tests/platform/test_fault_schedules.py
+++ b/tests/platform/test_fault_schedules.py
@@ -5,8 +5,6 @@
 import attrs
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
-from tests.platform.readers import Readers
-from tests.ticket_texts import ROLLOUT, SERVICES, ticket
 
 from lacewingstair.acceptance import MeshState, TicketRecord, fold
 from lacewingstair.marks import RolloutKey, TakeBack
@@ -15,6 +13,8 @@
 from lacewingstair.platform.records import decode_record
 from lacewingstair.standins.memory_log import LogFaults, MemoryLogClient
 from lacewingstair.standins.virtual_time import run_virtual
+from tests.platform.readers import Readers
+from tests.ticket_texts import ROLLOUT, SERVICES, ticket
 
 VMS = 3
 RETENTION = 2000.0
--- a/tests/platform/test_http_log.py
+++ b/tests/platform/test_http_log.py
@@ -4,7 +4,6 @@
 
 import pytest
 from aiohttp import web
-from tests.ticket_texts import ticket
 
 from lacewingstair.errors import LogRefused, LogUnavailable, OffsetExpired
 from lacewingstair.platform import http_log
@@ -14,6 +13,7 @@
 from lacewingstair.runtime import SystemClock
 from lacewingstair.standins.log_service import LogService
 from lacewingstair.standins.memory_log import MAX_VALUE_BYTES
+from tests.ticket_texts import ticket
 
 
 @contextlib.asynccontextmanager
--- a/tests/platform/test_reader.py
+++ b/tests/platform/test_reader.py
@@ -2,8 +2,6 @@
 
 import attrs
 import pytest
-from tests.platform.readers import Readers, captured_events
-from tests.ticket_texts import first_ticket, ticket
 
 from lacewingstair.marks import RolloutKey, TakeBack
 from lacewingstair.platform import checkpointer
@@ -12,6 +10,8 @@
 from lacewingstair.standins.memory_log import LogFaults
 from lacewingstair.standins.virtual_time import run_virtual
 from lacewingstair.tickets import MAX_TICKET_BYTES
+from tests.platform.readers import Readers, captured_events
+from tests.ticket_texts import first_ticket, ticket
 
 MARK = TakeBack(RolloutKey("move", 1), "errors", "9 of 10 calls", 12.5, "vm-1")
 RETENTION = 4 * 3600.0
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -9,10 +9,10 @@
 
 import attrs
 import pytest
-from tests.processes import ENVIRONMENT, LIMIT_SECONDS, Processes, wait_until
 
 from lacewingstair.cli.exit_codes import ExitCode
 from lacewingstair.standins.local import free_ports, local_settings, settings_text
+from tests.processes import ENVIRONMENT, LIMIT_SECONDS, Processes, wait_until
 
 DAEMON = "lacewingstair.process"
 TOOL = "lacewingstair.cli"
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -4,7 +4,6 @@
 import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
-from tests.ticket_texts import ROLLOUT, SERVICES, first_ticket, ticket
 
 from lacewingstair.tickets import (
     MAX_FAULTS,
@@ -12,6 +11,7 @@
     TICKET_SCHEMA,
     parse_ticket,
 )
+from tests.ticket_texts import ROLLOUT, SERVICES, first_ticket, ticket
 
 
 def places(text):
