--- a/src/lacewingstair/backend_server/announce.py
+++ b/src/lacewingstair/backend_server/announce.py
@@ -1,6 +1,7 @@
 """HTTP interface on which backend servers of this VM announce themselves."""
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import attrs
@@ -14,6 +15,11 @@
 from lacewingstair.runtime import Clock
 
 ANNOUNCEMENT_TTL_SECONDS = 10.0
+CHECK_SECONDS = 1.0
+RECHECK_SECONDS = 0.1
+CONNECT_TIMEOUT_SECONDS = 1.0
+
+RefusesConnections = Callable[[str], Awaitable[bool]]
 
 _SCHEMA = {
     "type": "object",
@@ -33,10 +39,15 @@
 
 @attrs.define
 class Announcement:
-    """An endpoint and when its announcement lapses, in monotonic seconds."""
+    """An endpoint and when its announcement lapses, in monotonic seconds.
+
+    A drained endpoint stays draining while the same backend server repeats that it is
+    ready, since the repetition and the drain call often come from different threads.
+    """
 
     endpoint: Endpoint
     expires_at: float
+    is_drained: bool = False
 
 
 class AnnouncementServer:
@@ -48,32 +59,59 @@
         Takes the endpoints after each change.
     clock : Clock
         Time for lapses.
+    refuses_connections : callable, optional
+        Returns whether nothing listens on an address.
     """
 
     def __init__(
-        self, on_change: Callable[[list[Endpoint]], None], clock: Clock
+        self,
+        on_change: Callable[[list[Endpoint]], None],
+        clock: Clock,
+        refuses_connections: RefusesConnections | None = None,
     ) -> None:
         self._on_change = on_change
         self._clock = clock
+        self._refuses_connections = refuses_connections or refuses_tcp_connections
+        self._checks_by_address: dict[str, asyncio.Task[None]] = {}
         self._announcements_by_address: dict[str, Announcement] = {}
 
     def application(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application(client_max_size=64 << 10)
         app.router.add_post("/v1/announce", self._announce)
+        app.router.add_post("/v1/drain", self._drain)
         app.router.add_post("/v1/withdraw", self._withdraw)
         return app
 
     def announce(self, endpoint: Endpoint) -> None:
         """Add or renew an endpoint."""
         held = self._announcements_by_address.get(endpoint.address)
+        is_drained = held is not None and held.is_drained
+        if is_drained and endpoint.state is EndpointState.STARTING:
+            is_drained = False
+        if is_drained:
+            endpoint = attrs.evolve(endpoint, state=EndpointState.DRAINING)
         expires_at = self._clock.monotonic() + ANNOUNCEMENT_TTL_SECONDS
         self._announcements_by_address[endpoint.address] = Announcement(
-            endpoint, expires_at
+            endpoint, expires_at, is_drained
         )
         if held is None or held.endpoint != endpoint:
             self._publish("endpoint_announced", endpoint)
 
+    def drain(self, address: str) -> bool:
+        """Give an endpoint no new calls until it is withdrawn or starts again.
+
+        Returns whether it is announced.
+        """
+        held = self._announcements_by_address.get(address)
+        if held is None:
+            return False
+        if not held.is_drained:
+            held.is_drained = True
+            held.endpoint = attrs.evolve(held.endpoint, state=EndpointState.DRAINING)
+            self._publish("endpoint_draining", held.endpoint)
+        return True
+
     def withdraw(self, address: str) -> None:
         """Remove an endpoint."""
         held = self._announcements_by_address.pop(address, None)
@@ -81,14 +119,40 @@
             self._publish("endpoint_withdrawn", held.endpoint)
 
     async def run(self) -> None:
-        """Remove endpoints whose announcements have lapsed, until cancelled."""
+        """Remove endpoints that have lapsed or do not listen, until cancelled."""
         while True:
-            await self._clock.sleep(1.0)
+            await self._clock.sleep(CHECK_SECONDS)
             now = self._clock.monotonic()
             for address, held in list(self._announcements_by_address.items()):
                 if held.expires_at <= now:
                     del self._announcements_by_address[address]
                     self._publish("endpoint_lapsed", held.endpoint)
+                else:
+                    self.check(address)
+
+    def check(self, address: str) -> None:
+        """Withdraw an endpoint soon if nothing listens on its address any more.
+
+        Its process died without a withdrawal; waiting for the announcement to lapse
+        would cost every VM a refused connection.
+        """
+        running = self._checks_by_address.get(address)
+        if address not in self._announcements_by_address or running is not None:
+            return
+        task = asyncio.create_task(self._check(address))
+        self._checks_by_address[address] = task
+        task.add_done_callback(lambda _: self._checks_by_address.pop(address, None))
+
+    async def _check(self, address: str) -> None:
+        held = self._announcements_by_address.get(address)
+        if not await self._refuses_connections(address):
+            return
+        await self._clock.sleep(RECHECK_SECONDS)
+        if not await self._refuses_connections(address):
+            return
+        # A renewal in between replaces the announcement and keeps the endpoint.
+        if held is self._announcements_by_address.get(address):
+            self.withdraw(address)
 
     def _publish(self, event: str, endpoint: Endpoint) -> None:
         events.info(
@@ -109,13 +173,41 @@
         return web.json_response({"ttl_seconds": ANNOUNCEMENT_TTL_SECONDS})
 
     async def _withdraw(self, request: web.Request) -> web.Response:
-        document = await _json(request)
-        if not isinstance(document, dict) or "address" not in document:
-            return web.json_response({"error": "address is missing"}, status=400)
-        self.withdraw(str(document["address"]))
+        address = _address(await _json(request))
+        if address is None:
+            return web.json_response({"error": "address is not a text"}, status=400)
+        self.withdraw(address)
+        return web.json_response({})
+
+    async def _drain(self, request: web.Request) -> web.Response:
+        address = _address(await _json(request))
+        if address is None:
+            return web.json_response({"error": "address is not a text"}, status=400)
+        if not self.drain(address):
+            error = f"{address!r:.80} is not announced"
+            return web.json_response({"error": error}, status=404)
         return web.json_response({})
 
 
+async def refuses_tcp_connections(address: str) -> bool:
+    """Return whether a connection is refused; a slow answer is no refusal."""
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            _, writer = await asyncio.open_connection(host.strip("[]"), int(port))
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return False
+
+
+def _address(document: Any) -> str | None:
+    address = document.get("address") if isinstance(document, dict) else None
+    return address if isinstance(address, str) else None
+
+
 async def _json(request: web.Request) -> Any:
     try:
         return await request.json()
@@ -132,5 +224,9 @@
             for e in found
         )
         return Err(AnnouncementError(faults))
+    port = int(document["address"].rpartition(":")[2])
+    if not 1 <= port <= 65535:
+        fault = Fault("address", f"port {port}, allowed are 1 to 65535")
+        return Err(AnnouncementError((fault,)))
     state = EndpointState[document.get("state", "ready").upper()]
     return Ok(Endpoint(**{**document, "state": state}))
--- /dev/null
+++ b/src/lacewingstair/backend_server/connection.py
@@ -0,0 +1,104 @@
+"""One HTTP/1.1 connection to a backend server, one call at a time."""
+
+import asyncio
+import socket
+from typing import Any
+
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
+from aiohttp.streams import StreamReader
+
+BUFFER_BYTES = 64 << 10
+MAX_LINE_BYTES = 8190
+MAX_HEADERS = 128
+# The kernel drops a connection whose bytes stay unacknowledged for this long, so that
+# one that went silent fails before the deadline of most calls.
+UNACKNOWLEDGED_TIMEOUT_MS = 1500
+
+
+class UpstreamConnection(ResponseHandler):
+    """Connection that knows whether any byte of the present call was written.
+
+    Attributes
+    ----------
+    used_at : float
+        When the last answer on it ended, in monotonic seconds.
+    calls : int
+        Calls begun on it.
+    has_written : bool
+        Whether a byte of the present call was given to the transport.
+    is_idle : bool
+        Whether no call uses it; anything received then closes it.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, now: float) -> None:
+        super().__init__(loop)
+        self.used_at = now
+        self.calls = 0
+        self.has_written = False
+        self.has_received = False
+        self.is_idle = True
+
+    def connection_made(self, transport: Any) -> None:
+        """Bound the write buffer and let the kernel detect a silent peer."""
+        super().connection_made(transport)
+        transport.set_write_buffer_limits(high=BUFFER_BYTES)
+        sock = transport.get_extra_info("socket")
+        option = getattr(socket, "TCP_USER_TIMEOUT", None)
+        if sock is not None and option is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, option, UNACKNOWLEDGED_TIMEOUT_MS)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what belongs to the present call; close on anything else."""
+        if self.is_idle:
+            # Bytes outside a call could be taken for the answer to the next one.
+            if data:
+                self.abort()
+            return
+        self.has_received = True
+        super().data_received(data)
+
+    def begin(self, *, is_head: bool) -> None:
+        """Prepare for the answer of a new call."""
+        self.calls += 1
+        self.has_written = False
+        self.has_received = False
+        self.is_idle = False
+        self.set_response_params(
+            skip_payload=is_head,
+            # An answer without a length ends with the connection, so that a truncated
+            # one looks complete; it is read here and refused by its head.
+            read_until_eof=True,
+            auto_decompress=False,
+            read_bufsize=BUFFER_BYTES,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            max_headers=MAX_HEADERS,
+        )
+
+    def write(self, data: bytes) -> bool:
+        """Write bytes of the call; return False when the connection is closed."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return False
+        self.has_written = True
+        transport.write(data)
+        return True
+
+    async def drain(self) -> None:
+        """Wait until the write buffer is below its bound."""
+        await self._drain_helper()
+
+    async def head(self) -> tuple[RawResponseMessage, StreamReader]:
+        """Return the head of the final answer and its body; skip 1xx answers."""
+        while True:
+            message, payload = await self.read()
+            if not 100 <= message.code < 200 or message.code == 101:
+                return message, payload
+
+    def end(self, now: float) -> bool:
+        """End the call; return whether the connection can take another one."""
+        self.is_idle = True
+        self.used_at = now
+        self._drop_timeout()
+        return self.is_connected() and not self.should_close
--- /dev/null
+++ b/src/lacewingstair/balancing.py
@@ -0,0 +1,358 @@
+"""Choice of the upstream for a call, from what this VM itself observes.
+
+Load reports of backend servers lag and mislead, so only the own calls in flight, their
+latencies and their failures count.
+"""
+
+import random
+from collections.abc import Callable, Collection
+
+import attrs
+
+from lacewingstair import events
+from lacewingstair.directory import Directory, Endpoint, EndpointState, VmRecord
+from lacewingstair.limits import ConcurrencyLimit
+from lacewingstair.runtime import Clock
+
+LATENCY_WEIGHT = 0.1
+FAILURE_WEIGHT = 0.05
+INITIAL_LATENCY_SECONDS = 0.005
+SLOW_START_SECONDS = 10.0
+SLOW_START_MIN_SHARE = 0.1
+EJECT_CONSECUTIVE_FAILURES = 3
+EJECT_FAILURE_RATE = 0.5
+EJECT_MIN_CALLS = 20
+EJECT_BASE_SECONDS = 10.0
+EJECT_CAP_SECONDS = 60.0
+# At most this share of a service's endpoints is ejected for failures, so that a fault
+# that all of them share does not leave the service without endpoints.
+EJECT_MAX_SHARE = 0.5
+# A refresh compares every VM record; the interval bounds its CPU while many records
+# change, and is far below the 2 s in which a leaving endpoint loses its calls.
+REFRESH_SECONDS = 0.05
+
+TIER_ZONE = 0
+TIER_REGION = 1
+TIER_ELSEWHERE = 2
+TIERS = 3
+
+
+@attrs.define(eq=False)
+class Upstream:
+    """An endpoint with what this VM has observed of it.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        Announced backend server.
+    tier : int
+        0 in the zone of this VM, 1 in its region, 2 elsewhere.
+    ready_since : float
+        When this VM first saw it ready, in monotonic seconds.
+    limit : ConcurrencyLimit
+        Calls that this VM may have in flight to it.
+    """
+
+    endpoint: Endpoint
+    tier: int
+    ready_since: float
+    limit: ConcurrencyLimit
+    in_flight: int = 0
+    calls: int = 0
+    latency_seconds: float = INITIAL_LATENCY_SECONDS
+    failure_rate: float = 0.0
+    consecutive_failures: int = 0
+    ejections: int = 0
+    ejected_at: float = 0.0
+    ejected_until: float = 0.0
+    is_ejected: bool = False
+    is_probed: bool = False
+
+    @property
+    def address(self) -> str:
+        """``ip:port`` of the backend server."""
+        return self.endpoint.address
+
+    def has_capacity(self) -> bool:
+        """Return whether another call is within the limit."""
+        return self.in_flight < self.limit.value
+
+    def is_eligible(self, now: float) -> bool:
+        """Return whether it may be chosen: not ejected, or due for a probe."""
+        if not self.is_ejected:
+            return True
+        return now >= self.ejected_until and not self.is_probed
+
+    def score(self, now: float) -> float:
+        """Return the expected wait, in seconds; lower is better."""
+        age = now - self.ready_since
+        cost = (self.in_flight + 1) * self.latency_seconds
+        if age >= SLOW_START_SECONDS:
+            return cost
+        return cost / max(SLOW_START_MIN_SHARE, age / SLOW_START_SECONDS)
+
+
+class Group:
+    """The ready upstreams of one version of a service, by tier."""
+
+    def __init__(self) -> None:
+        self.tiers: list[list[Upstream]] = [[] for _ in range(TIERS)]
+        self.ejected = 0
+
+    def __len__(self) -> int:
+        return sum(map(len, self.tiers))
+
+    def all(self) -> list[Upstream]:
+        """Return the upstreams of all tiers."""
+        return [upstream for tier in self.tiers for upstream in tier]
+
+
+_EMPTY = Group()
+
+
+class EndpointIndex:
+    """Upstreams by service and version, kept up to date with the directory.
+
+    Parameters
+    ----------
+    directory : Directory
+        Records of all VMs.
+    region, availability_zone : str
+        Where this VM is.
+    clock : Clock
+        Time.
+    """
+
+    def __init__(
+        self, directory: Directory, region: str, availability_zone: str, clock: Clock
+    ) -> None:
+        self._directory = directory
+        self._region = region
+        self._availability_zone = availability_zone
+        self._clock = clock
+        self._version = -1
+        self._next_refresh = 0.0
+        self._records_by_vm_id: dict[str, VmRecord] = {}
+        self._upstreams_by_vm_id: dict[str, dict[Endpoint, Upstream]] = {}
+        self._groups_by_key: dict[tuple[str, str], Group] = {}
+        self.on_removed: Callable[[str], None] = lambda address: None
+
+    def group(self, service: str, version: str) -> Group:
+        """Return the ready upstreams of a version."""
+        if self._directory.version != self._version:
+            self._refresh_when_due()
+        found = self._groups_by_key.get((service, version), _EMPTY)
+        if not len(found) and self._directory.version != self._version:
+            self._refresh()
+            found = self._groups_by_key.get((service, version), _EMPTY)
+        return found
+
+    def upstreams(self) -> list[Upstream]:
+        """Return all ready upstreams."""
+        return [u for group in self._groups_by_key.values() for u in group.all()]
+
+    def _refresh_when_due(self) -> None:
+        if self._clock.monotonic() >= self._next_refresh:
+            self._refresh()
+
+    def _refresh(self) -> None:
+        self._version = self._directory.version
+        self._next_refresh = self._clock.monotonic() + REFRESH_SECONDS
+        records = self._directory.records_by_vm_id
+        held = self._records_by_vm_id
+        # Records are frozen and replaced, so identity tells the changed ones cheaply.
+        changed = [r for vm_id, r in records.items() if held.get(vm_id) is not r]
+        gone = [vm_id for vm_id in held if vm_id not in records]
+        for record in changed:
+            held[record.vm_id] = record
+            self._update(record.vm_id, record)
+        for vm_id in gone:
+            del held[vm_id]
+            self._update(vm_id, None)
+
+    def _update(self, vm_id: str, record: VmRecord | None) -> None:
+        before = self._upstreams_by_vm_id.pop(vm_id, {})
+        by_address = {u.endpoint.address: u for u in before.values()}
+        after: dict[Endpoint, Upstream] = {}
+        if record is not None and record.is_live:
+            for endpoint in record.endpoints:
+                if endpoint.state is EndpointState.READY:
+                    after[endpoint] = self._keep_or_add(endpoint, record, by_address)
+        if after:
+            self._upstreams_by_vm_id[vm_id] = after
+        for upstream in by_address.values():
+            if upstream not in after.values():
+                self._remove(upstream)
+
+    def _keep_or_add(
+        self, endpoint: Endpoint, record: VmRecord, by_address: dict[str, Upstream]
+    ) -> Upstream:
+        known = by_address.get(endpoint.address)
+        is_same_version = known is not None and (
+            known.endpoint.service,
+            known.endpoint.version,
+        ) == (endpoint.service, endpoint.version)
+        if is_same_version:
+            known.endpoint = endpoint
+            known.limit.set_maximum(endpoint.slots)
+            return known
+        now = self._clock.monotonic()
+        limit = ConcurrencyLimit(endpoint.slots)
+        upstream = Upstream(endpoint, self._tier(record), now, limit)
+        key = (endpoint.service, endpoint.version)
+        group = self._groups_by_key.setdefault(key, Group())
+        group.tiers[upstream.tier].append(upstream)
+        return upstream
+
+    def _remove(self, upstream: Upstream) -> None:
+        key = (upstream.endpoint.service, upstream.endpoint.version)
+        group = self._groups_by_key[key]
+        group.tiers[upstream.tier].remove(upstream)
+        group.ejected -= upstream.is_ejected
+        if not len(group):
+            del self._groups_by_key[key]
+        self.on_removed(upstream.address)
+
+    def _tier(self, record: VmRecord) -> int:
+        if record.availability_zone == self._availability_zone:
+            return TIER_ZONE
+        return TIER_REGION if record.region == self._region else TIER_ELSEWHERE
+
+
+class Balancer:
+    """Chooses upstreams and takes the outcomes of their calls.
+
+    Parameters
+    ----------
+    clock : Clock
+        Time.
+    rng : random.Random
+        Source of choices.
+    """
+
+    def __init__(self, clock: Clock, rng: random.Random) -> None:
+        self._clock = clock
+        self._rng = rng
+
+    def choose(self, group: Group, tried: Collection[Upstream] = ()) -> Upstream | None:
+        """Return an upstream with capacity that was not tried, or None.
+
+        Nearer tiers go first; a farther one is used when no upstream of the nearer ones
+        is eligible and within its limit.
+        """
+        now = self._clock.monotonic()
+        for tier in group.tiers:
+            usable = [
+                u
+                for u in tier
+                if u.has_capacity() and u.is_eligible(now) and u not in tried
+            ]
+            if usable:
+                return self._best(usable, now)
+        return self._longest_ejected(group, tried)
+
+    def started(self, upstream: Upstream) -> None:
+        """Count a call in flight."""
+        upstream.in_flight += 1
+        if upstream.is_ejected:
+            upstream.is_probed = True
+
+    def succeeded(self, group: Group, upstream: Upstream, seconds: float) -> None:
+        """Take an answer whose head came after `seconds`."""
+        self._finish(upstream)
+        upstream.calls += 1
+        upstream.latency_seconds += LATENCY_WEIGHT * (
+            seconds - upstream.latency_seconds
+        )
+        upstream.failure_rate *= 1 - FAILURE_WEIGHT
+        upstream.consecutive_failures = 0
+        upstream.limit.succeeded(seconds, upstream.in_flight + 1)
+        if upstream.is_ejected:
+            self._restore(group, upstream)
+
+    def failed(self, group: Group, upstream: Upstream, seconds: float) -> None:
+        """Take a failed call: a 5xx answer, a broken connection or a timeout.
+
+        A failure also counts as a slow answer, so that an upstream that fails at once
+        does not attract calls by its low latency.
+        """
+        self._finish(upstream)
+        upstream.calls += 1
+        upstream.failure_rate += FAILURE_WEIGHT * (1 - upstream.failure_rate)
+        upstream.consecutive_failures += 1
+        slow = max(seconds, 2 * upstream.latency_seconds)
+        upstream.latency_seconds += LATENCY_WEIGHT * (slow - upstream.latency_seconds)
+        upstream.latency_seconds = min(upstream.latency_seconds, 10.0)
+        if upstream.is_ejected or self._is_failing(upstream):
+            self._eject(group, upstream, is_certain=False)
+
+    def unreachable(self, group: Group, upstream: Upstream) -> None:
+        """Take a refused connection; the floor of ejections does not apply to it."""
+        self._finish(upstream)
+        self._eject(group, upstream, is_certain=True)
+
+    def refused(self, upstream: Upstream) -> None:
+        """Take a refusal that is marked as not run: the upstream is at its capacity."""
+        self._finish(upstream)
+        upstream.limit.refused()
+
+    def cancelled(self, upstream: Upstream) -> None:
+        """Take a call that was given up, from which nothing follows."""
+        self._finish(upstream)
+
+    def _finish(self, upstream: Upstream) -> None:
+        upstream.in_flight -= 1
+        upstream.is_probed = False
+
+    def _best(self, usable: list[Upstream], now: float) -> Upstream:
+        if len(usable) == 1:
+            return usable[0]
+        first, second = self._rng.sample(usable, 2)
+        return first if first.score(now) <= second.score(now) else second
+
+    def _longest_ejected(
+        self, group: Group, tried: Collection[Upstream]
+    ) -> Upstream | None:
+        """Return the one ejected longest ago when all are ejected, else None."""
+        if not group.ejected or group.ejected < len(group):
+            return None
+        usable = [u for u in group.all() if u.has_capacity() and u not in tried]
+        return min(usable, key=lambda u: u.ejected_at, default=None)
+
+    def _is_failing(self, upstream: Upstream) -> bool:
+        if upstream.consecutive_failures >= EJECT_CONSECUTIVE_FAILURES:
+            return True
+        is_frequent = upstream.failure_rate >= EJECT_FAILURE_RATE
+        return upstream.calls >= EJECT_MIN_CALLS and is_frequent
+
+    def _eject(self, group: Group, upstream: Upstream, *, is_certain: bool) -> None:
+        now = self._clock.monotonic()
+        if not upstream.is_ejected:
+            is_floor = group.ejected + 1 > EJECT_MAX_SHARE * len(group)
+            if is_floor and not is_certain:
+                return
+            upstream.is_ejected = True
+            group.ejected += 1
+            upstream.ejected_at = now
+        elif now < upstream.ejected_until:
+            return
+        seconds = EJECT_BASE_SECONDS * 2 ** min(upstream.ejections, 10)
+        upstream.ejections += 1
+        upstream.ejected_at = now
+        upstream.ejected_until = now + min(seconds, EJECT_CAP_SECONDS)
+        events.info(
+            "upstream_ejected",
+            service=upstream.endpoint.service,
+            version=upstream.endpoint.version,
+            address=upstream.address,
+            failures=upstream.consecutive_failures,
+            failure_rate=upstream.failure_rate,
+            seconds=upstream.ejected_until - now,
+        )
+
+    def _restore(self, group: Group, upstream: Upstream) -> None:
+        upstream.is_ejected = False
+        group.ejected -= 1
+        upstream.failure_rate = 0.0
+        upstream.ready_since = self._clock.monotonic()
+        events.info("upstream_restored", address=upstream.address)
--- /dev/null
+++ b/src/lacewingstair/caller/dispatch.py
@@ -0,0 +1,546 @@
+"""Sends a call to backend servers, again only where it cannot run twice."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import attrs
+from aiohttp import ClientError
+from aiohttp.http import RawResponseMessage
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.streams import StreamReader
+from result import Err, Ok, Result
+
+from lacewingstair import events
+from lacewingstair.backend_server.connection import UpstreamConnection
+from lacewingstair.backend_server.pool import IDLE_SECONDS, ConnectionPool
+from lacewingstair.balancing import Balancer, EndpointIndex, Group, Upstream
+from lacewingstair.caller import headers
+from lacewingstair.caller.body import Body, BodyTooLarge
+from lacewingstair.caller.refusals import Refusal
+from lacewingstair.errors import ConnectionsBusy
+from lacewingstair.limits import Admission, RetryBudget
+from lacewingstair.outcomes import CallOutcome, CallResult, OutcomeSink, VersionChooser
+from lacewingstair.runtime import Clock
+
+MAX_ATTEMPTS = 3
+# A backend server closes connections that were idle for long; one used within the last
+# second has not met that limit, so a call that must not run twice rarely fails on it.
+NON_IDEMPOTENT_IDLE_SECONDS = 1.0
+STALE_IDLE_SECONDS = 1.0
+REFUSAL_STATUSES = (429, 503)
+REPEATABLE_STATUSES = (502, 503, 504)
+LOG_EVERY = 100
+
+
+@attrs.define
+class Call:
+    """One call, ready for dispatch.
+
+    Parameters
+    ----------
+    method, target : str
+        As sent to the upstream.
+    header_lines : bytes
+        End-to-end header lines.
+    body : Body
+        Request body.
+    has_body : bool
+        Whether the request announced a body, if only an empty one.
+    route, service, kind : str
+        Names in the configuration.
+    worth : float
+        Worth of its kind.
+    customer : str
+        Whom the call is for.
+    allows_repeat : bool
+        Whether it may run twice.
+    allows_retry : bool
+        False when an outer layer has already repeated it.
+    deadline : float
+        When its answer is of no use any more, in monotonic seconds.
+    """
+
+    method: str
+    target: str
+    header_lines: bytes
+    body: Body
+    has_body: bool
+    route: str
+    service: str
+    kind: str
+    worth: float
+    customer: str
+    allows_repeat: bool
+    allows_retry: bool
+    deadline: float
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """One attempt at an upstream; it holds a slot until it is settled."""
+
+    call: Call
+    group: Group
+    upstream: Upstream
+    started_at: float
+    connection: UpstreamConnection | None = None
+    writer: asyncio.Task[None] | None = None
+    latency_seconds: float = 0.0
+    was_reused: bool = False
+    idle_seconds: float = 0.0
+    is_settled: bool = False
+
+
+@attrs.frozen
+class Answer:
+    """Head of an upstream's answer, and its body to be streamed."""
+
+    attempt: Attempt
+    message: RawResponseMessage
+    payload: StreamReader
+    is_final: bool = True
+
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+        return self.message.code
+
+    @property
+    def is_refusal(self) -> bool:
+        """Whether the backend server says that the call did not run."""
+        if self.status not in REFUSAL_STATUSES:
+            return False
+        outcome = self.message.headers.get(headers.OUTCOME, "")
+        return outcome.lower() == headers.OUTCOME_NOT_RUN
+
+    @property
+    def forbids_retry(self) -> bool:
+        """Whether an inner layer says that repeating is of no use."""
+        value = self.message.headers.get(headers.RETRY, "")
+        return value.lower() == headers.RETRY_NO
+
+
+@attrs.frozen
+class Failure:
+    """An attempt without an answer.
+
+    Parameters
+    ----------
+    reason : str
+        What happened.
+    is_sent : bool
+        Whether any byte of the call was written; if not, it did not run.
+    is_timeout, is_stale, is_busy : bool
+        The time ran out; a kept-alive connection was closed while idle; the share of
+        connections is used up.
+    status : int
+        Status for the caller when nothing better comes.
+    """
+
+    reason: str
+    is_sent: bool
+    is_timeout: bool = False
+    is_stale: bool = False
+    is_busy: bool = False
+    status: int = 502
+
+
+class Dispatcher:
+    """Chooses upstreams for calls and sends the calls.
+
+    Parameters
+    ----------
+    index : EndpointIndex
+        Upstreams by service and version.
+    pool : ConnectionPool
+        Connections to them.
+    chooser : VersionChooser
+        Chooses the version.
+    sink : OutcomeSink
+        Takes the outcome of each attempt.
+    clock, rng
+        Time and randomness.
+    on_unreachable : callable, optional
+        Takes the address of an endpoint that refused a connection.
+    """
+
+    def __init__(
+        self,
+        index: EndpointIndex,
+        pool: ConnectionPool,
+        chooser: VersionChooser,
+        sink: OutcomeSink,
+        clock: Clock,
+        rng: random.Random,
+        on_unreachable: Callable[[str], None] = lambda address: None,
+    ) -> None:
+        self._index = index
+        self._pool = pool
+        self._chooser = chooser
+        self._sink = sink
+        self._clock = clock
+        self._rng = rng
+        self._on_unreachable = on_unreachable
+        self._balancer = Balancer(clock, rng)
+        self._admissions_by_service: dict[str, Admission] = {}
+        self._budgets_by_service: dict[str, RetryBudget] = {}
+        self._decisions = 0
+        index.on_removed = pool.forget
+
+    def admit(self, service: str, worth: float, customer: str) -> Refusal | None:
+        """Return a refusal when the service is short of capacity for such a call."""
+        if self._admission(service).admit(worth, customer):
+            return None
+        return Refusal(503, f"{service} is short of capacity", True, 1)
+
+    async def dispatch(self, call: Call) -> Result[Answer, Refusal]:
+        """Return the answer of an upstream, or why there is none.
+
+        The caller of this method ends the answer with `finish` or `abandon`.
+        """
+        budget = self._budget(call.service)
+        budget.count_call()
+        tried: list[Upstream] = []
+        may_have_run = False
+        last: Refusal | None = None
+        version = self._chooser.choose_version(call.route, call.service)
+        while True:
+            if self._clock.monotonic() >= call.deadline:
+                return Err(last or Refusal(504, "the deadline has passed"))
+            chosen = self._choose(call, version, tried)
+            if chosen is None:
+                return Err(last or self._short(call, version))
+            group, upstream = chosen
+            tried.append(upstream)
+            is_last = len(tried) >= MAX_ATTEMPTS
+            outcome = await self._attempt(call, group, upstream, is_last)
+            if isinstance(outcome, Failure):
+                may_have_run = may_have_run or outcome.is_sent
+                last = Refusal(outcome.status, outcome.reason, not may_have_run, 1)
+                if is_last or not self._may_repeat(call, outcome, budget):
+                    return Err(last)
+                if outcome.is_stale:
+                    tried.pop()
+                continue
+            wants_more = self._wants_repeat(call, outcome) and not is_last
+            if wants_more and self._choose(call, version, tried) and budget.take():
+                may_have_run = may_have_run or not outcome.is_refusal
+                last = Refusal(502, "no other upstream", not may_have_run, 1)
+                self.abandon(outcome)
+                continue
+            if outcome.is_refusal and may_have_run:
+                # An earlier attempt of this call may have run, so it is not "not run".
+                self.abandon(outcome)
+                return Err(Refusal(502, "the call may have run", False))
+            return Ok(outcome)
+
+    def finish(self, answer: Answer) -> None:
+        """End an answer whose body was received whole."""
+        attempt = answer.attempt
+        self._stop_writer(attempt)
+        self._settle_answer(answer)
+        assert attempt.connection is not None
+        self._pool.release(attempt.upstream.address, attempt.connection)
+
+    def abandon(self, answer: Answer) -> None:
+        """End an answer whose body is not needed; its connection is closed."""
+        self._stop_writer(answer.attempt)
+        self._settle_answer(answer)
+        assert answer.attempt.connection is not None
+        self._discard(answer.attempt)
+
+    def truncated(self, answer: Answer) -> None:
+        """End an answer whose body broke off or came too late."""
+        self._settle(answer.attempt, CallResult.FAILED)
+        self._discard(answer.attempt)
+
+    def cancelled(self, answer: Answer) -> None:
+        """End an answer whose caller has left."""
+        self._settle(answer.attempt, CallResult.CANCELLED)
+        self._discard(answer.attempt)
+
+    def _choose(
+        self, call: Call, version: str, tried: list[Upstream]
+    ) -> tuple[Group, Upstream] | None:
+        group = self._index.group(call.service, version)
+        upstream = self._balancer.choose(group, tried)
+        if upstream is not None:
+            return group, upstream
+        for other in self._chooser.versions(call.route, call.service):
+            group = self._index.group(call.service, other)
+            upstream = self._balancer.choose(group, tried)
+            if upstream is not None:
+                return group, upstream
+        return None
+
+    def _short(self, call: Call, version: str) -> Refusal:
+        if not len(self._index.group(call.service, version)):
+            return Refusal(503, f"no endpoint of {call.service} is ready", True, 1)
+        self._admission(call.service).refused()
+        return Refusal(503, f"all endpoints of {call.service} are busy", True, 1)
+
+    async def _attempt(
+        self, call: Call, group: Group, upstream: Upstream, is_last: bool
+    ) -> Answer | Failure:
+        now = self._clock.monotonic()
+        attempt = Attempt(call, group, upstream, now)
+        self._balancer.started(upstream)
+        self._log(call, upstream)
+        try:
+            return await self._connect_and_send(attempt, is_last)
+        except asyncio.CancelledError:
+            self._settle(attempt, CallResult.CANCELLED)
+            self._discard(attempt)
+            raise
+
+    async def _connect_and_send(
+        self, attempt: Attempt, is_last: bool
+    ) -> Answer | Failure:
+        call, endpoint = attempt.call, attempt.upstream.endpoint
+        max_idle = IDLE_SECONDS if call.allows_repeat else NON_IDEMPOTENT_IDLE_SECONDS
+        acquired = await self._pool.acquire(
+            endpoint.address, endpoint.connections, max_idle
+        )
+        if isinstance(acquired, Err):
+            return self._not_connected(attempt, acquired.err_value)
+        connection = acquired.ok_value
+        attempt.connection = connection
+        attempt.was_reused = connection.calls > 0
+        attempt.idle_seconds = self._clock.monotonic() - connection.used_at
+        connection.begin(is_head=call.method == "HEAD")
+        remaining = call.deadline - self._clock.monotonic()
+        if remaining <= 0:
+            self._settle(attempt, CallResult.CANCELLED)
+            self._discard(attempt)
+            return Failure("the deadline has passed", False, status=504)
+        can_repeat = call.allows_repeat and call.allows_retry and not is_last
+        seconds = remaining / 2 if can_repeat else remaining
+        return await self._send(attempt, connection, remaining, seconds)
+
+    async def _send(
+        self,
+        attempt: Attempt,
+        connection: UpstreamConnection,
+        remaining: float,
+        seconds: float,
+    ) -> Answer | Failure:
+        call = attempt.call
+        head = b"%b %b HTTP/1.1\r\n%b%b%b: %d\r\n\r\n" % (
+            call.method.encode(),
+            call.target.encode(),
+            call.header_lines,
+            call.body.framing(call.has_body),
+            headers.DEADLINE_MS.encode(),
+            max(1, int(remaining * 1000)),
+        )
+        try:
+            async with asyncio.timeout(seconds):
+                if call.body.rest is None:
+                    connection.write(head + call.body.start)
+                else:
+                    connection.write(head)
+                    attempt.writer = asyncio.create_task(_write(call.body, connection))
+                message, payload = await connection.head()
+        except TimeoutError:
+            return self._broken(attempt, "the upstream did not answer in time", True)
+        except (ClientError, HttpProcessingError, OSError) as error:
+            return self._broken(attempt, _describe(error), False)
+        attempt.latency_seconds = self._clock.monotonic() - attempt.started_at
+        fault = _fault_of(message, call.method)
+        if fault:
+            return self._broken(attempt, fault, False)
+        return Answer(attempt, message, payload)
+
+    def _not_connected(self, attempt: Attempt, error: object) -> Failure:
+        if isinstance(error, ConnectionsBusy):
+            self._settle(attempt, CallResult.CANCELLED)
+            return Failure(str(error), False, is_busy=True, status=503)
+        self._settle(attempt, CallResult.FAILED, is_unreachable=True)
+        self._on_unreachable(attempt.upstream.address)
+        return Failure(str(error), False, status=503)
+
+    def _broken(self, attempt: Attempt, reason: str, is_timeout: bool) -> Failure:
+        connection = attempt.connection
+        assert connection is not None
+        is_sent = connection.has_written
+        is_silent = not connection.has_received
+        is_stale = (
+            is_silent
+            and not is_timeout
+            and attempt.was_reused
+            and attempt.idle_seconds >= STALE_IDLE_SECONDS
+            and attempt.call.allows_repeat
+            and not attempt.call.has_body
+        )
+        fault = _writer_fault(attempt)
+        if is_timeout and is_silent and attempt.was_reused:
+            self._pool.discard_older(attempt.upstream.address, connection.used_at)
+        if fault is not None or is_stale:
+            self._settle(attempt, CallResult.CANCELLED)
+        else:
+            self._settle(attempt, CallResult.FAILED)
+        self._discard(attempt)
+        if fault is not None:
+            return fault
+        status = 504 if is_timeout else 502
+        return Failure(reason, is_sent, is_timeout, is_stale, status=status)
+
+    def _may_repeat(self, call: Call, failure: Failure, budget: RetryBudget) -> bool:
+        if not call.body.is_replayable or failure.status < 500:
+            return False
+        if not failure.is_sent or failure.is_stale:
+            return True
+        return call.allows_repeat and call.allows_retry and budget.take()
+
+    def _wants_repeat(self, call: Call, answer: Answer) -> bool:
+        if answer.forbids_retry or not call.allows_retry:
+            return False
+        if not call.body.is_replayable:
+            return False
+        if answer.is_refusal:
+            return True
+        return call.allows_repeat and answer.status in REPEATABLE_STATUSES
+
+    def _settle_answer(self, answer: Answer) -> None:
+        if answer.is_refusal:
+            self._settle(answer.attempt, CallResult.NOT_RUN)
+        elif answer.status >= 500:
+            self._settle(answer.attempt, CallResult.FAILED)
+        else:
+            self._settle(answer.attempt, CallResult.OK)
+
+    def _settle(
+        self, attempt: Attempt, result: CallResult, is_unreachable: bool = False
+    ) -> None:
+        """Release the slot of an attempt once, and record its outcome."""
+        if attempt.is_settled:
+            return
+        attempt.is_settled = True
+        now = self._clock.monotonic()
+        seconds = attempt.latency_seconds or now - attempt.started_at
+        group, upstream = attempt.group, attempt.upstream
+        admission = self._admission(attempt.call.service)
+        if is_unreachable:
+            self._balancer.unreachable(group, upstream)
+        elif result is CallResult.OK:
+            self._balancer.succeeded(group, upstream, seconds)
+            admission.succeeded()
+        elif result is CallResult.FAILED:
+            self._balancer.failed(group, upstream, seconds)
+        elif result is CallResult.NOT_RUN:
+            self._balancer.refused(upstream)
+            admission.refused()
+        else:
+            self._balancer.cancelled(upstream)
+        endpoint = upstream.endpoint
+        age = now - upstream.ready_since
+        self._sink.record(
+            CallOutcome(
+                attempt.call.route,
+                endpoint.service,
+                endpoint.version,
+                endpoint.address,
+                result,
+                seconds,
+                age,
+            )
+        )
+
+    def _discard(self, attempt: Attempt) -> None:
+        self._stop_writer(attempt)
+        if attempt.connection is not None:
+            connection, attempt.connection = attempt.connection, None
+            self._pool.discard(attempt.upstream.address, connection)
+
+    def _stop_writer(self, attempt: Attempt) -> None:
+        writer = attempt.writer
+        if writer is None:
+            return
+        attempt.writer = None
+        if not writer.done():
+            # The answer came before the end of the body; the rest is not sent.
+            writer.cancel()
+            if attempt.connection is not None:
+                attempt.connection.force_close()
+        elif not writer.cancelled():
+            writer.exception()
+
+    def _admission(self, service: str) -> Admission:
+        found = self._admissions_by_service.get(service)
+        if found is None:
+            found = Admission(self._clock, self._rng)
+            self._admissions_by_service[service] = found
+        return found
+
+    def _budget(self, service: str) -> RetryBudget:
+        found = self._budgets_by_service.get(service)
+        if found is None:
+            found = RetryBudget(self._clock)
+            self._budgets_by_service[service] = found
+        return found
+
+    def _log(self, call: Call, upstream: Upstream) -> None:
+        self._decisions += 1
+        if self._decisions % LOG_EVERY:
+            return
+        events.info(
+            "call_routed",
+            route=call.route,
+            service=call.service,
+            version=upstream.endpoint.version,
+            address=upstream.address,
+            in_flight=upstream.in_flight,
+            limit=upstream.limit.value,
+            latency_seconds=upstream.latency_seconds,
+            one_in=LOG_EVERY,
+        )
+
+
+async def _write(body: Body, connection: UpstreamConnection) -> None:
+    try:
+        async for frame in body.frames():
+            if not connection.write(frame):
+                return
+            await connection.drain()
+    except BaseException:
+        # Without its end the request must not look whole to the backend server.
+        connection.abort()
+        raise
+
+
+def _writer_fault(attempt: Attempt) -> Failure | None:
+    """Return the fault of the caller's body that broke the attempt, if any."""
+    writer = attempt.writer
+    if writer is None or not writer.done() or writer.cancelled():
+        return None
+    error = writer.exception()
+    if isinstance(error, BodyTooLarge):
+        limit = attempt.call.body.limit
+        reason = f"the body is larger than the {limit} bytes that the route allows"
+        return Failure(reason, True, status=413)
+    if error is None or isinstance(error, OSError):
+        return None
+    return Failure(f"the body is malformed: {_describe(error)}", True, status=400)
+
+
+def _fault_of(message: RawResponseMessage, method: str) -> str:
+    """Return what makes an answer unusable, or nothing."""
+    status, fields = message.code, message.headers
+    if status == 101:
+        return "the upstream switched protocols"
+    has_length = "Content-Length" in fields
+    if "Transfer-Encoding" in fields:
+        coding = fields.getall("Transfer-Encoding")
+        if has_length:
+            return "the answer has both Transfer-Encoding and Content-Length"
+        if len(coding) != 1 or coding[0].strip().lower() != "chunked":
+            return f"the answer has Transfer-Encoding {coding}"
+        return ""
+    if has_length or method == "HEAD" or status in (204, 304):
+        return ""
+    return "the answer has no length, so that a truncated one would look whole"
+
+
+def _describe(error: BaseException) -> str:
+    return str(error) or type(error).__name__
--- /dev/null
+++ b/src/lacewingstair/caller/guards.py
@@ -0,0 +1,76 @@
+"""Checks of a request before it is dispatched.
+
+What two HTTP implementations can read differently is refused, so that a request cannot
+be smuggled past the routes.
+"""
+
+import re
+
+from aiohttp import web
+from aiohttp.http import HttpVersion11
+from result import Err, Ok, Result
+
+from lacewingstair.caller import headers
+from lacewingstair.caller.refusals import Refusal
+
+MAX_DEADLINE_MS = 3_600_000
+_TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+_DOT_SEGMENT = re.compile(r"(?:^|/|%2f)(?:\.|%2e){1,2}(?:/|%2f|$)", re.IGNORECASE)
+_TARGET = re.compile(r"[\x21-\x7e]+")
+
+
+def check(request: web.BaseRequest) -> Refusal | None:
+    """Return why a request is refused, or None."""
+    fields = request.headers
+    if request.method == "CONNECT" or "Upgrade" in fields:
+        return Refusal(501, "upgraded connections and CONNECT are not supported")
+    if not _TOKEN.fullmatch(request.method):
+        return Refusal(400, f"method {request.method!r} is not a token")
+    hosts = fields.getall("Host", ())
+    if len(hosts) > 1 or (not hosts and request.version >= HttpVersion11):
+        return Refusal(400, f"{len(hosts)} Host headers, allowed is 1")
+    if "Transfer-Encoding" in fields:
+        found = _transfer_encoding(fields)
+        if found is not None:
+            return found
+    if "Expect" in fields and fields["Expect"].lower() != "100-continue":
+        return Refusal(417, f"Expect {fields['Expect']!r}, allowed is 100-continue")
+    return None
+
+
+def _transfer_encoding(fields) -> Refusal | None:
+    if "Content-Length" in fields:
+        return Refusal(400, "both Transfer-Encoding and Content-Length")
+    values = fields.getall("Transfer-Encoding")
+    if len(values) != 1 or values[0].strip().lower() != "chunked":
+        return Refusal(501, f"Transfer-Encoding {values}, allowed is chunked")
+    return None
+
+
+def target(request: web.BaseRequest) -> Result[str, Refusal]:
+    """Return the path and query in the form that is sent on."""
+    raw = request.raw_path
+    if not raw.startswith("/"):
+        if raw == "*":
+            return Ok(raw)
+        raw = request.rel_url.raw_path_qs if "://" in raw else raw
+    if not raw.startswith("/") or not _TARGET.fullmatch(raw) or "#" in raw:
+        return Err(Refusal(400, f"target {raw[:80]!r} is not a path"))
+    if "." in raw or "%" in raw:
+        path = raw.partition("?")[0]
+        if _DOT_SEGMENT.search(path):
+            return Err(Refusal(400, f"path {path[:80]!r} has dot segments"))
+    return Ok(raw)
+
+
+def timeout_ms(request: web.BaseRequest, route_ms: int) -> Result[int, Refusal]:
+    """Return the time a call has, the shorter of its header and its route's."""
+    text = request.headers.get(headers.DEADLINE_MS)
+    if text is None:
+        return Ok(route_ms)
+    is_number = text.isascii() and text.isdigit() and len(text) <= 10
+    if not is_number or int(text) > MAX_DEADLINE_MS:
+        allowed = f"allowed are 0 to {MAX_DEADLINE_MS}"
+        reason = f"{headers.DEADLINE_MS} {text[:40]!r}, {allowed}"
+        return Err(Refusal(400, reason))
+    return Ok(min(int(text), route_ms))
--- a/src/lacewingstair/caller/headers.py
+++ b/src/lacewingstair/caller/headers.py
@@ -25,6 +25,12 @@
     }
 )
 
+# Replaced in the request head: the body is framed anew, the deadline is what remains,
+# and this process has already answered the expectation.
+REPLACED = frozenset({"content-length", "expect", DEADLINE_MS.lower()})
+
+_REQUEST_DROPPED = frozenset(name.encode() for name in HOP_BY_HOP | REPLACED)
+
 
 def end_to_end(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
     """Return the headers that are passed on.
@@ -40,3 +46,17 @@
     }
     dropped = HOP_BY_HOP | named
     return [(name, value) for name, value in pairs if name.lower() not in dropped]
+
+
+def request_lines(raw_headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+    """Return the header lines of a request that are passed on to the upstream."""
+    pairs = [(name, name.lower(), value) for name, value in raw_headers]
+    dropped = _REQUEST_DROPPED
+    for _, lower, value in pairs:
+        if lower == b"connection":
+            dropped = dropped | {token.strip().lower() for token in value.split(b",")}
+    return b"".join(
+        b"%b: %b\r\n" % (name, value)
+        for name, lower, value in pairs
+        if lower not in dropped
+    )
--- a/src/lacewingstair/caller/server.py
+++ b/src/lacewingstair/caller/server.py
@@ -1,17 +1,65 @@
-"""Takes the calls of callers and dispatches them to backend servers."""
+"""Takes the calls of callers and passes the answers of backend servers back."""
 
+import asyncio
+import gc
 import random
 
-import aiohttp
-from aiohttp import web
+from aiohttp import ClientError, web
+from aiohttp.web_exceptions import HTTPException
+from multidict import CIMultiDict
+from result import Err, Ok, Result
 
 from lacewingstair import events
-from lacewingstair.caller import headers
-from lacewingstair.directory import Directory, Endpoint, EndpointState
+from lacewingstair.backend_server.pool import ConnectionPool
+from lacewingstair.balancing import EndpointIndex
+from lacewingstair.caller import guards, headers
+from lacewingstair.caller.body import REPLAY_BYTES, Body, read_start
+from lacewingstair.caller.dispatch import Answer, Call, Dispatcher
+from lacewingstair.caller.refusals import Refusal
+from lacewingstair.directory import Directory
+from lacewingstair.outcomes import CallOutcome, OutcomeSink, VersionChooser
 from lacewingstair.routes import NamedRoute
+from lacewingstair.runtime import Clock, SystemClock
 from lacewingstair.store import StateStore
 
-STREAM_CHUNK_BYTES = 64 << 10
+KEEPALIVE_SECONDS = 75.0
+MAX_LINE_BYTES = 8190
+MAX_HEADERS = 128
+READ_BYTES = 64 << 10
+SWEEP_SECONDS = 5.0
+MAX_CUSTOMER_CHARACTERS = 100
+# The default thresholds run a full collection often enough to show in the 99th
+# percentile; objects of calls are freed by reference counts.
+GC_THRESHOLDS = (50_000, 20, 100)
+
+
+def tune_garbage_collection() -> None:
+    """Keep what exists after the start out of collections, and collect rarely."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+
+
+class CurrentVersion:
+    """Chooses the current version of each service, for a VM without rollouts."""
+
+    def __init__(self, store: StateStore) -> None:
+        self._store = store
+
+    def choose_version(self, route: str, service: str) -> str:
+        """Return the service's current version."""
+        return self._store.state.services[service].current
+
+    def versions(self, route: str, service: str) -> tuple[str, ...]:
+        """Return the service's current version alone."""
+        return (self.choose_version(route, service),)
+
+
+class NoSink:
+    """Takes outcomes and keeps none."""
+
+    def record(self, outcome: CallOutcome) -> None:
+        """Ignore an outcome."""
 
 
 class CallServer:
@@ -25,98 +73,229 @@
         Endpoints of backend servers.
     rng : random.Random
         Source of choices.
+    region, availability_zone : str
+        Where this VM is.
+    clock : Clock
+        Time.
+    chooser : VersionChooser, optional
+        Chooses versions; the current one by default.
+    sink : OutcomeSink, optional
+        Takes the outcome of each attempt.
+    pool : ConnectionPool, optional
+        Connections to backend servers.
+    on_unreachable : callable, optional
+        Takes the address of an endpoint that refused a connection.
     """
 
     def __init__(
-        self, store: StateStore, directory: Directory, rng: random.Random
+        self,
+        store: StateStore,
+        directory: Directory,
+        rng: random.Random,
+        *,
+        region: str = "",
+        availability_zone: str = "",
+        clock: Clock | None = None,
+        chooser: VersionChooser | None = None,
+        sink: OutcomeSink | None = None,
+        pool: ConnectionPool | None = None,
+        on_unreachable=lambda address: None,
     ) -> None:
         self._store = store
-        self._directory = directory
-        self._rng = rng
-        self._session: aiohttp.ClientSession | None = None
+        self._clock = clock or SystemClock()
+        self._pool = pool or ConnectionPool(self._clock)
+        self.index = EndpointIndex(directory, region, availability_zone, self._clock)
+        self.dispatcher = Dispatcher(
+            self.index,
+            self._pool,
+            chooser or CurrentVersion(store),
+            sink or NoSink(),
+            self._clock,
+            rng,
+            on_unreachable,
+        )
+        self.is_draining = False
+
+    def http_server(self) -> web.Server:
+        """Return the HTTP server for callers."""
+        return web.Server(
+            self.handle,
+            # A caller that leaves cancels its call, which closes the upstream's
+            # connection.
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_SECONDS,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            max_headers=MAX_HEADERS,
+            read_bufsize=READ_BYTES,
+            auto_decompress=False,
+        )
+
+    async def run(self) -> None:
+        """Close connections that were idle for long, until cancelled."""
+        while True:
+            await self._clock.sleep(SWEEP_SECONDS)
+            self._pool.sweep()
+
+    def start_draining(self) -> None:
+        """Answer all further calls with ``Connection: close``; refuse none."""
+        self.is_draining = True
+
+    async def close(self) -> None:
+        """Release the connections to backend servers."""
+        self._pool.close()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call."""
+        prepared = await self._prepare(request)
+        if isinstance(prepared, Err):
+            return self._refuse(request, prepared.err_value)
+        call = prepared.ok_value
+        dispatched = await self.dispatcher.dispatch(call)
+        if isinstance(dispatched, Err):
+            return self._refuse(request, dispatched.err_value)
+        return await self._pass_back(request, dispatched.ok_value, call)
+
+    async def _prepare(self, request: web.BaseRequest) -> Result[Call, Refusal]:
+        refusal = guards.check(request)
+        if refusal is not None:
+            return Err(refusal)
+        target = guards.target(request)
+        if isinstance(target, Err):
+            return target
         state = self._store.state
         if state.is_empty:
-            return _not_run("no configuration yet")
-        named = state.route_table.find(request.host, request.path, request.method)
+            return Err(Refusal(503, "no configuration yet", True, 1))
+        path = target.ok_value.partition("?")[0]
+        named = state.route_table.find(request.host, path, request.method)
         if named is None:
-            return web.json_response({"error": "no route"}, status=404)
-        service = state.services[named.route.service]
-        endpoints = self._ready(named.route.service, service.current)
-        if not endpoints:
-            return _not_run(f"no endpoint of {named.route.service}")
-        return await self._dispatch(request, named, self._rng.choice(endpoints))
+            return Err(Refusal(404, f"no route for {request.host}{path[:200]}"))
+        return await self._prepare_routed(request, named, target.ok_value)
 
-    async def close(self) -> None:
-        """Release the connections to backend servers."""
-        if self._session is not None:
-            await self._session.close()
-
-    def _ready(self, service: str, version: str) -> list[Endpoint]:
-        return [
-            endpoint
-            for record in self._directory.live()
-            for endpoint in record.endpoints
-            if endpoint.service == service
-            and endpoint.version == version
-            and endpoint.state is EndpointState.READY
-        ]
-
-    async def _dispatch(
-        self, request: web.BaseRequest, named: NamedRoute, endpoint: Endpoint
-    ) -> web.StreamResponse:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(auto_decompress=False)
-        timeout = aiohttp.ClientTimeout(total=named.route.timeout_ms / 1000)
-        events.debug("call_routed", route=named.name, endpoint=endpoint.address)
+    async def _prepare_routed(
+        self, request: web.BaseRequest, named: NamedRoute, target: str
+    ) -> Result[Call, Refusal]:
+        route = named.route
+        timeout = guards.timeout_ms(request, route.timeout_ms)
+        if isinstance(timeout, Err):
+            return timeout
+        if timeout.ok_value == 0:
+            return Err(Refusal(504, "the deadline has passed"))
+        deadline = self._clock.monotonic() + timeout.ok_value / 1000
+        customer = request.headers.get(headers.CUSTOMER, "")[:MAX_CUSTOMER_CHARACTERS]
+        refusal = self.dispatcher.admit(route.service, route.worth, customer)
+        if refusal is not None:
+            return Err(refusal)
+        body = await self._read_body(request, route.max_body_bytes, deadline)
+        if isinstance(body, Err):
+            return body
+        fields = request.headers
+        return Ok(
+            Call(
+                method=request.method,
+                target=target,
+                header_lines=headers.request_lines(request.raw_headers),
+                body=body.ok_value,
+                has_body="Content-Length" in fields or "Transfer-Encoding" in fields,
+                route=named.name,
+                service=route.service,
+                kind=named.kind,
+                worth=route.worth,
+                customer=customer,
+                allows_repeat=route.allows_repeat(request.method),
+                allows_retry=fields.get(headers.RETRY, "").lower() != headers.RETRY_NO,
+                deadline=deadline,
+            )
+        )
+
+    async def _read_body(
+        self, request: web.BaseRequest, limit: int, deadline: float
+    ) -> Result[Body, Refusal]:
+        if not request.can_read_body:
+            return Ok(Body())
+        length = request.content_length
+        too_large = Refusal(413, f"the body is larger than the allowed {limit} bytes")
+        if length is not None and length > limit:
+            return Err(too_large)
+        if "Expect" in request.headers:
+            await _continue(request)
+        if length is not None and length > REPLAY_BYTES:
+            return Ok(Body(b"", request.content, length, limit))
         try:
-            async with self._session.request(
-                request.method,
-                f"http://{endpoint.address}{request.raw_path}",
-                headers=headers.end_to_end(request.headers.items()),
-                data=request.content if request.can_read_body else None,
-                timeout=timeout,
-                allow_redirects=False,
-            ) as answer:
-                return await _stream_back(request, answer)
-        except aiohttp.ClientConnectorError:
-            return _not_run("backend server unreachable")
-        except (TimeoutError, aiohttp.ClientError) as error:
-            if request.transport is not None and _has_started(request):
-                request.transport.abort()
-            return _unknown(type(error).__name__)
-
-
-async def _stream_back(
-    request: web.BaseRequest, answer: aiohttp.ClientResponse
-) -> web.StreamResponse:
-    response = web.StreamResponse(status=answer.status, reason=answer.reason)
-    response.headers.extend(headers.end_to_end(answer.headers.items()))
-    request["started"] = True
-    await response.prepare(request)
-    async for chunk in answer.content.iter_chunked(STREAM_CHUNK_BYTES):
-        await response.write(chunk)
-    await response.write_eof()
-    return response
+            async with asyncio.timeout(deadline - self._clock.monotonic()):
+                start, is_whole = await read_start(request.content)
+        except TimeoutError:
+            return Err(Refusal(408, "the body did not arrive before the deadline"))
+        except (ClientError, HTTPException, ValueError, OSError) as error:
+            return Err(Refusal(400, f"the body is malformed: {error}"))
+        if len(start) > limit:
+            return Err(too_large)
+        if is_whole:
+            return Ok(Body(start))
+        return Ok(Body(start, request.content, length, limit))
 
+    def _refuse(self, request: web.BaseRequest, refusal: Refusal) -> web.Response:
+        response = refusal.response()
+        # The rest of an unread body would be taken for the next request.
+        if self.is_draining or not request.content.at_eof():
+            response.force_close()
+        return response
 
-def _has_started(request: web.BaseRequest) -> bool:
-    return request.get("started", False)
+    async def _pass_back(
+        self, request: web.BaseRequest, answer: Answer, call: Call
+    ) -> web.StreamResponse:
+        response = _head(answer)
+        if self.is_draining:
+            response.force_close()
+        payload = answer.payload
+        try:
+            remaining = call.deadline - self._clock.monotonic()
+            async with asyncio.timeout(max(0.0, remaining)):
+                if not payload.is_eof() and not request.content.at_eof():
+                    response.force_close()
+                await response.prepare(request)
+                while chunk := await payload.readany():
+                    await response.write(chunk)
+            await response.write_eof()
+        except asyncio.CancelledError:
+            self.dispatcher.cancelled(answer)
+            raise
+        except (TimeoutError, ClientError, ValueError, OSError) as error:
+            return self._cut(request, response, answer, error)
+        self.dispatcher.finish(answer)
+        if not request.content.at_eof():
+            response.force_close()
+        return response
+
+    def _cut(
+        self,
+        request: web.BaseRequest,
+        response: web.StreamResponse,
+        answer: Answer,
+        error: Exception,
+    ) -> web.StreamResponse:
+        """Abort the caller's connection, as its answer cannot be completed."""
+        self.dispatcher.truncated(answer)
+        address = answer.attempt.upstream.address
+        events.warning("answer_truncated", address=address, error=error)
+        if not response.prepared:
+            return Refusal(502, f"the answer is not usable: {error}", False).response()
+        if request.transport is not None:
+            request.transport.abort()
+        return response
 
 
-def _not_run(reason: str) -> web.Response:
-    return web.json_response(
-        {"error": reason},
-        status=503,
-        headers={headers.OUTCOME: headers.OUTCOME_NOT_RUN, "Retry-After": "1"},
-    )
+def _head(answer: Answer) -> web.StreamResponse:
+    message = answer.message
+    response = web.StreamResponse(status=message.code, reason=message.reason)
+    response._headers = CIMultiDict(headers.end_to_end(message.headers.items()))
+    if answer.status >= 500 or answer.is_refusal:
+        response.headers[headers.RETRY] = headers.RETRY_NO
+    return response
 
 
-def _unknown(reason: str) -> web.Response:
-    return web.json_response(
-        {"error": f"the call may have run: {reason}"},
-        status=502,
-        headers={headers.OUTCOME: headers.OUTCOME_UNKNOWN},
-    )
+async def _continue(request: web.BaseRequest) -> None:
+    transport = request.transport
+    if transport is not None:
+        transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -14,7 +14,7 @@
 
 from lacewingstair import events
 from lacewingstair.backend_server.announce import AnnouncementServer
-from lacewingstair.caller.server import CallServer
+from lacewingstair.caller.server import CallServer, tune_garbage_collection
 from lacewingstair.directory import Directory, VmRecord, VmStatus
 from lacewingstair.errors import ListenError
 from lacewingstair.marks import Marks
@@ -59,7 +59,7 @@
             return listening
         settings = self.settings
         interfaces = (
-            (settings.caller_address, web.ServerRunner(web.Server(self.calls.handle))),
+            (settings.caller_address, web.ServerRunner(self.calls.http_server())),
             (
                 settings.backend_server_address,
                 web.AppRunner(self.announcements.application()),
@@ -73,7 +73,12 @@
             served = await self._serve(address, runner)
             if isinstance(served, Err):
                 return served
-        runs = (self.node.run(), self.tail.run(), self.announcements.run())
+        runs = (
+            self.node.run(),
+            self.tail.run(),
+            self.announcements.run(),
+            self.calls.run(),
+        )
         self._tasks.extend(asyncio.create_task(run) for run in runs)
         events.info("daemon_started", vm=settings.vm_id)
         return Ok(None)
@@ -81,6 +86,7 @@
     async def stop(self) -> None:
         """Leave the mesh, finish the calls and stop."""
         self.node.set_status(VmStatus.LEAVING)
+        self.calls.start_draining()
         await self.clock.sleep(LEAVING_SECONDS)
         for runner in self._runners:
             await runner.cleanup()
@@ -145,7 +151,15 @@
     log = HttpLogClient(settings.log_url)
     tail = LogTail(log, store, node.publish_records, is_reader, clock, rng)
     announcements = AnnouncementServer(node.set_endpoints, clock)
-    calls = CallServer(store, directory, rng)
+    calls = CallServer(
+        store,
+        directory,
+        rng,
+        region=settings.region,
+        availability_zone=settings.availability_zone,
+        clock=clock,
+        on_unreachable=announcements.check,
+    )
     operator = OperatorApi(
         lambda: build_report(store.state, marks, clock.wall()),
         status,
@@ -173,6 +187,7 @@
     if isinstance(started, Err):
         print(f"lacewingstaird: {started.err_value}", file=sys.stderr)
         return 1
+    tune_garbage_collection()
     stopping = asyncio.Event()
     for number in STOP_SIGNALS:
         asyncio.get_running_loop().add_signal_handler(number, stopping.set)
--- a/src/lacewingstair/errors.py
+++ b/src/lacewingstair/errors.py
@@ -125,3 +125,18 @@
 
     def __str__(self) -> str:
         return "; ".join(str(fault) for fault in self.faults)
+
+
+@attrs.frozen
+class ConnectionsBusy:
+    """The VM's share of an upstream's connections is used up.
+
+    The call goes to another upstream. An operator raises the announced connections when
+    it persists while the upstream is idle.
+    """
+
+    address: str
+    share: int
+
+    def __str__(self) -> str:
+        return f"all {self.share} connections of this VM to {self.address!r} are in use"
--- /dev/null
+++ b/src/lacewingstair/limits.py
@@ -0,0 +1,189 @@
+"""Limits that keep a short service useful: concurrency, admission and retries."""
+
+import random
+from collections import Counter
+
+import attrs
+
+from lacewingstair.runtime import Clock
+
+LIMIT_START = 4.0
+LIMIT_BACKOFF = 0.7
+LATENCY_TOLERANCE = 2.0
+BASELINE_DRIFT = 0.002
+
+RETRY_SHARE = 0.2
+RETRY_MIN_PER_SECOND = 3.0
+RETRY_BURST_SECONDS = 10.0
+
+ADMIT_MIN = 0.02
+ADMIT_BACKOFF = 0.03
+ADMIT_RAISE = 0.004
+DEMAND_HALF_LIFE_SECONDS = 5.0
+TABLE_SECONDS = 0.5
+MAX_CUSTOMERS = 1000
+OTHER_CUSTOMERS = ""
+
+
+class ConcurrencyLimit:
+    """Calls in flight to one upstream that this VM allows itself.
+
+    The limit rises while answers come within `LATENCY_TOLERANCE` of the lowest latency
+    seen, and falls when the upstream refuses calls or its latency rises.
+
+    Parameters
+    ----------
+    maximum : int
+        Slots of the upstream, the largest limit.
+    """
+
+    def __init__(self, maximum: int) -> None:
+        self._maximum = float(maximum)
+        self._baseline_seconds = 0.0
+        self.value = min(LIMIT_START, self._maximum)
+
+    def set_maximum(self, maximum: int) -> None:
+        """Set the number of slots announced."""
+        self._maximum = float(maximum)
+        self.value = min(self.value, self._maximum)
+
+    def succeeded(self, seconds: float, in_flight: int) -> None:
+        """Take an answer and the calls that were in flight with it."""
+        baseline = self._baseline_seconds
+        if not baseline or seconds < baseline:
+            self._baseline_seconds = baseline = seconds
+        else:
+            # The baseline forgets, as a new version or route may be slower for good.
+            self._baseline_seconds += BASELINE_DRIFT * (seconds - baseline)
+        if seconds > LATENCY_TOLERANCE * baseline:
+            gradient = max(0.5, LATENCY_TOLERANCE * baseline / seconds)
+            self.value = max(1.0, self.value * (0.9 + 0.1 * gradient))
+        elif in_flight * 2 >= self.value:
+            self.value = min(self._maximum, self.value + 1 / self.value)
+
+    def refused(self) -> None:
+        """Take a refusal for lack of capacity."""
+        self.value = max(1.0, self.value * LIMIT_BACKOFF)
+
+
+class RetryBudget:
+    """Allows repeats up to a share of the first attempts of a service.
+
+    Parameters
+    ----------
+    clock : Clock
+        Time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._tokens = RETRY_MIN_PER_SECOND
+        self._refilled_at = clock.monotonic()
+
+    def count_call(self) -> None:
+        """Add the share that a first attempt earns."""
+        self._tokens += RETRY_SHARE
+
+    def take(self) -> bool:
+        """Return whether one repeat is allowed, and count it."""
+        now = self._clock.monotonic()
+        self._tokens += (now - self._refilled_at) * RETRY_MIN_PER_SECOND
+        self._refilled_at = now
+        self._tokens = min(self._tokens, RETRY_MIN_PER_SECOND * RETRY_BURST_SECONDS)
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+@attrs.frozen
+class _Share:
+    """What part of the calls of one worth is admitted."""
+
+    admitted: float
+    level: float
+    demand_by_customer: dict[str, float]
+
+
+class Admission:
+    """Decides early which calls of a service run while it is short of capacity.
+
+    Refusals of upstreams lower the part of the calls that is admitted and answers raise
+    it. That part goes to the kinds of highest worth first; within the worth at which it
+    ends, customers get equal shares (water filling over their recent demand).
+
+    Parameters
+    ----------
+    clock : Clock
+        Time.
+    rng : random.Random
+        Source of choices.
+    """
+
+    def __init__(self, clock: Clock, rng: random.Random) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._demand: Counter[tuple[float, str]] = Counter()
+        self._shares_by_worth: dict[float, _Share] = {}
+        self._table_at = clock.monotonic()
+        self.admitted = 1.0
+
+    def admit(self, worth: float, customer: str) -> bool:
+        """Return whether a call may be dispatched."""
+        key = (worth, customer)
+        if key not in self._demand and len(self._demand) >= MAX_CUSTOMERS:
+            key = (worth, OTHER_CUSTOMERS)
+        self._demand[key] += 1
+        now = self._clock.monotonic()
+        if now - self._table_at >= TABLE_SECONDS:
+            self._rebuild(now)
+        if self.admitted >= 1.0:
+            return True
+        share = self._shares_by_worth.get(worth)
+        if share is None:
+            return True
+        if share.admitted >= 1.0:
+            return True
+        demand = share.demand_by_customer.get(key[1])
+        if not demand:
+            return True
+        return self._rng.random() < share.level / demand
+
+    def succeeded(self) -> None:
+        """Take an answer of an upstream."""
+        self.admitted = min(1.0, self.admitted + ADMIT_RAISE)
+
+    def refused(self) -> None:
+        """Take a refusal for lack of capacity, or a timeout."""
+        self.admitted = max(ADMIT_MIN, self.admitted * (1 - ADMIT_BACKOFF))
+
+    def _rebuild(self, now: float) -> None:
+        decay = 0.5 ** ((now - self._table_at) / DEMAND_HALF_LIFE_SECONDS)
+        self._table_at = now
+        for key in list(self._demand):
+            self._demand[key] *= decay
+            if self._demand[key] < 0.01:
+                del self._demand[key]
+        by_worth: dict[float, dict[str, float]] = {}
+        for (worth, customer), demand in self._demand.items():
+            by_worth.setdefault(worth, {})[customer] = demand
+        left = self.admitted * sum(self._demand.values())
+        self._shares_by_worth = {}
+        for worth in sorted(by_worth, reverse=True):
+            demands = by_worth[worth]
+            total = sum(demands.values())
+            quota = min(left, total)
+            left -= quota
+            level = _fill_level(sorted(demands.values()), quota)
+            self._shares_by_worth[worth] = _Share(quota / total, level, demands)
+
+
+def _fill_level(ascending: list[float], quota: float) -> float:
+    """Return the level at which demands cut off at it add up to `quota`."""
+    left = quota
+    for index, demand in enumerate(ascending):
+        level = left / (len(ascending) - index)
+        if demand >= level:
+            return level
+        left -= demand
+    return ascending[-1]
