Test calls at each point of failure and refuse reused connections with input

Cause: nothing showed that a call runs at most once, that not-run is only set where it is certain, or that answers are not crossed. Writing the tests showed that bytes waiting in the kernel of an idle connection would be taken for the answer of the next call, and that a refused body held its connection for 10 s.

A kept connection that has input is closed instead of reused. A refused body is read for 1 s.

--- a/src/lacewingstair/backend_server/connection.py
+++ b/src/lacewingstair/backend_server/connection.py
@@ -1,6 +1,7 @@
 """One HTTP/1.1 connection to a backend server, one call at a time."""
 
 import asyncio
+import select
 import socket
 from typing import Any
 
@@ -38,16 +39,31 @@
         self.has_written = False
         self.has_received = False
         self.is_idle = True
+        self._poll: select.poll | None = None
 
     def connection_made(self, transport: Any) -> None:
         """Bound the write buffer and let the kernel detect a silent peer."""
         super().connection_made(transport)
         transport.set_write_buffer_limits(high=BUFFER_BYTES)
         sock = transport.get_extra_info("socket")
+        if sock is None:
+            return
+        self._poll = select.poll()
+        self._poll.register(sock.fileno(), select.POLLIN)
         option = getattr(socket, "TCP_USER_TIMEOUT", None)
-        if sock is not None and option is not None:
+        if option is not None:
             sock.setsockopt(socket.IPPROTO_TCP, option, UNACKNOWLEDGED_TIMEOUT_MS)
 
+    def is_reusable(self) -> bool:
+        """Return whether an idle connection can take another call.
+
+        One that has something to read was closed by the peer or has received bytes that
+        belong to no call, although the loop has not seen it yet.
+        """
+        if not self.is_connected() or self.should_close:
+            return False
+        return self._poll is None or not self._poll.poll(0)
+
     def data_received(self, data: bytes) -> None:
         """Parse what belongs to the present call; close on anything else."""
         if self.is_idle:
--- a/src/lacewingstair/backend_server/pool.py
+++ b/src/lacewingstair/backend_server/pool.py
@@ -132,8 +132,8 @@
         while slots.idle:
             # The most recently used one is the least likely to have been closed.
             connection = slots.idle[-1]
-            if not connection.is_connected() or connection.should_close:
-                slots.idle.pop()
+            if not connection.is_reusable():
+                slots.idle.pop().abort()
                 slots.open -= 1
                 continue
             if now - connection.used_at > max_idle_seconds:
--- a/src/lacewingstair/caller/server.py
+++ b/src/lacewingstair/caller/server.py
@@ -26,6 +26,8 @@
 MAX_LINE_BYTES = 8190
 MAX_HEADERS = 128
 READ_BYTES = 64 << 10
+# The rest of a refused body is read for this long, so that no reset loses the refusal.
+LINGER_SECONDS = 1.0
 SWEEP_SECONDS = 5.0
 MAX_CUSTOMER_CHARACTERS = 100
 # The default thresholds run a full collection often enough to show in the 99th
@@ -130,6 +132,7 @@
             max_headers=MAX_HEADERS,
             read_bufsize=READ_BYTES,
             auto_decompress=False,
+            lingering_time=LINGER_SECONDS,
         )
 
     async def run(self) -> None:
--- /dev/null
+++ b/tests/caller/test_server.py
@@ -0,0 +1,298 @@
+import asyncio
+import contextlib
+import json
+import random
+
+import pytest
+from aiohttp import web
+
+from lacewingstair.acceptance import TicketRecord
+from lacewingstair.caller.server import CallServer
+from lacewingstair.directory import Directory, Endpoint, VmRecord
+from lacewingstair.store import StateStore
+
+TICKET = {
+    "number": 1,
+    "services": {"board": {"versions": ["v1"], "current": "v1"}},
+    "routes": {
+        "read": {
+            "service": "board",
+            "path_prefix": "/read",
+            "max_body_bytes": 500000,
+            "timeout_ms": 60000,
+        },
+        "short": {"service": "board", "path_prefix": "/short", "timeout_ms": 50},
+    },
+}
+ANSWERS = {
+    "/read/no-content": b"HTTP/1.1 204 No Content\r\n\r\n",
+    "/read/not-modified": b'HTTP/1.1 304 Not Modified\r\nETag: "a"\r\n\r\n',
+    "/read/early": b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    "/read/chunked": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+    b"Trailer: Sum\r\n\r\n2\r\nok\r\n0\r\nSum: 1\r\n\r\n",
+    "/read/cut-length": b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok",
+    "/read/cut-chunk": b"HTTP/1.1 200 OK\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+    "/read/no-length": b"HTTP/1.1 200 OK\r\n\r\nok",
+    "/read/both": b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    "/read/switch": b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+    "/read/garbage": b"hello\r\n\r\n",
+}
+
+
+class Site:
+    """A call server and a scripted backend server on loopback sockets."""
+
+    def __init__(self):
+        self.requests = []
+
+    @contextlib.asynccontextmanager
+    async def running(self, handler=None):
+        store = StateStore()
+        store.apply([TicketRecord(0, json.dumps(TICKET))])
+        backend = await asyncio.start_server(handler or self.script, "127.0.0.1", 0)
+        address = f"127.0.0.1:{backend.sockets[0].getsockname()[1]}"
+        endpoint = Endpoint("board", "v1", address)
+        directory = Directory()
+        directory.merge(VmRecord("a", "r", "z", "-", 1, endpoints=(endpoint,)))
+        self.calls = CallServer(store, directory, random.Random(1))
+        self.runner = web.ServerRunner(self.calls.http_server())
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        self.port = site._server.sockets[0].getsockname()[1]
+        try:
+            yield self
+        finally:
+            await self.calls.close()
+            await self.runner.cleanup()
+            backend.close()
+
+    async def script(self, reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                path = head.split(b" ")[1].decode()
+                body = await read_body(reader, head)
+                self.requests.append((head, body))
+                if path == "/short/silent":
+                    continue
+                echo = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+                is_head = head.startswith(b"HEAD")
+                writer.write(ANSWERS.get(path, echo + (b"" if is_head else body)))
+                if "cut" in path:
+                    break
+        writer.close()
+
+    async def exchange(self, *parts, until_eof=True):
+        """Send bytes and return all that comes back until the connection closes."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        for part in parts:
+            writer.write(part)
+        received = b""
+        with contextlib.suppress(ConnectionError):
+            received = await (reader.read() if until_eof else reader.read(65536))
+        writer.close()
+        return received
+
+
+async def read_body(reader, head):
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            return await reader.readexactly(int(line.partition(b":")[2]))
+        if line == b"transfer-encoding: chunked":
+            body = b""
+            while size := int(await reader.readline(), 16):
+                body += (await reader.readexactly(size + 2))[:-2]
+            await reader.readline()
+            return body
+    return b""
+
+
+def get(path, *lines, method="GET"):
+    head = [f"{method} {path} HTTP/1.1", "Host: a", "Connection: close", *lines]
+    return "\r\n".join(head).encode() + b"\r\n\r\n"
+
+
+def exchange(*parts):
+    async def main():
+        async with Site().running() as site:
+            return await site.exchange(*parts), site.requests
+
+    return asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("path", "method", "status", "body"),
+    [
+        ("/read/no-content", "GET", b"204", b""),
+        ("/read/not-modified", "GET", b"304", b""),
+        ("/read/early", "GET", b"200", b"ok"),
+        ("/read/chunked", "GET", b"200", b"2\r\nok\r\n0\r\n\r\n"),
+        ("/read/echo", "HEAD", b"200", b""),
+        ("/read/no-length", "POST", b"502", None),
+        ("/read/both", "POST", b"502", None),
+        ("/read/switch", "POST", b"502", None),
+        ("/read/garbage", "POST", b"502", None),
+    ],
+)
+def test_each_form_of_answer_arrives_whole_or_as_unknown(path, method, status, body):
+    """Guards against answers cut, extended or passed on though they are unusable."""
+    received, _ = exchange(get(path, method=method))
+    head, _, rest = received.partition(b"\r\n\r\n")
+    assert head.split(b" ")[1] == status
+    assert (b"Lacewingstair-Outcome: unknown" in head) == (body is None)
+    if body is not None:
+        assert rest == body
+
+
+@pytest.mark.parametrize("path", ["/read/cut-length", "/read/cut-chunk"])
+def test_a_truncated_answer_never_looks_whole(path):
+    """Guards against half an answer that a caller takes for all of it."""
+    received, _ = exchange(get(path))
+    assert not received.endswith(b"0\r\n\r\n")
+    assert b"Content-Length: 2" not in received
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status"),
+    [
+        (get("/read", "Content-Length: 1", "Transfer-Encoding: chunked"), b"400"),
+        (get("/read", "Content-Length: 1", "Content-Length: 2"), b"400"),
+        (get("/read", "Content-Length: +1"), b"400"),
+        (get("/read", "Transfer-Encoding: gzip, chunked"), b"501"),
+        (get("/read", "Transfer-Encoding: xchunked"), b"400"),
+        (get("/read", "A: b\x00c"), b"400"),
+        (get("/read", "A : b"), b"400"),
+        (get("/read", " folded"), b"400"),
+        (get("/read", "Host: b"), b"400"),
+        (get("/read/../admin"), b"400"),
+        (get("/read/%2e%2E/admin"), b"400"),
+        (get("/read/" + "a" * 9000), b"400"),
+        (get("/read", "A: " + "a" * 9000), b"400"),
+        (get("/read", *(f"A{i}: b" for i in range(200))), b"400"),
+        (get("/read", "Expect: magic"), b"417"),
+        (get("/read", "Upgrade: websocket"), b"501"),
+        (get("/read", "Lacewingstair-Deadline-Ms: soon"), b"400"),
+        (get("/read", "Lacewingstair-Deadline-Ms: 0"), b"504"),
+        (get("/read", "Content-Length: 500001", method="POST"), b"413"),
+        (get("/other"), b"404"),
+    ],
+)
+def test_a_request_that_can_be_misread_is_refused_before_dispatch(
+    request_bytes, status
+):
+    """Guards against smuggled requests and unbounded input."""
+    received, requests = exchange(request_bytes)
+    assert received.split(b" ")[1] == status
+    assert not requests
+
+
+@pytest.mark.parametrize("size", [0, 10, 200_000])
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_bodies_arrive_whole_in_both_directions(size, is_chunked):
+    """Guards against bodies cut or reframed wrongly when kept or streamed."""
+    body = random.Random(size).randbytes(size)
+    if is_chunked:
+        chunks = (body[i : i + 30000] for i in range(0, size, 30000))
+        framed = b"".join(b"%x\r\n%b\r\n" % (len(c), c) for c in chunks)
+        parts = (get("/read", "Transfer-Encoding: chunked", method="PUT"), framed)
+        parts = (*parts, b"0\r\n\r\n")
+    else:
+        parts = (get("/read", f"Content-Length: {size}", method="PUT"), body)
+    received, requests = exchange(*parts)
+    assert received.partition(b"\r\n\r\n")[2] == body
+    assert [got for _, got in requests] == [body]
+
+
+def test_a_streamed_body_over_the_limit_is_refused_and_never_looks_whole():
+    """Guards against unbounded uploads that a backend server takes as complete."""
+    chunk = b"ffff\r\n" + b"x" * 0xFFFF + b"\r\n"
+    head = get("/read", "Transfer-Encoding: chunked", method="POST")
+    received, requests = exchange(head, chunk * 9, b"0\r\n\r\n")
+    assert received.split(b" ")[1] == b"413"
+    assert not requests
+
+
+def test_expect_is_answered_and_one_hop_headers_are_not_passed_on():
+    """Guards against callers that wait for 100 and headers that leak to upstreams."""
+
+    async def main():
+        async with Site().running() as site:
+            reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
+            lines = ["Expect: 100-continue", "Content-Length: 2", "Keep-Alive: 5"]
+            head = get("/read", *lines, "X-A: 1", method="POST")
+            writer.write(head.replace(b"close", b"close, x-a"))
+            assert await reader.readuntil(b"\r\n\r\n") == (
+                b"HTTP/1.1 100 Continue\r\n\r\n"
+            )
+            writer.write(b"ok")
+            assert (await reader.read()).endswith(b"ok")
+            writer.close()
+            sent = site.requests[0][0].lower()
+            for name in (b"expect:", b"connection:", b"x-a:", b"keep-alive:"):
+                assert name not in sent
+
+    asyncio.run(main())
+
+
+def test_a_silent_upstream_ends_the_call_as_unknown_at_its_deadline():
+    """Guards against calls that hang and against a false not-run."""
+    received, _ = exchange(get("/short/silent", method="POST"))
+    assert received.split(b" ")[1] == b"504"
+    assert b"Lacewingstair-Outcome: unknown" in received
+
+
+def test_a_stop_finishes_the_call_in_flight_and_closes_kept_connections():
+    """Guards against calls cut by a planned stop."""
+
+    async def main():
+        release = asyncio.Event()
+        arrived = asyncio.Event()
+
+        async def slow(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            arrived.set()
+            await release.wait()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+
+        async with Site().running(slow) as site:
+            head = b"GET /read HTTP/1.1\r\nHost: a\r\n\r\n"
+            call = asyncio.create_task(site.exchange(head))
+            await arrived.wait()
+            site.calls.start_draining()
+            stopping = asyncio.create_task(site.runner.cleanup())
+            await asyncio.sleep(0)
+            release.set()
+            received = await call
+            await stopping
+        assert received.endswith(b"done")
+        assert b"Connection: close" in received
+
+    asyncio.run(main())
+
+
+def test_a_caller_that_disconnects_closes_the_upstream_connection():
+    """Guards against upstream work for callers that have left."""
+
+    async def main():
+        arrived = asyncio.Event()
+        closed = asyncio.Event()
+
+        async def hold(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            arrived.set()
+            await reader.read()
+            closed.set()
+
+        async with Site().running(hold) as site:
+            _, writer = await asyncio.open_connection("127.0.0.1", site.port)
+            writer.write(get("/read"))
+            await arrived.wait()
+            writer.close()
+            async with asyncio.timeout(5):
+                await closed.wait()
+
+    asyncio.run(main())
