Let admission follow what was served and drop the latency gradient

Cause: the limit fell on each answer slower than twice the lowest latency, and the admission fell by 3% per refusal, several times within one round trip.

Change: the limit reacts to refusals and timeouts only, once per window of outcomes, and allows two calls per announced slot; in each 0.5 s the admission admits the part of calls that was served, plus 2% and more after intervals without a refusal. Outcomes of calls count, not of attempts.

--- a/bench/calls_policy.py
+++ b/bench/calls_policy.py
@@ -96,7 +96,7 @@
             upstream = Upstream(endpoint, 0, -100.0, ConcurrencyLimit(server.slots))
             if not policy.has_limit:
                 upstream.limit.value = 1e9
-                upstream.limit.succeeded = lambda seconds, in_flight: None
+                upstream.limit.succeeded = lambda in_flight: None
                 upstream.limit.refused = lambda: None
             self._group.tiers[0].append(upstream)
             self._servers_by_address[endpoint.address] = server
@@ -106,7 +106,7 @@
         worth = call.kind[1]
         is_admitted = self._admission.admit(worth, call.customer)
         if self._policy.has_admission and not is_admitted:
-            self._end(call, "refused")
+            self._end(call, "refused", is_admitted=False)
             return
         self._budget.count_call()
         self._attempt(call)
@@ -126,7 +126,6 @@
 
     def _wait(self, call: SimulatedCall) -> None:
         if call.tried or len(self._waiting) >= self._policy.queue_size:
-            self._admission.refused()
             self._end(call, "refused")
             return
         self._waiting.append(call)
@@ -145,6 +144,7 @@
         def expire() -> None:
             if not call.is_done and call.tried[-1] is upstream:
                 server.cancel(work)
+                upstream.limit.refused()
                 self._balancer.failed(self._group, upstream, self._events.now - sent)
                 self._end(call, "failed")
                 self._take_waiting()
@@ -160,14 +160,12 @@
         seconds = self._events.now - sent
         if result == "ok":
             self._balancer.succeeded(self._group, upstream, seconds)
-            self._admission.succeeded()
             self._end(call, "ok")
         elif result == "failed":
             self._balancer.failed(self._group, upstream, seconds)
             self._repeat(call, result, call.kind[3])
         else:
             self._balancer.refused(upstream)
-            self._admission.refused()
             self._repeat(call, result, True)
         self._take_waiting()
 
@@ -182,8 +180,12 @@
         while self._waiting and self._choose(()) is not None:
             self._attempt(self._waiting.popleft())
 
-    def _end(self, call: SimulatedCall, result: str) -> None:
+    def _end(self, call: SimulatedCall, result: str, is_admitted: bool = True) -> None:
         call.is_done = True
+        if is_admitted and result == "ok":
+            self._admission.succeeded()
+        elif is_admitted and result == "refused":
+            self._admission.refused()
         if call.start < WARM_UP_SECONDS:
             return
         tally = self._tally
--- a/src/lacewingstair/balancing.py
+++ b/src/lacewingstair/balancing.py
@@ -194,7 +194,7 @@
         ) == (endpoint.service, endpoint.version)
         if is_same_version:
             known.endpoint = endpoint
-            known.limit.set_maximum(endpoint.slots)
+            known.limit.set_slots(endpoint.slots)
             return known
         now = self._clock.monotonic()
         limit = ConcurrencyLimit(endpoint.slots)
@@ -266,7 +266,7 @@
         )
         upstream.failure_rate *= 1 - FAILURE_WEIGHT
         upstream.consecutive_failures = 0
-        upstream.limit.succeeded(seconds, upstream.in_flight + 1)
+        upstream.limit.succeeded(upstream.in_flight + 1)
         if upstream.is_ejected:
             self._restore(group, upstream)
 
--- a/src/lacewingstair/caller/dispatch.py
+++ b/src/lacewingstair/caller/dispatch.py
@@ -197,8 +197,20 @@
     async def dispatch(self, call: Call) -> Result[Answer, Refusal]:
         """Return the answer of an upstream, or why there is none.
 
-        The caller of this method ends the answer with `finish` or `abandon`.
+        The caller of this method ends the answer with `finish`, `abandon`, `truncated`
+        or `cancelled`.
         """
+        result = await self._dispatch(call)
+        admission = self._admission(call.service)
+        # The outcome of the call counts, not that of each attempt, so that one upstream
+        # that refuses all calls does not make the service look short of capacity.
+        if isinstance(result, Ok) and not result.ok_value.is_refusal:
+            admission.succeeded()
+        elif isinstance(result, Ok) or result.err_value.is_short:
+            admission.refused()
+        return result
+
+    async def _dispatch(self, call: Call) -> Result[Answer, Refusal]:
         budget = self._budget(call.service)
         budget.count_call()
         tried: list[Upstream] = []
@@ -277,8 +289,8 @@
     def _short(self, call: Call, version: str) -> Refusal:
         if not len(self._index.group(call.service, version)):
             return Refusal(503, f"no endpoint of {call.service} is ready", True, 1)
-        self._admission(call.service).refused()
-        return Refusal(503, f"all endpoints of {call.service} are busy", True, 1)
+        reason = f"all endpoints of {call.service} are busy"
+        return Refusal(503, reason, True, 1, is_short=True)
 
     async def _attempt(
         self, call: Call, group: Group, upstream: Upstream, is_last: bool
@@ -376,6 +388,8 @@
         fault = _writer_fault(attempt)
         if is_timeout and is_silent and attempt.was_reused:
             self._pool.discard_older(attempt.upstream.address, connection.used_at)
+        if is_timeout:
+            attempt.upstream.limit.refused()
         if fault is not None or is_stale:
             self._settle(attempt, CallResult.CANCELLED)
         else:
@@ -420,17 +434,14 @@
         now = self._clock.monotonic()
         seconds = attempt.latency_seconds or now - attempt.started_at
         group, upstream = attempt.group, attempt.upstream
-        admission = self._admission(attempt.call.service)
         if is_unreachable:
             self._balancer.unreachable(group, upstream)
         elif result is CallResult.OK:
             self._balancer.succeeded(group, upstream, seconds)
-            admission.succeeded()
         elif result is CallResult.FAILED:
             self._balancer.failed(group, upstream, seconds)
         elif result is CallResult.NOT_RUN:
             self._balancer.refused(upstream)
-            admission.refused()
         else:
             self._balancer.cancelled(upstream)
         endpoint = upstream.endpoint
--- a/src/lacewingstair/caller/refusals.py
+++ b/src/lacewingstair/caller/refusals.py
@@ -20,12 +20,15 @@
         Whether it is certain that the call did not run.
     retry_after_seconds : int
         When trying again may help; 0 when it will not.
+    is_short : bool
+        Whether upstreams lacked capacity.
     """
 
     status: int
     reason: str
     is_not_run: bool = True
     retry_after_seconds: int = 0
+    is_short: bool = False
 
     def response(self) -> web.Response:
         """Return the HTTP answer.
--- a/src/lacewingstair/limits.py
+++ b/src/lacewingstair/limits.py
@@ -7,18 +7,21 @@
 
 from lacewingstair.runtime import Clock
 
-LIMIT_START = 4.0
+# Calls that a VM may have at an upstream, per announced slot: some wait there, so that
+# a slot that becomes free is used at once.
+LIMIT_PER_SLOT = 2.0
 LIMIT_BACKOFF = 0.7
-LATENCY_TOLERANCE = 2.0
-BASELINE_DRIFT = 0.002
 
 RETRY_SHARE = 0.2
 RETRY_MIN_PER_SECOND = 3.0
 RETRY_BURST_SECONDS = 10.0
 
 ADMIT_MIN = 0.02
-ADMIT_BACKOFF = 0.03
-ADMIT_RAISE = 0.004
+# What is admitted beyond what was served, to find out whether capacity has returned.
+ADMIT_PROBE = 1.02
+# Added to it for each interval in a row without a refusal, so that recovery is fast.
+ADMIT_PROBE_STEP = 0.02
+ADMIT_SMOOTHING = 0.5
 DEMAND_HALF_LIFE_SECONDS = 5.0
 TABLE_SECONDS = 0.5
 MAX_CUSTOMERS = 1000
@@ -28,42 +31,39 @@
 class ConcurrencyLimit:
     """Calls in flight to one upstream that this VM allows itself.
 
-    The limit rises while answers come within `LATENCY_TOLERANCE` of the lowest latency
-    seen, and falls when the upstream refuses calls or its latency rises.
+    The limit rises with answers and falls when the upstream refuses a call or lets one
+    time out, at most once in a window of as many outcomes as the limit: the refusals of
+    one burst are one piece of news. Latency does not lower it, since the service times
+    of one upstream differ too much from call to call.
 
     Parameters
     ----------
-    maximum : int
-        Slots of the upstream, the largest limit.
+    slots : int
+        Slots of the upstream.
     """
 
-    def __init__(self, maximum: int) -> None:
-        self._maximum = float(maximum)
-        self._baseline_seconds = 0.0
-        self.value = min(LIMIT_START, self._maximum)
+    def __init__(self, slots: int) -> None:
+        self._maximum = slots * LIMIT_PER_SLOT
+        self._outcomes = 0
+        self.value = self._maximum
 
-    def set_maximum(self, maximum: int) -> None:
+    def set_slots(self, slots: int) -> None:
         """Set the number of slots announced."""
-        self._maximum = float(maximum)
+        self._maximum = slots * LIMIT_PER_SLOT
         self.value = min(self.value, self._maximum)
 
-    def succeeded(self, seconds: float, in_flight: int) -> None:
-        """Take an answer and the calls that were in flight with it."""
-        baseline = self._baseline_seconds
-        if not baseline or seconds < baseline:
-            self._baseline_seconds = baseline = seconds
-        else:
-            # The baseline forgets, as a new version or route may be slower for good.
-            self._baseline_seconds += BASELINE_DRIFT * (seconds - baseline)
-        if seconds > LATENCY_TOLERANCE * baseline:
-            gradient = max(0.5, LATENCY_TOLERANCE * baseline / seconds)
-            self.value = max(1.0, self.value * (0.9 + 0.1 * gradient))
-        elif in_flight * 2 >= self.value:
+    def succeeded(self, in_flight: int) -> None:
+        """Take an answer and the number of calls that were in flight with it."""
+        self._outcomes += 1
+        if in_flight * 2 >= self.value:
             self.value = min(self._maximum, self.value + 1 / self.value)
 
     def refused(self) -> None:
-        """Take a refusal for lack of capacity."""
-        self.value = max(1.0, self.value * LIMIT_BACKOFF)
+        """Take a refusal for lack of capacity, or a timeout."""
+        self._outcomes += 1
+        if self._outcomes >= self.value:
+            self._outcomes = 0
+            self.value = max(1.0, self.value * LIMIT_BACKOFF)
 
 
 class RetryBudget:
@@ -108,9 +108,10 @@
 class Admission:
     """Decides early which calls of a service run while it is short of capacity.
 
-    Refusals of upstreams lower the part of the calls that is admitted and answers raise
-    it. That part goes to the kinds of highest worth first; within the worth at which it
-    ends, customers get equal shares (water filling over their recent demand).
+    In each interval it admits the part of the calls that was served in the one before,
+    and a little more. That part goes to the kinds of highest worth first; within the
+    worth at which it ends, customers get equal shares (water filling over their recent
+    demand).
 
     Parameters
     ----------
@@ -126,6 +127,9 @@
         self._demand: Counter[tuple[float, str]] = Counter()
         self._shares_by_worth: dict[float, _Share] = {}
         self._table_at = clock.monotonic()
+        self._succeeded = 0
+        self._refused = 0
+        self._clean_intervals = 0
         self.admitted = 1.0
 
     def admit(self, worth: float, customer: str) -> bool:
@@ -150,14 +154,26 @@
         return self._rng.random() < share.level / demand
 
     def succeeded(self) -> None:
-        """Take an answer of an upstream."""
-        self.admitted = min(1.0, self.admitted + ADMIT_RAISE)
+        """Take a call that an upstream answered."""
+        self._succeeded += 1
 
     def refused(self) -> None:
-        """Take a refusal for lack of capacity, or a timeout."""
-        self.admitted = max(ADMIT_MIN, self.admitted * (1 - ADMIT_BACKOFF))
+        """Take a call that ended refused for lack of capacity."""
+        self._refused += 1
+
+    def _adjust(self) -> None:
+        ended = self._succeeded + self._refused
+        if not ended:
+            return
+        self._clean_intervals = 0 if self._refused else self._clean_intervals + 1
+        probe = ADMIT_PROBE + ADMIT_PROBE_STEP * self._clean_intervals
+        served = self.admitted * self._succeeded / ended * probe
+        self.admitted += ADMIT_SMOOTHING * (served - self.admitted)
+        self.admitted = min(1.0, max(ADMIT_MIN, self.admitted))
+        self._succeeded = self._refused = 0
 
     def _rebuild(self, now: float) -> None:
+        self._adjust()
         decay = 0.5 ** ((now - self._table_at) / DEMAND_HALF_LIFE_SECONDS)
         self._table_at = now
         for key in list(self._demand):
