--- a/bench/calls_policy.py
+++ b/bench/calls_policy.py
@@ -93,7 +93,8 @@
         self._waiting: deque[SimulatedCall] = deque()
         for i, server in enumerate(servers):
             endpoint = Endpoint("s", "v", f"10.0.0.{i}:80", server.slots)
-            upstream = Upstream(endpoint, 0, -100.0, ConcurrencyLimit(server.slots))
+            limit = ConcurrencyLimit(server.slots)
+            upstream = Upstream(endpoint, 0, -100.0, -100.0, limit)
             if not policy.has_limit:
                 upstream.limit.value = 1e9
                 upstream.limit.succeeded = lambda in_flight: None
--- a/src/lacewingstair/balancing.py
+++ b/src/lacewingstair/balancing.py
@@ -49,6 +49,8 @@
         0 in the zone of this VM, 1 in its region, 2 elsewhere.
     ready_since : float
         When this VM first saw it ready, in monotonic seconds.
+    slow_since : float
+        When its slow start began: then, or at the end of its last ejection.
     limit : ConcurrencyLimit
         Calls that this VM may have in flight to it.
     """
@@ -56,6 +58,7 @@
     endpoint: Endpoint
     tier: int
     ready_since: float
+    slow_since: float
     limit: ConcurrencyLimit
     in_flight: int = 0
     calls: int = 0
@@ -85,7 +88,7 @@
 
     def score(self, now: float) -> float:
         """Return the expected wait, in seconds; lower is better."""
-        age = now - self.ready_since
+        age = now - self.slow_since
         cost = (self.in_flight + 1) * self.latency_seconds
         if age >= SLOW_START_SECONDS:
             return cost
@@ -198,7 +201,7 @@
             return known
         now = self._clock.monotonic()
         limit = ConcurrencyLimit(endpoint.slots)
-        upstream = Upstream(endpoint, self._tier(record), now, limit)
+        upstream = Upstream(endpoint, self._tier(record), now, now, limit)
         key = (endpoint.service, endpoint.version)
         group = self._groups_by_key.setdefault(key, Group())
         group.tiers[upstream.tier].append(upstream)
@@ -259,6 +262,7 @@
 
     def succeeded(self, group: Group, upstream: Upstream, seconds: float) -> None:
         """Take an answer whose head came after `seconds`."""
+        is_probed = upstream.is_probed
         self._finish(upstream)
         upstream.calls += 1
         upstream.latency_seconds += LATENCY_WEIGHT * (
@@ -267,7 +271,8 @@
         upstream.failure_rate *= 1 - FAILURE_WEIGHT
         upstream.consecutive_failures = 0
         upstream.limit.succeeded(upstream.in_flight + 1)
-        if upstream.is_ejected:
+        # The answer to a call that began before the ejection proves nothing.
+        if upstream.is_ejected and is_probed:
             self._restore(group, upstream)
 
     def failed(self, group: Group, upstream: Upstream, seconds: float) -> None:
@@ -354,5 +359,5 @@
         upstream.is_ejected = False
         group.ejected -= 1
         upstream.failure_rate = 0.0
-        upstream.ready_since = self._clock.monotonic()
+        upstream.slow_since = self._clock.monotonic()
         events.info("upstream_restored", address=upstream.address)
--- /dev/null
+++ b/tests/test_balancing.py
@@ -0,0 +1,205 @@
+import random
+from collections import Counter
+
+import attrs
+import pytest
+
+from lacewingstair.balancing import (
+    EJECT_BASE_SECONDS,
+    REFRESH_SECONDS,
+    Balancer,
+    EndpointIndex,
+)
+from lacewingstair.directory import (
+    Directory,
+    Endpoint,
+    EndpointState,
+    VmRecord,
+    VmStatus,
+)
+from lacewingstair.standins.load import EventQueue
+
+
+def announced(name=1, **changes):
+    fields = {"service": "s", "version": "v", "address": f"10.0.0.1:{name}", "slots": 2}
+    return Endpoint(**{**fields, **changes})
+
+
+def record(name, zone="z", region="r", sequence=0, **changes):
+    endpoints = (announced(name, **changes),)
+    return VmRecord(
+        str(name), region, zone, "-", 1, sequence=sequence, endpoints=endpoints
+    )
+
+
+class Scene:
+    def __init__(self, *records):
+        self.clock = EventQueue()
+        self.directory = Directory()
+        for one in records:
+            self.directory.merge(one)
+        self.index = EndpointIndex(self.directory, "r", "z", self.clock)
+        self.balancer = Balancer(self.clock, random.Random(1))
+
+    @property
+    def group(self):
+        return self.index.group("s", "v")
+
+    def choose(self, tried=()):
+        chosen = self.balancer.choose(self.group, tried)
+        if chosen is not None:
+            self.balancer.started(chosen)
+        return chosen
+
+    def upstream(self, name):
+        address = f"10.0.0.1:{name}"
+        return next(u for u in self.index.upstreams() if u.address == address)
+
+    def fail(self, upstream, times=1):
+        for _ in range(times):
+            self.balancer.started(upstream)
+            self.balancer.failed(self.group, upstream, 0.01)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"status": VmStatus.LEAVING},
+        {"status": VmStatus.DEAD},
+        {"endpoints": ()},
+        {
+            "endpoints": (
+                Endpoint("s", "v", "10.0.0.1:1", state=EndpointState.DRAINING),
+            )
+        },
+        {
+            "endpoints": (
+                Endpoint("s", "v", "10.0.0.1:1", state=EndpointState.STARTING),
+            )
+        },
+        {"endpoints": (announced(version="v2"),)},
+    ],
+)
+def test_an_endpoint_that_leaves_gets_no_new_call(change):
+    """Guards against work for a draining, starting, dead or moved endpoint."""
+    first = record(1)
+    scene = Scene(first, record(2))
+    removed = []
+    scene.index.on_removed = removed.append
+    assert len(scene.group) == 2
+    scene.directory.merge(attrs.evolve(first, sequence=1, **change))
+    scene.clock.run_until(2 * REFRESH_SECONDS)
+    assert {scene.choose().address for _ in range(4)} == {"10.0.0.1:2"}
+    assert removed == ["10.0.0.1:1"]
+
+
+def test_what_was_observed_of_an_endpoint_is_kept_when_others_change():
+    """Guards against a directory change that resets limits and ejections."""
+    scene = Scene(record(1), record(2), record(3))
+    kept = scene.group.all()[0]
+    scene.fail(kept, 3)
+    scene.directory.merge(record(2, sequence=1, version="v2"))
+    scene.directory.merge(record(int(kept.address[-1]), sequence=1, slots=9))
+    scene.clock.run_until(2 * REFRESH_SECONDS)
+    assert kept in scene.group.all()
+    assert kept.is_ejected
+    assert kept.endpoint.slots == 9
+
+
+def test_calls_go_to_a_farther_tier_only_when_the_nearer_one_is_full():
+    """Guards against calls over slow, billed links while the zone has capacity."""
+    scene = Scene(record(1), record(2, zone="y"), record(3, zone="x", region="q"))
+    tiers = [scene.choose().tier for _ in range(12)]
+    assert tiers == [0] * 4 + [1] * 4 + [2] * 4
+    assert scene.choose() is None
+
+
+def test_a_slower_upstream_gets_fewer_calls():
+    """Guards against a choice that ignores latency."""
+    scene = Scene(record(1), record(2), record(3))
+    seen = Counter()
+    for _ in range(300):
+        chosen = scene.choose()
+        seen[chosen.address] += 1
+        slow = chosen.address == "10.0.0.1:1"
+        scene.balancer.succeeded(scene.group, chosen, 0.1 if slow else 0.01)
+    assert seen["10.0.0.1:1"] < 30
+
+
+def test_an_endpoint_that_appears_later_starts_slowly():
+    """Guards against a full share of calls for a cold endpoint."""
+    scene = Scene(record(1), record(2))
+    assert len(scene.group) == 2
+    scene.clock.run_until(100)
+    scene.directory.merge(record(3))
+    seen = Counter()
+    for _ in range(100):
+        chosen = scene.choose()
+        seen[chosen.address] += 1
+        scene.balancer.succeeded(scene.group, chosen, 0.005)
+    assert seen["10.0.0.1:3"] < 20
+
+
+def test_failures_eject_for_a_time_then_one_probe_decides():
+    """Guards against calls to a failing upstream and against one lost for good."""
+    scene = Scene(record(1), record(2), record(3))
+    bad = scene.group.all()[0]
+    scene.fail(bad, 2)
+    assert not bad.is_ejected
+    scene.fail(bad)
+    assert bad.is_ejected
+    scene.clock.run_until(EJECT_BASE_SECONDS + 1)
+    assert bad.is_eligible(scene.clock.now)
+    scene.balancer.started(bad)
+    assert not bad.is_eligible(scene.clock.now)
+    scene.balancer.failed(scene.group, bad, 0.01)
+    assert bad.ejected_until == pytest.approx(scene.clock.now + 2 * EJECT_BASE_SECONDS)
+    scene.clock.run_until(60)
+    scene.balancer.started(bad)
+    scene.balancer.succeeded(scene.group, bad, 0.01)
+    assert not bad.is_ejected
+
+
+def test_a_high_failure_rate_without_a_streak_ejects():
+    """Guards against an upstream that fails two of three calls for good."""
+    scene = Scene(record(1), record(2), record(3))
+    bad = scene.group.all()[0]
+    for number in range(60):
+        if bad.is_ejected:
+            break
+        scene.balancer.started(bad)
+        if number % 3:
+            scene.balancer.failed(scene.group, bad, 0.01)
+        else:
+            scene.balancer.succeeded(scene.group, bad, 0.01)
+    assert bad.is_ejected
+
+
+def test_an_answer_to_a_call_from_before_the_ejection_does_not_end_it():
+    """Guards against an ejection that ends with the next late answer."""
+    scene = Scene(record(1), record(2), record(3))
+    bad = scene.group.all()[0]
+    scene.balancer.started(bad)
+    scene.fail(bad, 3)
+    scene.balancer.succeeded(scene.group, bad, 0.01)
+    assert bad.is_ejected
+
+
+def test_failures_eject_at_most_half_of_the_upstreams():
+    """Guards against a fault of all upstreams that leaves none."""
+    scene = Scene(*(record(i) for i in range(6)))
+    for upstream in scene.group.all():
+        scene.fail(upstream, 10)
+    assert scene.group.ejected == 3
+    assert scene.choose() is not None
+
+
+def test_when_all_refuse_connections_the_one_ejected_longest_ago_is_tried():
+    """Guards against a service without any upstream after a short outage."""
+    scene = Scene(record(1), record(2))
+    for seconds, upstream in enumerate(scene.group.all()):
+        scene.clock.run_until(seconds)
+        scene.balancer.started(upstream)
+        scene.balancer.unreachable(scene.group, upstream)
+    assert scene.group.ejected == 2
+    assert scene.choose() is scene.group.all()[0]
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,101 @@
+import random
+from collections import Counter
+
+from lacewingstair.limits import (
+    ADMIT_MIN,
+    Admission,
+    ConcurrencyLimit,
+    RetryBudget,
+)
+from lacewingstair.standins.load import EventQueue
+
+
+def offer(admission, clock, rng, capacity, seconds, customers=("a",), rate=200):
+    """Offer calls of worth 1 and 10; a server takes `capacity` of them a second."""
+    admitted = Counter()
+    offered = Counter()
+    end = clock.now + seconds
+    tokens = 0.0
+    while clock.now < end:
+        clock.run_until(clock.now + 1 / rate)
+        tokens = min(5.0, tokens + capacity / rate)
+        key = (rng.choice([1.0, 1.0, 10.0]), rng.choice(customers))
+        offered[key] += 1
+        if not admission.admit(*key):
+            continue
+        admitted[key] += 1
+        if tokens >= 1:
+            tokens -= 1
+            admission.succeeded()
+        else:
+            admission.refused()
+    return {key: admitted[key] / offered[key] for key in offered}
+
+
+def test_admission_refuses_by_worth_then_equally_between_customers():
+    """Guards against low worth or one large customer taking what is short."""
+    clock, rng = EventQueue(), random.Random(1)
+    admission = Admission(clock, rng)
+    customers = ("large",) * 8 + ("b", "c")
+    offer(admission, clock, rng, 100, 20, customers)
+    shares = offer(admission, clock, rng, 100, 30, customers)
+    assert all(shares[10.0, name] > 0.9 for name in ("large", "b", "c"))
+    assert shares[1.0, "large"] < 0.35
+    assert shares[1.0, "b"] > 0.7
+
+
+def test_admission_admits_all_again_after_a_shortage():
+    """Guards against refusals that outlast their cause."""
+    clock, rng = EventQueue(), random.Random(1)
+    admission = Admission(clock, rng)
+    offer(admission, clock, rng, 20, 20)
+    assert admission.admitted < 0.3
+    offer(admission, clock, rng, 400, 20)
+    assert admission.admitted == 1.0
+
+
+def test_admission_keeps_probing_when_nothing_is_served():
+    """Guards against a service that is refused for good after an outage."""
+    clock, rng = EventQueue(), random.Random(1)
+    admission = Admission(clock, rng)
+    offer(admission, clock, rng, 0, 60)
+    assert admission.admitted >= ADMIT_MIN
+    assert offer(admission, clock, rng, 0, 30)[10.0, "a"] > 0
+
+
+def test_admission_bounds_the_customers_that_it_remembers():
+    """Guards against memory that grows with made-up customer names."""
+    admission = Admission(EventQueue(), random.Random(1))
+    for number in range(5000):
+        admission.admit(1.0, str(number))
+    assert len(admission._demand) <= 1001
+
+
+def test_a_burst_of_refusals_lowers_a_limit_once_and_answers_restore_it():
+    """Guards against a limit that collapses on one piece of news."""
+    limit = ConcurrencyLimit(10)
+    for _ in range(20):
+        limit.succeeded(20)
+    full = limit.value
+    for _ in range(8):
+        limit.refused()
+    assert 0.6 * full < limit.value < full
+    for _ in range(1000):
+        limit.refused()
+    assert limit.value == 1.0
+    for _ in range(1000):
+        limit.succeeded(20)
+    assert limit.value == full
+
+
+def test_the_retry_budget_follows_the_calls_with_a_minimum_and_a_cap():
+    """Guards against a stock of repeats saved up in quiet hours."""
+    clock = EventQueue()
+    budget = RetryBudget(clock)
+    for _ in range(102):
+        budget.count_call()
+    assert sum(budget.take() for _ in range(200)) == 23
+    clock.run_until(2.0)
+    assert sum(budget.take() for _ in range(200)) == 6
+    clock.run_until(10_000.0)
+    assert sum(budget.take() for _ in range(200)) == 30
