Write whole small answers in one piece and set the sampling of routing lines

Change: an answer that is whole when its head is parsed, that needs no change and goes to a kept HTTP/1.1 connection is written as bytes. Setting [log] calls_one_in.

Checked: python -m pytest; a cut body makes a test fail.

--- a/src/lacewingstair/caller/dispatch.py
+++ b/src/lacewingstair/caller/dispatch.py
@@ -30,7 +30,6 @@
 STALE_IDLE_SECONDS = 1.0
 REFUSAL_STATUSES = (429, 503)
 REPEATABLE_STATUSES = (502, 503, 504)
-LOG_EVERY = 100
 
 
 @attrs.define
@@ -163,6 +162,8 @@
         Time and randomness.
     on_unreachable : callable, optional
         Takes the address of an endpoint that refused a connection.
+    log_one_in : int
+        One routing decision in this many is logged; a line costs about 33 us.
     """
 
     def __init__(
@@ -174,7 +175,9 @@
         clock: Clock,
         rng: random.Random,
         on_unreachable: Callable[[str], None] = lambda address: None,
+        log_one_in: int = 100,
     ) -> None:
+        self._log_one_in = log_one_in
         self._index = index
         self._pool = pool
         self._chooser = chooser
@@ -493,7 +496,7 @@
 
     def _log(self, call: Call, upstream: Upstream) -> None:
         self._decisions += 1
-        if self._decisions % LOG_EVERY:
+        if self._decisions % self._log_one_in:
             return
         events.info(
             "call_routed",
@@ -504,7 +507,7 @@
             in_flight=upstream.in_flight,
             limit=upstream.limit.value,
             latency_seconds=upstream.latency_seconds,
-            one_in=LOG_EVERY,
+            one_in=self._log_one_in,
         )
 
 
--- a/src/lacewingstair/caller/server.py
+++ b/src/lacewingstair/caller/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import random
+from collections.abc import Callable
 
 from aiohttp import ClientError, web
 from aiohttp.web_exceptions import HTTPException
@@ -16,6 +17,7 @@
 from lacewingstair.caller.body import REPLAY_BYTES, Body, read_start
 from lacewingstair.caller.dispatch import Answer, Call, Dispatcher
 from lacewingstair.caller.refusals import Refusal
+from lacewingstair.caller.relay import whole_answer
 from lacewingstair.directory import Directory
 from lacewingstair.outcomes import CallOutcome, OutcomeSink, VersionChooser
 from lacewingstair.routes import NamedRoute
@@ -87,6 +89,8 @@
         Connections to backend servers.
     on_unreachable : callable, optional
         Takes the address of an endpoint that refused a connection.
+    log_one_in : int
+        One routing decision in this many is logged.
     """
 
     def __init__(
@@ -101,7 +105,8 @@
         chooser: VersionChooser | None = None,
         sink: OutcomeSink | None = None,
         pool: ConnectionPool | None = None,
-        on_unreachable=lambda address: None,
+        on_unreachable: Callable[[str], None] = lambda address: None,
+        log_one_in: int = 100,
     ) -> None:
         self._store = store
         self._clock = clock or SystemClock()
@@ -115,6 +120,7 @@
             self._clock,
             rng,
             on_unreachable,
+            log_one_in,
         )
         self.is_draining = False
 
@@ -248,6 +254,11 @@
     async def _pass_back(
         self, request: web.BaseRequest, answer: Answer, call: Call
     ) -> web.StreamResponse:
+        if request.keep_alive and not self.is_draining:
+            whole = whole_answer(answer, request)
+            if whole is not None:
+                self.dispatcher.finish(answer)
+                return whole
         response = _head(answer)
         if self.is_draining:
             response.force_close()
--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -159,6 +159,7 @@
         availability_zone=settings.availability_zone,
         clock=clock,
         on_unreachable=announcements.check,
+        log_one_in=settings.log_calls_one_in,
     )
     operator = OperatorApi(
         lambda: build_report(store.state, marks, clock.wall()),
--- a/src/lacewingstair/settings.py
+++ b/src/lacewingstair/settings.py
@@ -28,6 +28,8 @@
         VM addresses to start from.
     log_level : str
         Lowest level that is logged.
+    log_calls_one_in : int
+        One routing decision in this many is logged.
     """
 
     mesh: str
@@ -41,6 +43,7 @@
     log_url: str
     contacts: tuple[str, ...] = ()
     log_level: str = "info"
+    log_calls_one_in: int = 100
 
 
 @attrs.frozen
@@ -90,6 +93,12 @@
     return text
 
 
+def _positive(text: str) -> int:
+    if not text.isascii() or not text.isdigit() or not 1 <= int(text) <= 10**9:
+        raise ValueError("allowed are whole numbers from 1 to 1000000000")
+    return int(text)
+
+
 SETTINGS = (
     Setting("vm", "mesh", "mesh", _name, "name of the mesh"),
     Setting("vm", "id", "vm_id", _name, "name of the VM, unique in the mesh"),
@@ -108,6 +117,13 @@
     Setting("operator", "address", "operator_address", _address, "HTTP for operators"),
     Setting("platform", "log_url", "log_url", _url, "base URL of the log service"),
     Setting("log", "level", "log_level", _level, "lowest level that is logged"),
+    Setting(
+        "log",
+        "calls_one_in",
+        "log_calls_one_in",
+        _positive,
+        "number of routing decisions of which one is logged",
+    ),
 )
 
 
--- a/tests/caller/test_server.py
+++ b/tests/caller/test_server.py
@@ -38,6 +38,9 @@
     "/read/both": b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
     b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
     "/read/switch": b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+    "/read/stray": b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nA: b\rC: d\r\n\r\nok",
+    "/read/fold": b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nA: b\r\n C: d\r\n\r\nok",
+    "/read/line-feed": b"HTTP/1.1 200 OK\nContent-Length: 2\nA: b\n\nok",
     "/read/garbage": b"hello\r\n\r\n",
 }
 
@@ -207,6 +210,41 @@
     assert [got for _, got in requests] == [body]
 
 
+def test_answers_on_a_kept_connection_belong_to_their_requests():
+    """Guards against answers crossed between calls sent one after the other at once."""
+
+    async def main():
+        async with Site().running() as site:
+            reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
+            bodies = [b"first", b"", b"third" * 5000, b"fourth"]
+            for body in bodies:
+                lines = f"PUT /read HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}"
+                writer.write(lines.encode() + b"\r\n\r\n" + body)
+            for body in bodies:
+                head = await reader.readuntil(b"\r\n\r\n")
+                assert head.startswith(b"HTTP/1.1 200")
+                assert b"Content-Length: %d\r\n" % len(body) in head
+                assert await reader.readexactly(len(body)) == body
+            writer.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("path", ["/read/stray", "/read/fold", "/read/line-feed"])
+def test_a_stray_line_end_in_an_answer_adds_no_header(path):
+    """Guards against headers smuggled to the caller through a lenient parser."""
+    head = get(path).replace(b"Connection: close\r\n", b"")
+
+    async def main():
+        async with Site().running() as site:
+            return await site.exchange(head, until_eof=False)
+
+    received = asyncio.run(main()).partition(b"\r\n\r\n")[0]
+    assert received.startswith((b"HTTP/1.1 200", b"HTTP/1.1 502"))
+    assert received.count(b"\r") == received.count(b"\n") == received.count(b"\r\n")
+    assert b"\nC: d" not in received
+
+
 def test_a_streamed_body_over_the_limit_is_refused_and_never_looks_whole():
     """Guards against unbounded uploads that a backend server takes as complete."""
     chunk = b"ffff\r\n" + b"x" * 0xFFFF + b"\r\n"
