--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -14,7 +14,7 @@
 from lacewingstair.caller.server import CallServer
 from lacewingstair.directory import Directory, VmRecord, VmStatus
 from lacewingstair.errors import ListenError
-from lacewingstair.http_server import application_runner, call_runner, listen
+from lacewingstair.http_server import application_runner, listen
 from lacewingstair.marks import Marks
 from lacewingstair.metrics import Metrics
 from lacewingstair.operator.api import OperatorApi
@@ -73,7 +73,18 @@
             rng=rng,
         )
         self.announcements = AnnouncementServer(self.node.set_endpoints, clock)
-        self.calls = CallServer(self.store, self.directory, rng)
+        self.calls = CallServer(
+            self.store,
+            self.directory,
+            rng,
+            region=settings.region,
+            availability_zone=settings.availability_zone,
+            clock=clock,
+            sink=self.metrics,
+            on_unreachable=self.announcements.check,
+            on_answer=self.metrics.count_call,
+            log_one_in=_one_in(settings.logging.routing_sample),
+        )
         self.operator = OperatorApi(
             self.report, self.status, self.health, self.metrics.registry
         )
@@ -101,7 +112,12 @@
             served = await listen(runner, address)
             if isinstance(served, Err):
                 return served
-        runs = (self.node.run(), self.log_reader.run(), self.announcements.run())
+        runs = (
+            self.node.run(),
+            self.log_reader.run(),
+            self.announcements.run(),
+            self.calls.run(),
+        )
         self._tasks.extend(asyncio.create_task(run) for run in runs)
         settings = self.settings
         events.info(
@@ -118,6 +134,7 @@
         self.is_leaving = True
         events.info("daemon_leaving", vm=self.settings.vm_id)
         self.node.set_status(VmStatus.LEAVING)
+        self.calls.start_draining()
         await self.clock.sleep(self.settings.stop.leaving_seconds)
         await self.close()
         events.info("daemon_stopped", vm=self.settings.vm_id)
@@ -177,8 +194,8 @@
         drain_seconds = settings.stop.drain_seconds
         yield (
             settings.caller_address,
-            call_runner(
-                self._handle_call, lambda: self.is_leaving, header_bytes, drain_seconds
+            web.ServerRunner(
+                self.calls.http_server(header_bytes), shutdown_timeout=drain_seconds
             ),
         )
         for address, application in (
@@ -187,16 +204,6 @@
         ):
             yield address, application_runner(application, header_bytes)
 
-    async def _handle_call(self, request: web.BaseRequest) -> web.StreamResponse:
-        start = self.clock.monotonic()
-        status = 0
-        try:
-            response = await self.calls.handle(request)
-            status = response.status
-            return response
-        finally:
-            self.metrics.count_call(status, self.clock.monotonic() - start)
-
 
 def _own_record(settings: Settings, clock: Clock) -> VmRecord:
     return VmRecord(
@@ -208,6 +215,11 @@
     )
 
 
+def _one_in(share: float) -> int:
+    """Return of how many routing decisions one is logged; 0 for none."""
+    return round(1 / share) if share > 0 else 0
+
+
 def build(settings: Settings, clock: Clock, rng: random.Random) -> Daemon:
     """Return the daemon of one VM, not started."""
     return Daemon(settings, clock, rng)
--- a/src/lacewingstair/errors.py
+++ b/src/lacewingstair/errors.py
@@ -213,3 +213,18 @@
 
     def __str__(self) -> str:
         return f"invalid snapshot: {self.reason}"
+
+
+@attrs.frozen
+class ConnectionsBusy:
+    """The VM's share of an upstream's connections is used up.
+
+    The call goes to another upstream. An operator raises the announced connections when
+    it persists while the upstream is idle.
+    """
+
+    address: str
+    share: int
+
+    def __str__(self) -> str:
+        return f"all {self.share} connections of this VM to {self.address!r} are in use"
--- a/src/lacewingstair/http_server.py
+++ b/src/lacewingstair/http_server.py
@@ -14,16 +14,15 @@
 KEEPALIVE_SECONDS = 600.0
 MAX_HEADERS = 128
 READ_BYTES = 64 << 10
+# The rest of a refused body is read for this long, so that no reset loses the refusal.
+LINGER_SECONDS = 1.0
 
 CallHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
-def call_runner(
-    handler: CallHandler,
-    is_leaving: Callable[[], bool],
-    max_header_bytes: int,
-    drain_seconds: float,
-) -> web.ServerRunner:
+def call_server(
+    handler: CallHandler, is_leaving: Callable[[], bool], max_header_bytes: int
+) -> web.Server:
     """Return the server for callers; needs a running event loop.
 
     Parameters
@@ -35,8 +34,6 @@
         and no connection is closed while a caller sends its next call on it.
     max_header_bytes : int
         Longest request line and header field.
-    drain_seconds : float
-        Longest time for open calls to end after `cleanup`.
     """
 
     class Request(web.BaseRequest):
@@ -55,9 +52,10 @@
         # Bodies are passed on as they came.
         auto_decompress=False,
         read_bufsize=READ_BYTES,
+        lingering_time=LINGER_SECONDS,
         **_limits(max_header_bytes),
     )
-    return web.ServerRunner(server, shutdown_timeout=drain_seconds)
+    return server
 
 
 def application_runner(
--- a/src/lacewingstair/process.py
+++ b/src/lacewingstair/process.py
@@ -11,6 +11,7 @@
 from result import Err
 
 from lacewingstair import events
+from lacewingstair.caller.server import tune_garbage_collection
 from lacewingstair.daemon import Daemon, build
 from lacewingstair.runtime import SystemClock
 from lacewingstair.settings import Settings, load_settings
@@ -53,6 +54,8 @@
             self.exit_code = EXIT_ERROR
             self._has_started = False
             self._stopping.set()
+            return
+        tune_garbage_collection()
 
     async def run_until_signal(self) -> None:
         """Wait for a stop signal or a failed start."""
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -4,11 +4,16 @@
 from aiohttp import web
 
 from lacewingstair.backend_server.announce import AnnouncementServer
-from lacewingstair.http_server import application_runner, call_runner, listen
+from lacewingstair.http_server import application_runner, call_server, listen
 from lacewingstair.runtime import SystemClock
 from lacewingstair.standins.local import free_ports
 
 
+def call_runner(handler, is_leaving, max_header_bytes, drain_seconds):
+    server = call_server(handler, is_leaving, max_header_bytes)
+    return web.ServerRunner(server, shutdown_timeout=drain_seconds)
+
+
 def with_server(make_runner, check):
     async def main():
         (port,) = free_ports(1)
