--- a/src/lacewingstair/marks.py
+++ b/src/lacewingstair/marks.py
@@ -1,6 +1,8 @@
 """Marks of rollouts: stages reached and versions taken back, merged in any order."""
 
 import hashlib
+import math
+from collections.abc import Mapping
 
 import attrs
 
@@ -23,12 +25,28 @@
 
 @attrs.frozen
 class StageMark:
-    """A stage that a zone's relay has cleared for one route of a rollout."""
+    """A stage that a zone's root has cleared for one route of a rollout.
+
+    Parameters
+    ----------
+    key : RolloutKey
+        The rollout.
+    availability_zone, route : str
+        Where the stage is in force.
+    stage : int
+        Stage, 0 for the trial.
+    at : float
+        Seconds since the Unix epoch, 0 when unknown.
+    evidence : str
+        Figures of the stage before, for the report.
+    """
 
     key: RolloutKey
     availability_zone: str
     route: str
     stage: int
+    at: float = 0.0
+    evidence: str = ""
 
 
 @attrs.frozen
@@ -57,31 +75,88 @@
 
 
 class Marks:
-    """All marks known to a VM. The merge is commutative and idempotent."""
+    """All marks known to a VM. The merge is commutative and idempotent.
+
+    Marks of rollouts that the configuration no longer holds are dropped and not taken
+    in again; VMs with the same configuration therefore keep the same marks. Marks of
+    tickets that this VM has not yet seen are kept.
+
+    Attributes
+    ----------
+    version : int
+        Raised with every change.
+    """
 
     def __init__(self) -> None:
-        self.stages_by_place: dict[tuple[RolloutKey, str, str], int] = {}
+        self.marks_by_place: dict[tuple[RolloutKey, str, str], StageMark] = {}
         self.take_backs_by_key: dict[RolloutKey, TakeBack] = {}
+        self.version = 0
+        self._number = 0
+        self._numbers_by_name: dict[str, int] = {}
+
+    @property
+    def stages_by_place(self) -> dict[tuple[RolloutKey, str, str], int]:
+        """Stage by rollout, zone and route."""
+        return {place: mark.stage for place, mark in self.marks_by_place.items()}
 
     def merge_stage(self, mark: StageMark) -> bool:
         """Keep the higher stage; return whether the mark was news."""
         place = (mark.key, mark.availability_zone, mark.route)
-        if mark.stage <= self.stages_by_place.get(place, 0):
+        held = self.marks_by_place.get(place)
+        if not self._is_live(mark.key) or not _is_valid(mark.at):
+            return False
+        if held is not None and _stage_order(mark) <= _stage_order(held):
             return False
-        self.stages_by_place[place] = mark.stage
+        self.marks_by_place[place] = mark
+        self.version += 1
         return True
 
     def merge_take_back(self, mark: TakeBack) -> bool:
         """Keep the earliest take-back of a rollout; return whether it was news."""
+        if not self._is_live(mark.key) or not _is_valid(mark.at):
+            return False
         held = self.take_backs_by_key.get(mark.key)
         if held is not None and _order(held) <= _order(mark):
             return False
         self.take_backs_by_key[mark.key] = mark
+        self.version += 1
         return True
 
+    def prune(self, number: int, numbers_by_name: Mapping[str, int]) -> None:
+        """Drop the marks of rollouts that the configuration does not hold.
+
+        Parameters
+        ----------
+        number : int
+            Last accepted ticket.
+        numbers_by_name : mapping of str to int
+            Ticket that set each rollout in force.
+        """
+        if number < self._number:
+            return
+        self._number = number
+        self._numbers_by_name = dict(numbers_by_name)
+        self.marks_by_place = {
+            place: mark
+            for place, mark in self.marks_by_place.items()
+            if self._is_live(mark.key)
+        }
+        self.take_backs_by_key = {
+            key: mark
+            for key, mark in self.take_backs_by_key.items()
+            if self._is_live(key)
+        }
+        self.version += 1
+
     def stage(self, key: RolloutKey, availability_zone: str, route: str) -> int:
         """Return the stage cleared, 0 when none is."""
-        return self.stages_by_place.get((key, availability_zone, route), 0)
+        mark = self.marks_by_place.get((key, availability_zone, route))
+        return 0 if mark is None else mark.stage
+
+    def stage_marks(self, key: RolloutKey) -> list[StageMark]:
+        """Return the stage marks of a rollout, by zone and route."""
+        found = [mark for mark in self.marks_by_place.values() if mark.key == key]
+        return sorted(found, key=lambda mark: (mark.availability_zone, mark.route))
 
     def is_taken_back(self, key: RolloutKey) -> bool:
         """Return whether the rollout's new version is taken back."""
@@ -89,14 +164,26 @@
 
     def digest(self) -> int:
         """Return a digest that is equal for equal marks, 64 bits."""
-        stages = sorted(
-            (key.name, key.number, zone, route, stage)
-            for (key, zone, route), stage in self.stages_by_place.items()
-        )
+        stages = sorted(map(attrs.astuple, self.marks_by_place.values()))
         take_backs = sorted(map(attrs.astuple, self.take_backs_by_key.values()))
         text = repr((stages, take_backs)).encode("utf-8", "surrogatepass")
         return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big")
 
+    def _is_live(self, key: RolloutKey) -> bool:
+        if key.number > self._number:
+            return True
+        return self._numbers_by_name.get(key.name) == key.number
+
+
+def _is_valid(at: float) -> bool:
+    # A time that is not finite has no place in the order and would break the digest.
+    return math.isfinite(at)
+
+
+def _stage_order(mark: StageMark) -> tuple[int, float, str]:
+    known_at = mark.at if mark.at > 0 else math.inf
+    return (mark.stage, -known_at, mark.evidence)
+
 
-def _order(mark: TakeBack) -> tuple[float, str, str]:
-    return (mark.at, mark.by_vm_id, mark.reason)
+def _order(mark: TakeBack) -> tuple[float, str, str, str]:
+    return (mark.at, mark.by_vm_id, mark.reason, mark.evidence)
--- /dev/null
+++ b/src/lacewingstair/schedule.py
@@ -0,0 +1,84 @@
+"""Schedule of a rollout: its stages and when each may and must be reached."""
+
+import enum
+
+from lacewingstair.tickets import Rollout
+
+STAGE_SHARES = (0.0, 0.1, 0.25, 0.5, 1.0)
+FINAL_STAGE = len(STAGE_SHARES) - 1
+EARLIEST_PARTS = (0.0, 0.2, 0.4, 0.6, 0.8)
+# A stage without enough calls for a verdict is left at these parts of the window, so
+# that a version that nothing speaks against is moved before `end_by`.
+LATEST_PARTS = (0.0, 0.25, 0.5, 0.7, 0.88)
+# A stage lasts at least this part of the window when endpoints came late.
+SHORTEST_PART = 0.04
+# Share of the old version in the final stage until `end_by`; without it there is
+# nothing to compare the new version with.
+CONTROL_SHARE = 0.1
+RAMP_SECONDS = 20.0
+RAMP_PART = 0.03
+MONITORING_PART = 0.1
+MONITORING_SECONDS = 60.0
+
+
+class Step(enum.Enum):
+    """What the schedule says about the next stage."""
+
+    NOT_YET = "not yet"
+    IF_CLEARED = "if cleared"
+    NOW = "now"
+
+
+def window(rollout: Rollout) -> float:
+    """Return the seconds from start to end."""
+    return rollout.end_by - rollout.start
+
+
+def share_at(rollout: Rollout, stage: int, entered: float, now: float) -> float:
+    """Return the new version's share at a time, from 0 to 1.
+
+    The share climbs from the stage before during the first seconds of a stage, so that
+    a fault that shows at once, or only under load, meets fewer calls before its
+    evidence has arrived.
+    """
+    if now < rollout.start:
+        return 0.0
+    if stage >= FINAL_STAGE and now >= rollout.end_by:
+        return 1.0
+    share = _share_of_stage(rollout, stage)
+    before = _share_of_stage(rollout, stage - 1) if stage > 0 else 0.0
+    ramp = min(RAMP_SECONDS, RAMP_PART * window(rollout))
+    climbed = min(1.0, max(0.0, now - entered) / ramp)
+    return before + (share - before) * climbed
+
+
+def _share_of_stage(rollout: Rollout, stage: int) -> float:
+    if stage >= FINAL_STAGE:
+        return 1.0 - CONTROL_SHARE
+    return max(rollout.trial_share, STAGE_SHARES[stage])
+
+
+def earliest(rollout: Rollout, stage: int) -> float:
+    """Return the time from which a cleared version may enter a stage."""
+    return rollout.start + EARLIEST_PARTS[stage] * window(rollout)
+
+
+def next_step(rollout: Rollout, stage: int, entered: float, now: float) -> Step:
+    """Return whether the stage after `stage`, entered at `entered`, is due."""
+    if stage >= FINAL_STAGE or now < earliest(rollout, stage + 1):
+        return Step.NOT_YET
+    if now < entered + SHORTEST_PART * window(rollout):
+        return Step.NOT_YET
+    latest = rollout.start + LATEST_PARTS[stage + 1] * window(rollout)
+    return Step.NOW if now >= latest else Step.IF_CLEARED
+
+
+def is_overdue(rollout: Rollout, stage: int, now: float, hold: float) -> bool:
+    """Return whether the stage after `stage` is late by more than `hold` seconds."""
+    latest = rollout.start + LATEST_PARTS[stage + 1] * window(rollout)
+    return now > latest + hold
+
+
+def monitored_until(rollout: Rollout) -> float:
+    """Return the time at which monitoring ends."""
+    return rollout.end_by + max(MONITORING_SECONDS, MONITORING_PART * window(rollout))
--- /dev/null
+++ b/src/lacewingstair/verdicts.py
@@ -0,0 +1,285 @@
+"""Verdicts on the new version of a rollout from the growth of evidence.
+
+A `Judge` looks at one scope: the subtree of a VM, or all zones together. In a scope
+each statistic is tested per route and over all routes. Blocks of different routes,
+stages and sources are never pooled before the comparison, since their shares of the new
+version differ; the capital of the sum is the product over their factors.
+"""
+
+import math
+from collections.abc import Callable, Iterator
+
+import attrs
+
+from lacewingstair.evidence import Place, Tally
+from lacewingstair.sequential_tests import (
+    Block,
+    Clearance,
+    Conviction,
+    OldRatio,
+    badness_factors,
+    soundness_factor,
+)
+from lacewingstair.tickets import Rollout
+
+# Probability that a good version is taken back at all, over all tests of a rollout.
+WRONG_TAKE_BACK = 1e-4
+# Probability that a bad version clears a stage by its figures.
+WRONG_CLEARANCE = 1e-2
+# Capital at which a stage is not left for lack of calls alone.
+SUSPICIOUS_LOG_CAPITAL = math.log(20.0)
+
+ALL_ROUTES = ""
+
+# Parts of the starting capital put at risk at each new stage, and evenly over time.
+PART_PER_STAGE = 0.08
+PART_OVER_TIME = 0.6
+
+# A block is closed when it holds about one compared pair, or when it is this old and
+# both versions have a call in it. Rates may drift within a block only as far as both
+# versions drift alike.
+BLOCK_INFORMATION = 0.9
+BLOCK_SECONDS = 10.0
+
+
+@attrs.frozen
+class Statistic:
+    """A ratio of bad calls that is compared between versions.
+
+    Parameters
+    ----------
+    name : str
+        Used in reasons, after the name of the version.
+    counted : callable
+        Returns calls and bad calls of a tally.
+    margin, bad_increase : callable
+        Return the increase that is allowed, and the one that makes a version bad.
+    increases : tuple of float
+        Further increases that are bet on.
+    prior : float
+        Ratio of the old version assumed before any call.
+    is_needed_to_clear : bool
+        Whether a stage is cleared only when this statistic is sound.
+    """
+
+    name: str
+    counted: Callable[[Tally], tuple[int, int]]
+    margin: Callable[[Rollout], float]
+    bad_increase: Callable[[Rollout], float]
+    increases: tuple[float, ...]
+    prior: float
+    is_needed_to_clear: bool
+
+    def bets(self, rollout: Rollout) -> tuple[float, ...]:
+        """Return the increases that are bet on, the smallest first."""
+        smallest = self.bad_increase(rollout)
+        return (smallest, *(i for i in self.increases if i > smallest))
+
+
+STATISTICS = (
+    Statistic(
+        "fails more often",
+        lambda tally: (tally.calls, tally.failures),
+        lambda rollout: rollout.max_failure_increase / 2,
+        lambda rollout: rollout.max_failure_increase,
+        (0.06, 0.2, 0.5, 0.95),
+        0.005,
+        True,
+    ),
+    Statistic(
+        "is slower",
+        lambda tally: (tally.timed, tally.slow),
+        lambda _: 0.12,
+        lambda _: 0.24,
+        (0.4, 0.6),
+        0.3,
+        True,
+    ),
+    Statistic(
+        "refuses more calls",
+        lambda tally: (tally.calls + tally.refused, tally.refused),
+        lambda _: 0.1,
+        lambda _: 0.2,
+        (0.5, 0.85),
+        0.01,
+        False,
+    ),
+)
+
+
+@attrs.frozen
+class Verdict:
+    """Conviction of the new version."""
+
+    reason: str
+    evidence: str
+
+
+@attrs.define
+class _Pending:
+    block: Block
+    since: float
+
+
+@attrs.define
+class _Figures:
+    block: Block = attrs.field(factory=Block)
+
+
+class Judge:
+    """Tests of one rollout in one scope.
+
+    Parameters
+    ----------
+    rollout : Rollout
+        The rollout.
+    routes : tuple of str
+        Routes of its service.
+    error_rate : float
+        Probability with which this scope may convict a good version.
+    life_seconds : float
+        Time from start to the end of monitoring.
+    """
+
+    def __init__(
+        self,
+        rollout: Rollout,
+        routes: tuple[str, ...],
+        error_rate: float,
+        life_seconds: float,
+    ) -> None:
+        self._rollout = rollout
+        self._life_seconds = life_seconds
+        self._scopes = (*routes, ALL_ROUTES)
+        tests = len(STATISTICS) * len(self._scopes)
+        self._log_threshold = math.log(tests / error_rate)
+        self._convictions = {
+            (name, s): Conviction(len(s.bets(rollout))) for name, s in self._tests()
+        }
+        self._ratios = {(name, s): OldRatio(s.prior) for name, s in self._tests()}
+        self._figures = {test: _Figures() for test in self._convictions}
+        self._pending: dict[tuple[str, Place, Statistic], _Pending] = {}
+        self._clearances: dict[tuple[str, int, Statistic], Clearance] = {}
+        self._stages_seen: set[tuple[str, int]] = set()
+
+    def start_stage(self, route: str, stage: int) -> None:
+        """Put capital at risk for a stage that a route has entered."""
+        for scope in (route, ALL_ROUTES):
+            if scope not in self._scopes or (scope, stage) in self._stages_seen:
+                continue
+            self._stages_seen.add((scope, stage))
+            for statistic in STATISTICS:
+                self._convictions[scope, statistic].invest(PART_PER_STAGE)
+
+    def pass_time(self, seconds: float) -> None:
+        """Put capital at risk for the time passed."""
+        part = PART_OVER_TIME * seconds / self._life_seconds
+        for conviction in self._convictions.values():
+            conviction.invest(part)
+
+    def add(self, source: str, place: Place, tally: Tally, now: float) -> None:
+        """Take the growth of one counter.
+
+        Parameters
+        ----------
+        source : str
+            Where the calls were made; sources are compared separately.
+        place : Place
+            What was counted.
+        tally : Tally
+            Growth.
+        now : float
+            Monotonic seconds.
+        """
+        if place.route not in self._scopes:
+            return
+        is_new = place.version == self._rollout.to_version
+        if not is_new and place.version != self._rollout.from_version:
+            return
+        shared = attrs.evolve(place, version="")
+        for statistic in STATISTICS:
+            calls, bad = statistic.counted(tally)
+            if not calls:
+                continue
+            block = Block(0, 0, calls, bad) if is_new else Block(calls, bad)
+            pending = self._pending.setdefault(
+                (source, shared, statistic), _Pending(Block(), now)
+            )
+            pending.block += block
+
+    def settle(self, now: float) -> None:
+        """Close the blocks that hold enough calls or are old enough."""
+        closed = [
+            entry
+            for entry, pending in self._pending.items()
+            if pending.block.information >= BLOCK_INFORMATION
+            or (pending.block.information > 0 and now - pending.since >= BLOCK_SECONDS)
+        ]
+        for entry in closed:
+            _, place, statistic = entry
+            self._take(place, statistic, self._pending.pop(entry).block)
+
+    def verdict(self) -> Verdict | None:
+        """Return the conviction with the most capital, or None."""
+        test = max(self._convictions, key=lambda t: self._convictions[t].log_capital)
+        capital = self._convictions[test].log_capital
+        if capital < self._log_threshold:
+            return None
+        scope, statistic = test
+        where = f"on route {scope}" if scope != ALL_ROUTES else "over all routes"
+        block = self._figures[test].block
+        reason = f"{self._rollout.to_version} {statistic.name} {where}"
+        evidence = f"{_compare(block)}; log capital {capital:.1f}, needed "
+        return Verdict(reason, f"{evidence}{self._log_threshold:.1f}")
+
+    @property
+    def is_suspicious(self) -> bool:
+        """Whether something speaks against the version without convicting it."""
+        return any(
+            c.log_capital > SUSPICIOUS_LOG_CAPITAL for c in self._convictions.values()
+        )
+
+    def is_cleared(self, route: str, stage: int) -> bool:
+        """Return whether the figures of a stage show that the version is not bad."""
+        needed = -math.log(WRONG_CLEARANCE)
+        return not self.is_suspicious and all(
+            self._clearance(route, stage, statistic).log_capital >= needed
+            for statistic in STATISTICS
+            if statistic.is_needed_to_clear
+        )
+
+    def figures(self, route: str) -> str:
+        """Return the calls compared so far on a route, for the report."""
+        return "; ".join(
+            f"{statistic.name}: {_compare(self._figures[route, statistic].block)}"
+            for statistic in STATISTICS
+            if (route, statistic) in self._figures
+        )
+
+    def _tests(self) -> Iterator[tuple[str, Statistic]]:
+        for scope in self._scopes:
+            for statistic in STATISTICS:
+                yield scope, statistic
+
+    def _clearance(self, route: str, stage: int, statistic: Statistic) -> Clearance:
+        return self._clearances.setdefault((route, stage, statistic), Clearance())
+
+    def _take(self, place: Place, statistic: Statistic, block: Block) -> None:
+        rollout = self._rollout
+        ratio = self._ratios[place.route, statistic]
+        bets = statistic.bets(rollout)
+        margin = statistic.margin(rollout)
+        factors = badness_factors(block, ratio.value, margin, bets)
+        for scope in (place.route, ALL_ROUTES):
+            self._convictions[scope, statistic].add(factors)
+            self._figures[scope, statistic].block += block
+        factor = soundness_factor(block, ratio.value, statistic.bad_increase(rollout))
+        self._clearance(place.route, place.stage, statistic).add(factor)
+        ratio.add(block)
+
+
+def _compare(block: Block) -> str:
+    return (
+        f"{block.new_bad} of {block.new_calls} calls"
+        f" against {block.old_bad} of {block.old_calls}"
+    )
--- a/src/lacewingstair/vm/node.py
+++ b/src/lacewingstair/vm/node.py
@@ -269,12 +269,9 @@
             self._broadcast(messages.MarksDelta(stages, taken), source)
 
     def _all_marks(self) -> messages.MarksDelta:
-        stages = tuple(
-            StageMark(key, zone, route, stage)
-            for (key, zone, route), stage in self._marks.stages_by_place.items()
-        )
         return messages.MarksDelta(
-            stages, tuple(self._marks.take_backs_by_key.values())
+            tuple(self._marks.marks_by_place.values()),
+            tuple(self._marks.take_backs_by_key.values()),
         )
 
     def _broadcast(self, body: object, source: Peer | None) -> None:
