Pool sparse evidence and weight the tests of a rollout

At 1 call/s blocks of single zones closed with hardly any comparable pair, so a version that failed half of the calls on one route was never convicted. Calls that stay sparse for 10 s are now pooled over the zones in the same stage. The error rate is divided by weights in place of evenly, and more capital is put at risk at the start.

--- a/src/lacewingstair/evidence.py
+++ b/src/lacewingstair/evidence.py
@@ -92,7 +92,7 @@
         ...
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class Place:
     """What a counter counts: a version on a route in one stage of a rollout."""
 
@@ -130,6 +130,11 @@
         self.slow += other.slow
         self.refused += other.refused
 
+    @property
+    def offered(self) -> int:
+        """Attempts, refused ones included."""
+        return self.calls + self.refused
+
     @property
     def is_possible(self) -> bool:
         """Whether these can be counts, or a growth of counts."""
--- a/src/lacewingstair/latency.py
+++ b/src/lacewingstair/latency.py
@@ -3,8 +3,8 @@
 from collections import deque
 
 REFERENCE_CALLS = 64
-MIN_REFERENCE_CALLS = 8
-REFERENCE_AGE_SECONDS = 120.0
+MIN_REFERENCE_CALLS = 5
+REFERENCE_AGE_SECONDS = 600.0
 
 
 class LatencyReference:
--- a/src/lacewingstair/marks.py
+++ b/src/lacewingstair/marks.py
@@ -7,7 +7,7 @@
 import attrs
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class RolloutKey:
     """Identifies one rollout; a later ticket with the same name is another one.
 
--- a/src/lacewingstair/rollouts.py
+++ b/src/lacewingstair/rollouts.py
@@ -7,7 +7,7 @@
 import asyncio
 import random
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 
@@ -49,47 +49,82 @@
 # at less than half of their slots.
 CAPACITY_FACTOR = 2.0
 
-# Half of the error rate is shared by the judges of subtrees, one per VM, the other half
-# by the judges of all zones together, one per tenure of a zone's root.
-SUBTREE_PART = 0.5
-ROOT_TENURES = 32
+# A part of the error rate is shared by the judges of subtrees, one per VM, the rest by
+# the judges of all zones together: one for each time that a VM becomes a zone's root.
+SUBTREE_PART = 0.3
+ROOT_TENURES = 16
 
 # A VM whose own last calls look worse on the new version halves the share, which both
 # spares calls and gives the tests old calls to compare with.
 PROBE_SHARE = 0.5
 PROBE_NEW_CALLS = 20
 PROBE_OLD_CALLS = 100
-PROBE_MIN_BAD = 4
-PROBE_INCREASE = 0.3
-PROBE_DEVIATIONS = 3.0
 PROBE_AGE_SECONDS = 10.0
 
 
+@attrs.frozen
+class ProbeRule:
+    """When the last calls of this VM look worse on the new version.
+
+    Parameters
+    ----------
+    min_bad : int
+        Fewest bad calls.
+    increase, deviations : float
+        Increase of the ratio, absolute and in standard deviations of the old ratio.
+    """
+
+    min_bad: int
+    increase: float
+    deviations: float
+
+    def holds(self, new: Sequence[bool], old: Sequence[bool]) -> bool:
+        """Return whether the new version's calls look worse."""
+        if sum(new) < self.min_bad:
+            return False
+        expected = (sum(old) + 1) / (len(old) + 2)
+        spread = (expected * (1 - expected) / len(new)) ** 0.5
+        excess = sum(new) / len(new) - expected
+        return excess >= max(self.increase, self.deviations * spread)
+
+
+FAILURE_PROBE = ProbeRule(3, 0.15, 3.0)
+# A third of a good version's calls is above the latency threshold.
+SLOWNESS_PROBE = ProbeRule(4, 0.45, 3.5)
+
+
+@attrs.frozen
+class RecentCall:
+    """One of the last calls of a version on this VM."""
+
+    at: float
+    is_failed: bool
+    is_slow: bool
+
+
 class RouteCounters:
     """What this VM remembers of the last calls on one route of a rollout."""
 
     def __init__(self, max_latency_ratio: float) -> None:
         self.reference = LatencyReference(max_latency_ratio)
-        self._new: deque[tuple[float, bool]] = deque(maxlen=PROBE_NEW_CALLS)
-        self._old: deque[tuple[float, bool]] = deque(maxlen=PROBE_OLD_CALLS)
+        self._new: deque[RecentCall] = deque(maxlen=PROBE_NEW_CALLS)
+        self._old: deque[RecentCall] = deque(maxlen=PROBE_OLD_CALLS)
 
-    def remember(self, is_new: bool, is_bad: bool, now: float) -> None:
+    def remember(self, is_new: bool, call: RecentCall) -> None:
         """Take one call."""
-        (self._new if is_new else self._old).append((now, is_bad))
+        (self._new if is_new else self._old).append(call)
 
     def looks_bad(self, now: float) -> bool:
         """Return whether the last calls look worse on the new version."""
         oldest = now - PROBE_AGE_SECONDS
-        new = [bad for at, bad in self._new if at >= oldest]
-        if sum(new) < PROBE_MIN_BAD:
-            return False
+        new = [call for call in self._new if call.at >= oldest]
         # Without recent calls of the old version its last ones have to do.
-        old = [bad for at, bad in self._old if at >= oldest]
-        old = old or [bad for _, bad in self._old]
-        expected = (sum(old) + 1) / (len(old) + 2)
-        spread = (expected * (1 - expected) / len(new)) ** 0.5
-        excess = sum(new) / len(new) - expected
-        return excess >= max(PROBE_INCREASE, PROBE_DEVIATIONS * spread)
+        old = [call for call in self._old if call.at >= oldest] or self._old
+        return FAILURE_PROBE.holds(
+            [call.is_failed for call in new], [call.is_failed for call in old]
+        ) or SLOWNESS_PROBE.holds(
+            [call.is_slow for call in new], [call.is_slow for call in old]
+        )
 
 
 @attrs.define
@@ -123,6 +158,10 @@
     subtree: Judge
     mesh: Judge
 
+    def judges(self, is_root: bool) -> tuple[Judge, ...]:
+        """Return the judges in use; only the root of a zone sees all zones."""
+        return (self.mesh, self.subtree) if is_root else (self.subtree,)
+
 
 class RolloutController:
     """Moves the traffic of rollouts on one VM.
@@ -229,13 +268,13 @@
         if result is CallResult.OK:
             is_slow = self._time(plan, outcome, is_new, is_cold, tally)
             tally.calls += 1
-            self._remember(plan, is_new, is_slow)
+            self._remember(plan, is_new, False, is_slow)
         elif result is CallResult.FAILED:
             if is_cold and outcome.latency_seconds > COLD_FAILURE_SECONDS:
                 return
             tally.calls += 1
             tally.failures += 1
-            self._remember(plan, is_new, True)
+            self._remember(plan, is_new, True, False)
         elif result is CallResult.NOT_RUN and not is_cold:
             tally.refused += 1
 
@@ -259,8 +298,11 @@
         tally.slow += is_slow
         return is_slow
 
-    def _remember(self, plan: RoutePlan, is_new: bool, is_bad: bool) -> None:
-        plan.counters.remember(is_new, is_bad, self._clock.monotonic())
+    def _remember(
+        self, plan: RoutePlan, is_new: bool, is_failed: bool, is_slow: bool
+    ) -> None:
+        call = RecentCall(self._clock.monotonic(), is_failed, is_slow)
+        plan.counters.remember(is_new, call)
 
     # -- Time
 
@@ -338,13 +380,12 @@
 
     def _judge(self, active: list[RolloutKey], now: float, elapsed: float) -> None:
         fresh, self._fresh = self._fresh, []
+        is_root = self._transport.is_zone_root()
         trials = {key: self._trial(key) for key in active}
         for key, trial in trials.items():
-            for route in trial.routes:
-                stage = self._marks.stage(key, self._zone, route)
-                for judge in (trial.subtree, trial.mesh):
-                    judge.start_stage(route, stage)
-            for judge in (trial.subtree, trial.mesh):
+            for judge in trial.judges(is_root):
+                for route in trial.routes:
+                    judge.start_stage(route, self._phase(key, trial, route))
                 judge.pass_time(elapsed)
         for zone, place, tally in fresh:
             trial = trials.get(place.key)
@@ -352,10 +393,17 @@
                 continue
             if zone == self._zone:
                 trial.subtree.add(zone, place, tally, now)
-            trial.mesh.add(zone, place, tally, now)
+            if is_root:
+                trial.mesh.add(zone, place, tally, now)
         for trial in trials.values():
-            trial.subtree.settle(now)
-            trial.mesh.settle(now)
+            for judge in trial.judges(is_root):
+                judge.settle(now)
+
+    def _phase(self, key: RolloutKey, trial: _Trial, route: str) -> int:
+        """Return the stage, or one more when a route has moved and is monitored."""
+        stage = self._marks.stage(key, self._zone, route)
+        is_over = self._clock.wall() >= trial.rollout.end_by
+        return stage + (is_over and stage == schedule.FINAL_STAGE)
 
     def _trial(self, key: RolloutKey) -> _Trial:
         held = self._trials_by_key.get(key)
@@ -406,8 +454,8 @@
     def _decide(self, key: RolloutKey, wall: float) -> None:
         trial = self._trial(key)
         is_root = self._transport.is_zone_root()
-        judges = (trial.mesh, trial.subtree) if is_root else (trial.subtree,)
-        verdict = next((v for judge in judges if (v := judge.verdict())), None)
+        verdicts = (judge.verdict() for judge in trial.judges(is_root))
+        verdict = next((v for v in verdicts if v is not None), None)
         if verdict is not None:
             mark = TakeBack(key, verdict.reason, verdict.evidence, wall, self._vm_id)
             events.warning(
--- a/src/lacewingstair/standins/rollout_mesh.py
+++ b/src/lacewingstair/standins/rollout_mesh.py
@@ -121,6 +121,10 @@
         Probability that a report is lost.
     wall_errors : mapping of str to float
         Clock errors by VM id, in seconds.
+    zone_seconds, region_seconds : float
+        One-way latency within a region and between regions.
+    has_steps : bool
+        Whether the controllers run; without, only marks are carried.
     """
 
     def __init__(
@@ -135,6 +139,7 @@
         wall_errors: Mapping[str, float] | None = None,
         zone_seconds: float = 0.002,
         region_seconds: float = 0.02,
+        has_steps: bool = True,
     ) -> None:
         self.queue = EventQueue()
         self.rng = rng
@@ -145,7 +150,9 @@
         self._evidence_delay = evidence_delay
         self._zone_seconds = zone_seconds
         self._region_seconds = region_seconds
+        self._has_steps = has_steps
         self._offset = 0
+        self._repaired = (0, 0)
         self.vms_by_id: dict[str, SimulatedVm] = {}
         for zone in regions_by_zone:
             for index in range(vms_per_zone):
@@ -172,7 +179,9 @@
             vm_count=lambda: len(self.vms_by_id),
         )
         self.vms_by_id[vm_id] = vm
-        self.queue.after(self.rng.random() * STEP_SECONDS, lambda: self._step(vm))
+        if self._has_steps:
+            delay = self.rng.random() * STEP_SECONDS
+            self.queue.after(delay, lambda: self._step(vm))
 
     def vms(self, zone: str | None = None) -> list[SimulatedVm]:
         """Return the live VMs, of one zone or of all."""
@@ -269,6 +278,11 @@
 
     def _repair(self) -> None:
         """Let VMs with different marks exchange them, as heartbeats do."""
+        self.queue.after(REPAIR_SECONDS, self._repair)
+        known = (sum(vm.marks.version for vm in self.vms()), len(self.vms()))
+        if known == self._repaired and not self.cut:
+            return
+        self._repaired = known
         roots = [r for zone in self.regions_by_zone if (r := self.root(zone))]
         for root in roots:
             for vm in self.vms(root.availability_zone):
@@ -277,7 +291,6 @@
             for other in roots:
                 if self.is_connected(root.availability_zone, other.availability_zone):
                     _exchange(root, other)
-        self.queue.after(REPAIR_SECONDS, self._repair)
 
 
 def rollout_document(
--- a/src/lacewingstair/verdicts.py
+++ b/src/lacewingstair/verdicts.py
@@ -31,18 +31,24 @@
 
 ALL_ROUTES = ""
 
-# Parts of the starting capital put at risk at each new stage, and evenly over time.
+# Parts of the starting capital put at risk when a route starts, at each further stage,
+# and evenly over time.
+PART_AT_START = 0.2
 PART_PER_STAGE = 0.08
-PART_OVER_TIME = 0.6
+PART_OVER_TIME = 0.4
 
-# A block is closed when it holds about one compared pair, or when it is this old and
-# both versions have a call in it. Rates may drift within a block only as far as both
+# A block is closed when it holds about one compared pair. Calls of one source that are
+# too few in this time are pooled with those of other sources in the same stage, where
+# the versions' shares are the same. Rates may drift within a block only as far as both
 # versions drift alike.
 BLOCK_INFORMATION = 0.9
 BLOCK_SECONDS = 10.0
+POOLED_INFORMATION = 1.8
+POOLED_SECONDS = 60.0
+POOLED = ""
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class Statistic:
     """A ratio of bad calls that is compared between versions.
 
@@ -60,6 +66,9 @@
         Ratio of the old version assumed before any call.
     is_needed_to_clear : bool
         Whether a stage is cleared only when this statistic is sound.
+    weight : float
+        Part of the error rate for the test over all routes, and for all tests of
+        single routes together. The weights of all statistics add up to one half.
     """
 
     name: str
@@ -69,6 +78,7 @@
     increases: tuple[float, ...]
     prior: float
     is_needed_to_clear: bool
+    weight: float
 
     def bets(self, rollout: Rollout) -> tuple[float, ...]:
         """Return the increases that are bet on, the smallest first."""
@@ -85,6 +95,7 @@
         (0.06, 0.2, 0.5, 0.95),
         0.005,
         True,
+        0.3,
     ),
     Statistic(
         "is slower",
@@ -94,15 +105,17 @@
         (0.4, 0.6),
         0.3,
         True,
+        0.12,
     ),
     Statistic(
         "refuses more calls",
-        lambda tally: (tally.calls + tally.refused, tally.refused),
+        lambda tally: (tally.offered, tally.refused),
         lambda _: 0.1,
         lambda _: 0.2,
         (0.5, 0.85),
         0.01,
         False,
+        0.08,
     ),
 )
 
@@ -117,8 +130,18 @@
 
 @attrs.define
 class _Pending:
-    block: Block
     since: float
+    old: Tally = attrs.field(factory=Tally)
+    new: Tally = attrs.field(factory=Tally)
+
+    @property
+    def information(self) -> float:
+        """Compared pairs of attempts."""
+        return Block(self.old.offered, 0, self.new.offered).information
+
+    def block(self, statistic: Statistic) -> Block:
+        """Return the calls that a statistic counts."""
+        return Block(*statistic.counted(self.old), *statistic.counted(self.new))
 
 
 @attrs.define
@@ -151,14 +174,16 @@
         self._rollout = rollout
         self._life_seconds = life_seconds
         self._scopes = (*routes, ALL_ROUTES)
-        tests = len(STATISTICS) * len(self._scopes)
-        self._log_threshold = math.log(tests / error_rate)
+        self._log_thresholds = {
+            (name, s): -math.log(error_rate * s.weight / (len(routes) if name else 1))
+            for name, s in self._tests()
+        }
         self._convictions = {
             (name, s): Conviction(len(s.bets(rollout))) for name, s in self._tests()
         }
         self._ratios = {(name, s): OldRatio(s.prior) for name, s in self._tests()}
         self._figures = {test: _Figures() for test in self._convictions}
-        self._pending: dict[tuple[str, Place, Statistic], _Pending] = {}
+        self._pending: dict[tuple[str, str, int], _Pending] = {}
         self._clearances: dict[tuple[str, int, Statistic], Clearance] = {}
         self._stages_seen: set[tuple[str, int]] = set()
 
@@ -167,9 +192,11 @@
         for scope in (route, ALL_ROUTES):
             if scope not in self._scopes or (scope, stage) in self._stages_seen:
                 continue
+            is_first = not any(seen == scope for seen, _ in self._stages_seen)
             self._stages_seen.add((scope, stage))
             for statistic in STATISTICS:
-                self._convictions[scope, statistic].invest(PART_PER_STAGE)
+                part = PART_AT_START if is_first else PART_PER_STAGE
+                self._convictions[scope, statistic].invest(part)
 
     def pass_time(self, seconds: float) -> None:
         """Put capital at risk for the time passed."""
@@ -196,41 +223,60 @@
         is_new = place.version == self._rollout.to_version
         if not is_new and place.version != self._rollout.from_version:
             return
-        shared = attrs.evolve(place, version="")
-        for statistic in STATISTICS:
-            calls, bad = statistic.counted(tally)
-            if not calls:
-                continue
-            block = Block(0, 0, calls, bad) if is_new else Block(calls, bad)
-            pending = self._pending.setdefault(
-                (source, shared, statistic), _Pending(Block(), now)
-            )
-            pending.block += block
+        slot = (source, place.route, place.stage)
+        pending = self._pending.get(slot)
+        if pending is None:
+            pending = self._pending[slot] = _Pending(now)
+        (pending.new if is_new else pending.old).add(tally)
 
     def settle(self, now: float) -> None:
         """Close the blocks that hold enough calls or are old enough."""
-        closed = [
-            entry
-            for entry, pending in self._pending.items()
-            if pending.block.information >= BLOCK_INFORMATION
-            or (pending.block.information > 0 and now - pending.since >= BLOCK_SECONDS)
-        ]
-        for entry in closed:
-            _, place, statistic = entry
-            self._take(place, statistic, self._pending.pop(entry).block)
+        for slot, pending in list(self._pending.items()):
+            if slot[0] != POOLED:
+                self._settle_source(slot, pending, now)
+        for slot, pending in list(self._pending.items()):
+            if slot[0] != POOLED:
+                continue
+            is_old = now - pending.since >= POOLED_SECONDS
+            if pending.information >= POOLED_INFORMATION or is_old:
+                del self._pending[slot]
+                self._close(slot, pending)
+
+    def _settle_source(
+        self, slot: tuple[str, str, int], pending: _Pending, now: float
+    ) -> None:
+        if pending.information >= BLOCK_INFORMATION:
+            del self._pending[slot]
+            self._close(slot, pending)
+        elif now - pending.since >= BLOCK_SECONDS:
+            del self._pending[slot]
+            pooled = self._pending.setdefault((POOLED, *slot[1:]), _Pending(now))
+            pooled.old.add(pending.old)
+            pooled.new.add(pending.new)
+
+    def _close(self, slot: tuple[str, str, int], pending: _Pending) -> None:
+        _, route, stage = slot
+        for statistic in STATISTICS:
+            block = pending.block(statistic)
+            if block.information > 0:
+                self._take(route, stage, statistic, block)
 
     def verdict(self) -> Verdict | None:
         """Return the conviction with the most capital, or None."""
-        test = max(self._convictions, key=lambda t: self._convictions[t].log_capital)
-        capital = self._convictions[test].log_capital
-        if capital < self._log_threshold:
+        test = max(self._convictions, key=self._excess)
+        if self._excess(test) < 0:
             return None
+        capital = self._convictions[test].log_capital
         scope, statistic = test
         where = f"on route {scope}" if scope != ALL_ROUTES else "over all routes"
         block = self._figures[test].block
         reason = f"{self._rollout.to_version} {statistic.name} {where}"
-        evidence = f"{_compare(block)}; log capital {capital:.1f}, needed "
-        return Verdict(reason, f"{evidence}{self._log_threshold:.1f}")
+        needed = self._log_thresholds[test]
+        evidence = f"{_compare(block)}; log capital {capital:.1f}, needed {needed:.1f}"
+        return Verdict(reason, evidence)
+
+    def _excess(self, test: tuple[str, Statistic]) -> float:
+        return self._convictions[test].log_capital - self._log_thresholds[test]
 
     @property
     def is_suspicious(self) -> bool:
@@ -264,17 +310,17 @@
     def _clearance(self, route: str, stage: int, statistic: Statistic) -> Clearance:
         return self._clearances.setdefault((route, stage, statistic), Clearance())
 
-    def _take(self, place: Place, statistic: Statistic, block: Block) -> None:
+    def _take(self, route: str, stage: int, statistic: Statistic, block: Block) -> None:
         rollout = self._rollout
-        ratio = self._ratios[place.route, statistic]
+        ratio = self._ratios[route, statistic]
         bets = statistic.bets(rollout)
         margin = statistic.margin(rollout)
         factors = badness_factors(block, ratio.value, margin, bets)
-        for scope in (place.route, ALL_ROUTES):
+        for scope in (route, ALL_ROUTES):
             self._convictions[scope, statistic].add(factors)
             self._figures[scope, statistic].block += block
         factor = soundness_factor(block, ratio.value, statistic.bad_increase(rollout))
-        self._clearance(place.route, place.stage, statistic).add(factor)
+        self._clearance(route, stage, statistic).add(factor)
         ratio.add(block)
 
 
