--- a/src/lacewingstair/marks.py
+++ b/src/lacewingstair/marks.py
@@ -6,6 +6,9 @@
 
 import attrs
 
+# Seconds since the Unix epoch.
+YEAR_9999 = 253_370_764_800.0
+
 
 @attrs.frozen(cache_hash=True)
 class RolloutKey:
@@ -103,7 +106,7 @@
         """Keep the higher stage; return whether the mark was news."""
         place = (mark.key, mark.availability_zone, mark.route)
         held = self.marks_by_place.get(place)
-        if not self._is_live(mark.key) or not _is_valid(mark.at):
+        if mark.stage < 0 or not self._is_live(mark.key) or not _is_valid(mark.at):
             return False
         if held is not None and _stage_order(mark) <= _stage_order(held):
             return False
@@ -176,8 +179,8 @@
 
 
 def _is_valid(at: float) -> bool:
-    # A time that is not finite has no place in the order and would break the digest.
-    return math.isfinite(at)
+    # Other times have no place in the order of marks, or no date in the report.
+    return 0.0 <= at < YEAR_9999
 
 
 def _stage_order(mark: StageMark) -> tuple[int, float, str]:
--- a/src/lacewingstair/schedule.py
+++ b/src/lacewingstair/schedule.py
@@ -15,6 +15,7 @@
 # Share of the old version in the final stage until `end_by`; without it there is
 # nothing to compare the new version with.
 CONTROL_SHARE = 0.1
+# The share climbs for this part of the window, at most for this time.
 RAMP_SECONDS = 20.0
 RAMP_PART = 0.03
 MONITORING_PART = 0.1
@@ -52,10 +53,16 @@
     return before + (share - before) * climbed
 
 
+def full_share(rollout: Rollout, stage: int, now: float) -> float:
+    """Return the share that a stage climbs to, from 0 to 1."""
+    if stage >= FINAL_STAGE and now >= rollout.end_by:
+        return 1.0
+    return _share_of_stage(rollout, stage)
+
+
 def _share_of_stage(rollout: Rollout, stage: int) -> float:
-    if stage >= FINAL_STAGE:
-        return 1.0 - CONTROL_SHARE
-    return max(rollout.trial_share, STAGE_SHARES[stage])
+    share = 1.0 - CONTROL_SHARE if stage >= FINAL_STAGE else STAGE_SHARES[stage]
+    return max(rollout.trial_share, share)
 
 
 def earliest(rollout: Rollout, stage: int) -> float:
@@ -63,20 +70,27 @@
     return rollout.start + EARLIEST_PARTS[stage] * window(rollout)
 
 
+def latest(rollout: Rollout, stage: int) -> float:
+    """Return the time at which a stage is entered without clearance."""
+    return rollout.start + LATEST_PARTS[stage] * window(rollout)
+
+
+def next_due(rollout: Rollout, stage: int, entered: float) -> float:
+    """Return the time from which the stage after `stage` may be entered."""
+    shortest = entered + SHORTEST_PART * window(rollout)
+    return max(earliest(rollout, stage + 1), shortest)
+
+
 def next_step(rollout: Rollout, stage: int, entered: float, now: float) -> Step:
     """Return whether the stage after `stage`, entered at `entered`, is due."""
-    if stage >= FINAL_STAGE or now < earliest(rollout, stage + 1):
-        return Step.NOT_YET
-    if now < entered + SHORTEST_PART * window(rollout):
+    if stage >= FINAL_STAGE or now < next_due(rollout, stage, entered):
         return Step.NOT_YET
-    latest = rollout.start + LATEST_PARTS[stage + 1] * window(rollout)
-    return Step.NOW if now >= latest else Step.IF_CLEARED
+    return Step.NOW if now >= latest(rollout, stage + 1) else Step.IF_CLEARED
 
 
 def is_overdue(rollout: Rollout, stage: int, now: float, hold: float) -> bool:
     """Return whether the stage after `stage` is late by more than `hold` seconds."""
-    latest = rollout.start + LATEST_PARTS[stage + 1] * window(rollout)
-    return now > latest + hold
+    return now > latest(rollout, stage + 1) + hold
 
 
 def monitored_until(rollout: Rollout) -> float:
--- a/src/lacewingstair/standins/rollout_mesh.py
+++ b/src/lacewingstair/standins/rollout_mesh.py
@@ -15,6 +15,7 @@
 from lacewingstair.acceptance import TicketRecord
 from lacewingstair.evidence import EvidenceReport
 from lacewingstair.marks import Marks, RolloutKey, StageMark, TakeBack
+from lacewingstair.outcomes import CallOutcome, CallResult
 from lacewingstair.rollouts import STEP_SECONDS, RolloutController
 from lacewingstair.standins.virtual_time import START_WALL_SECONDS
 from lacewingstair.store import StateStore
@@ -293,6 +294,81 @@
                     _exchange(root, other)
 
 
+@attrs.frozen
+class Answer:
+    """How a simulated backend server answers a call."""
+
+    result: CallResult = CallResult.OK
+    latency_seconds: float = 0.02
+
+
+class SimulatedCalls:
+    """Callers of all VMs of a mesh, at random times.
+
+    Parameters
+    ----------
+    mesh : RolloutMesh
+        Whose controllers choose versions and take outcomes.
+    rate : float
+        Calls per second of the whole mesh.
+    answer : callable
+        Returns the answer of a version on a route at a time.
+    endpoint_age : float
+        Age of the endpoints, in seconds.
+    """
+
+    def __init__(
+        self,
+        mesh: RolloutMesh,
+        rate: float,
+        answer: Callable[[str, str, float], Answer],
+        endpoint_age: float = 3600.0,
+    ) -> None:
+        self._mesh = mesh
+        self._mean_seconds = len(mesh.vms_by_id) / rate
+        self._answer = answer
+        self._endpoint_age = endpoint_age
+        self.times_by_version: dict[str, list[tuple[float, str]]] = {}
+        for vm in mesh.vms():
+            self._schedule(vm)
+
+    def count(self, version: str, since: float = 0.0, zone: str | None = None) -> int:
+        """Return the calls that a version got after a time, in a zone or in all."""
+        return sum(
+            at > since and zone in (None, place)
+            for at, place in self.times_by_version.get(version, ())
+        )
+
+    def _schedule(self, vm: SimulatedVm) -> None:
+        delay = self._mesh.rng.expovariate(1.0 / self._mean_seconds)
+        self._mesh.queue.after(delay, lambda: self._call(vm))
+
+    def _call(self, vm: SimulatedVm) -> None:
+        if not vm.is_alive:
+            return
+        if not vm.is_paused:
+            self._dispatch(vm)
+        self._schedule(vm)
+
+    def _dispatch(self, vm: SimulatedVm) -> None:
+        queue = self._mesh.queue
+        route = self._mesh.rng.choice(sorted(vm.store.state.routes))
+        version = vm.controller.choose_version(route, "board")
+        answer = self._answer(version, route, queue.now)
+        place = (queue.now, vm.availability_zone)
+        self.times_by_version.setdefault(version, []).append(place)
+        outcome = CallOutcome(
+            route,
+            "board",
+            version,
+            f"{version}:1",
+            answer.result,
+            answer.latency_seconds,
+            self._endpoint_age,
+        )
+        queue.after(answer.latency_seconds, lambda: vm.controller.record(outcome))
+
+
 def rollout_document(
     start: float, end_by: float, **changes: object
 ) -> dict[str, object]:
