Count evidence of a child that changes its parent at most once

A child that went to another parent and came back while its first link stayed open was counted twice: the first parent added what the second had already passed up. A gap in the numbers of a child's reports now starts its counts anew. Ruled out: starting anew only when a link closes, since links of the two trees stay open when a parent changes. Lost reports of a child now lose evidence; totals of a zone still make up for lost ones.

--- a/src/lacewingstair/evidence.py
+++ b/src/lacewingstair/evidence.py
@@ -1,8 +1,10 @@
 """Counters of calls by version, on which a rollout is judged.
 
-Counters only grow. A VM adds to its totals what each child's counters have grown by, so
-that a lost report is made up by the next, and a child that moves to another parent is
-counted from its first report there on: its earlier calls are in the totals already.
+Counters only grow. A VM adds to its totals what each child's counters have grown by
+from one report to the next. After a gap in the numbers of a child's reports it starts
+anew: the reports in between may have gone to another parent, whose totals then hold
+those calls already. Evidence is so lost at times and never counted twice. Totals of a
+zone take one way only, and a later report makes up for a lost one.
 """
 
 from collections.abc import Callable, Iterable, Mapping
@@ -48,8 +50,7 @@
 class EvidenceReport:
     """Totals of a subtree of one VM, or of a whole availability zone.
 
-    A report replaces the earlier ones of the same source, so that a lost or repeated
-    report does no harm.
+    It replaces the earlier ones of the same source.
 
     Parameters
     ----------
@@ -164,7 +165,7 @@
         self._sources_by_slot: dict[str, _Source] = {}
 
     def take(self, report: EvidenceReport) -> dict[Place, Tally]:
-        """Return the growth since the last report; empty for a first report.
+        """Return the growth since the report before; empty when that is not known.
 
         The root of a zone can change. Reports of its totals share one slot, in which a
         report of another root starts anew.
@@ -174,6 +175,8 @@
         is_same = held is not None and held.name == report.source
         if is_same and report.sequence <= held.sequence:
             return {}
+        if is_same and not report.is_zone_total:
+            is_same = report.sequence == held.sequence + 1
         tallies = {_place(c): _tally(c) for c in report.counters}
         source = _Source(report.source, report.sequence, tallies)
         self._sources_by_slot[slot] = source
