Probe steadily when the last calls look worse

After the move there are no old calls to compare with, so a VM whose own last calls fail sends a part of them to the old version again. The probe ended with the first few old calls, because a ratio from one call says nothing, and so went on and off. It now lasts 10 s and uses the last known old calls until 10 recent ones are there. Sparse calls are pooled over zones after 3 s in place of 10 s.

--- a/src/lacewingstair/rollouts.py
+++ b/src/lacewingstair/rollouts.py
@@ -53,11 +53,17 @@
 ROOT_TENURES = 16
 
 # A VM whose own last calls look worse on the new version halves the share, which both
-# spares calls and gives the tests old calls to compare with.
+# spares calls and gives the tests old calls to compare with. A lower share hides faults
+# that show only under load.
 PROBE_SHARE = 0.5
 PROBE_NEW_CALLS = 20
 PROBE_OLD_CALLS = 100
 PROBE_AGE_SECONDS = 10.0
+# Fewer recent calls of the old version than this say less than its last ones.
+PROBE_MIN_OLD_CALLS = 10
+# A probe lasts this long after its cause, so that it does not end with the first few
+# old calls that it brings.
+PROBE_SECONDS = 10.0
 
 
 @attrs.frozen
@@ -88,7 +94,7 @@
 
 FAILURE_PROBE = ProbeRule(2, 0.15, 3.0)
 # A third of a good version's calls is above the latency threshold.
-SLOWNESS_PROBE = ProbeRule(4, 0.45, 3.5)
+SLOWNESS_PROBE = ProbeRule(4, 0.55, 4.0)
 
 
 @attrs.frozen
@@ -107,17 +113,23 @@
         self.reference = LatencyReference(max_latency_ratio)
         self._new: deque[RecentCall] = deque(maxlen=PROBE_NEW_CALLS)
         self._old: deque[RecentCall] = deque(maxlen=PROBE_OLD_CALLS)
+        self._probes_until = float("-inf")
 
     def remember(self, is_new: bool, call: RecentCall) -> None:
         """Take one call."""
         (self._new if is_new else self._old).append(call)
 
-    def looks_bad(self, now: float) -> bool:
-        """Return whether the last calls look worse on the new version."""
+    def is_probing(self, now: float) -> bool:
+        """Return whether the last calls look worse on the new version, or did so."""
+        if self._looks_bad(now):
+            self._probes_until = now + PROBE_SECONDS
+        return now < self._probes_until
+
+    def _looks_bad(self, now: float) -> bool:
         oldest = now - PROBE_AGE_SECONDS
         new = [call for call in self._new if call.at >= oldest]
-        # Without recent calls of the old version its last ones have to do.
-        old = [call for call in self._old if call.at >= oldest] or self._old
+        recent = [call for call in self._old if call.at >= oldest]
+        old = recent if len(recent) >= PROBE_MIN_OLD_CALLS else self._old
         return FAILURE_PROBE.holds(
             [call.is_failed for call in new], [call.is_failed for call in old]
         ) or SLOWNESS_PROBE.holds(
@@ -574,14 +586,12 @@
             return 0.0
         new = self._slots(rollout.service, rollout.to_version)
         old = self._slots(rollout.service, rollout.from_version)
-        if new <= 0:
-            return 0.0
         mark = self._marks.marks_by_place.get((plan.key, self._zone, route))
         entered = rollout.start if mark is None else mark.at
         share = schedule.share_at(rollout, plan.stage, entered, wall)
         if old > 0:
             share = min(share, CAPACITY_FACTOR * new / old)
-        if plan.is_counting and plan.counters.looks_bad(self._clock.monotonic()):
+        if plan.is_counting and plan.counters.is_probing(self._clock.monotonic()):
             share = min(share, PROBE_SHARE)
         return share
 
--- a/src/lacewingstair/verdicts.py
+++ b/src/lacewingstair/verdicts.py
@@ -42,8 +42,8 @@
 # the versions' shares are the same. Rates may drift within a block only as far as both
 # versions drift alike.
 BLOCK_INFORMATION = 0.9
-BLOCK_SECONDS = 10.0
-POOLED_INFORMATION = 1.8
+BLOCK_SECONDS = 3.0
+POOLED_INFORMATION = 0.9
 POOLED_SECONDS = 60.0
 POOLED = ""
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -323,6 +323,12 @@
     assert [len(vm.reports) for vm in mesh.vms()] == sent
 
 
+def test_totals_that_have_not_changed_are_not_sent_again():
+    mesh = make_mesh(zones={"a-1": "a"})
+    mesh.queue.run_until(END)
+    assert [len(vm.reports) for vm in mesh.vms()] == [1, 1, 1]
+
+
 def test_calls_of_other_routes_versions_and_callers_that_left_are_not_counted():
     mesh = make_mesh(zones={"a-1": "a"})
     mesh.queue.run_until(START + 1.0)
