Drop evidence of unknown rollouts and describe rollouts as built

Zone totals of a rollout that is not in force here were kept until the next step, which never comes while nothing is active.

--- a/src/lacewingstair/rollouts.py
+++ b/src/lacewingstair/rollouts.py
@@ -237,7 +237,7 @@
         store.subscribe(self._on_state)
         transport.on_evidence(self._on_evidence)
         transport.on_child_lost(self._growth.forget)
-        self._refresh()
+        self._on_state(store.state, store.state)
 
     # -- Calls
 
@@ -372,7 +372,11 @@
         if zone == self._zone:
             return
         growth = self._zone_growth.take(report)
-        self._fresh.extend((zone, place, tally) for place, tally in growth.items())
+        self._fresh.extend(
+            (zone, place, tally)
+            for place, tally in growth.items()
+            if self._is_known(place.key)
+        )
 
     def _add_total(self, place: Place, tally: Tally) -> None:
         if not self._is_known(place.key):
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -5,6 +5,7 @@
 import pytest
 
 from lacewingstair import schedule
+from lacewingstair.evidence import EvidenceCounter, EvidenceReport
 from lacewingstair.marks import StageMark, TakeBack
 from lacewingstair.operator.report import MoveState, make_report
 from lacewingstair.outcomes import CallOutcome, CallResult
@@ -236,6 +237,20 @@
     assert {key.number for key, _, _ in vm.marks.marks_by_place} == {2}
 
 
+def test_evidence_of_another_rollout_is_neither_judged_nor_passed_on():
+    mesh = make_mesh(zones={"a-1": "a"})
+    mesh.queue.run_until(START + 1.0)
+    root = mesh.vms()[0]
+    other = attrs.evolve(key_of(root), number=99)
+    for sequence, count in ((1, 0), (2, 500)):
+        counter = EvidenceCounter(other, "read", "v2", 0, count, count, 0, 0)
+        for source, is_zone in (("child", False), ("b-1 vm", True)):
+            root.listener(EvidenceReport(source, is_zone, sequence, (counter,)))
+    mesh.queue.run_until(START + 3.0)
+    assert take_back_times(mesh) == [None] * 3
+    assert not any(report.counters for report in root.reports)
+
+
 def test_a_paused_decider_that_wakes_changes_nothing():
     mesh = make_mesh()
     calls = SimulatedCalls(mesh, 40.0, fine)
