--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -21,8 +21,10 @@
 from lacewingstair.operator.health import Health, build_health
 from lacewingstair.operator.observe import observe
 from lacewingstair.operator.report import build_report
+from lacewingstair.outcomes import OutcomeSinks
 from lacewingstair.platform.http_log import HttpLogClient
 from lacewingstair.platform.reader import LogReader
+from lacewingstair.rollouts import RolloutController
 from lacewingstair.runtime import Clock
 from lacewingstair.settings import Settings
 from lacewingstair.store import StateStore
@@ -73,6 +75,19 @@
             rng=rng,
         )
         self.announcements = AnnouncementServer(self.node.set_endpoints, clock)
+        self.rollouts = RolloutController(
+            vm_id=settings.vm_id,
+            availability_zone=settings.availability_zone,
+            store=self.store,
+            marks=self.marks,
+            clock=clock,
+            rng=rng,
+            transport=self.node,
+            publish_stage=self.node.publish_stage,
+            publish_take_back=self.node.publish_take_back,
+            slots=lambda service, version: self.calls.index.slots(service, version),
+            vm_count=lambda: len(self.directory),
+        )
         self.calls = CallServer(
             self.store,
             self.directory,
@@ -80,7 +95,8 @@
             region=settings.region,
             availability_zone=settings.availability_zone,
             clock=clock,
-            sink=self.metrics,
+            chooser=self.rollouts,
+            sink=OutcomeSinks(self.metrics, self.rollouts),
             on_unreachable=self.announcements.check,
             on_answer=self.metrics.count_call,
             log_one_in=_one_in(settings.logging.routing_sample),
@@ -117,6 +133,7 @@
             self.log_reader.run(),
             self.announcements.run(),
             self.calls.run(),
+            self.rollouts.run(),
         )
         self._tasks.extend(asyncio.create_task(run) for run in runs)
         settings = self.settings
--- a/src/lacewingstair/outcomes.py
+++ b/src/lacewingstair/outcomes.py
@@ -65,3 +65,15 @@
     def record(self, outcome: CallOutcome) -> None:
         """Take one outcome; must be cheap, as it is called for every attempt."""
         ...
+
+
+class OutcomeSinks:
+    """Passes each outcome to several sinks."""
+
+    def __init__(self, *sinks: OutcomeSink) -> None:
+        self._sinks = sinks
+
+    def record(self, outcome: CallOutcome) -> None:
+        """Pass one outcome to each sink."""
+        for sink in self._sinks:
+            sink.record(outcome)
--- a/src/lacewingstair/standins/mesh_cluster.py
+++ b/src/lacewingstair/standins/mesh_cluster.py
@@ -212,6 +212,12 @@
 
     async def add(self, place: Place, index: int) -> ClusterVm:
         """Start a VM; an id that was used before gets a higher incarnation."""
+        vm = self.make_vm(place, index)
+        await vm.start()
+        return vm
+
+    def make_vm(self, place: Place, index: int) -> ClusterVm:
+        """Return a VM of the mesh that has not started."""
         vm_id = f"{place.availability_zone}-{index}"
         record = VmRecord(
             vm_id=vm_id,
@@ -223,7 +229,6 @@
         )
         vm = ClusterVm(self, record, self.rng.getrandbits(32))
         self.vms_by_id[vm_id] = vm
-        await vm.start()
         return vm
 
     async def crash(self, vm_id: str) -> ClusterVm:
--- a/src/lacewingstair/vm/dissemination.py
+++ b/src/lacewingstair/vm/dissemination.py
@@ -106,10 +106,7 @@
 
     def send_all(self, peer: Peer) -> None:
         """Send all marks to a peer whose marks differ."""
-        stages = [
-            StageMark(key, zone, route, stage)
-            for (key, zone, route), stage in self._marks.stages_by_place.items()
-        ]
+        stages = list(self._marks.marks_by_place.values())
         take_backs = list(self._marks.take_backs_by_key.values())
         for part in _parts(stages, MAX_MARKS_PER_DELTA):
             peer.stream.send(messages.MarksDelta(stages=part))
--- a/src/lacewingstair/vm/node.py
+++ b/src/lacewingstair/vm/node.py
@@ -99,7 +99,12 @@
             own, self._peers, store, self._merge_snapshot, clock, rng
         )
         self.snapshot_server = SnapshotServer(
-            store, directory, lambda: self._snapshots.is_joined, clock, rng
+            store,
+            directory,
+            self._marks,
+            lambda: self._snapshots.is_joined,
+            clock,
+            rng,
         )
         self.repair = Repair(
             own.region, store, directory, marks, self._marks, self._snapshots
--- a/src/lacewingstair/vm/repair.py
+++ b/src/lacewingstair/vm/repair.py
@@ -105,6 +105,9 @@
         if delta is None:
             peer.stream.send(messages.RecordsExpired(self._store.state.next_offset))
             return
+        if request.next_offset == 0:
+            # A VM without state must know what is taken back before it takes calls.
+            self._mark_publisher.send_all(peer)
         peer.stream.send(delta)
 
     def answer_digests(self, peer: Peer, digests: messages.DirectoryDigests) -> None:
--- a/src/lacewingstair/vm/snapshot_server.py
+++ b/src/lacewingstair/vm/snapshot_server.py
@@ -10,6 +10,7 @@
 from lacewingstair.runtime import Clock
 from lacewingstair.store import StateStore
 from lacewingstair.vm import messages
+from lacewingstair.vm.dissemination import MarkPublisher
 from lacewingstair.vm.peers import Peer
 from lacewingstair.vm.snapshots import cut, encode_snapshot
 
@@ -35,6 +36,8 @@
     ----------
     store, directory
         What is served.
+    marks : MarkPublisher
+        Sends the marks ahead of a snapshot.
     is_ready : callable
         Returns whether this VM has got its own first snapshot.
     clock, rng
@@ -52,6 +55,7 @@
         self,
         store: StateStore,
         directory: Directory,
+        marks: MarkPublisher,
         is_ready: Callable[[], bool],
         clock: Clock,
         rng: random.Random,
@@ -59,6 +63,7 @@
     ) -> None:
         self._store = store
         self._directory = directory
+        self._marks = marks
         self._is_ready = is_ready
         self._clock = clock
         self._rng = rng
@@ -93,6 +98,9 @@
         async with self._building:
             # One that has waited mostly finds what the one before it has built.
             chunks = await self._chunks(request)
+        # The marks go first: a VM that has the state without them would send calls to
+        # versions that are taken back.
+        self._marks.send_all(peer)
         for chunk in chunks:
             peer.stream.send(chunk)
             await peer.stream.drain()
--- a/tests/vm/test_node.py
+++ b/tests/vm/test_node.py
@@ -395,3 +395,25 @@
         return json.loads(cluster.log.values[0])["number"]
 
     assert run_virtual(main()) == number
+
+
+@in_mesh()
+async def test_a_new_vm_knows_the_marks_before_the_state(cluster):
+    """Guards against calls to a bad version by a VM that has just joined."""
+    vms = list(cluster)
+    # A later ticket sets the rollout, so that ticket 1 does not drop the mark.
+    key = RolloutKey("move", 2)
+    cluster.publish(1)
+    vms[0].node.publish_take_back(TakeBack(key, "bad", "", 1.0, vms[0].vm_id))
+    await cluster.until(lambda: cluster.has_ticket(1), 20)
+    await asyncio.sleep(5)
+    known = []
+
+    def note(_, __):
+        known.append(joiner.marks.is_taken_back(key))
+
+    joiner = cluster.make_vm(vms[0].place, 99)
+    joiner.store.subscribe(note)
+    await joiner.start()
+    await cluster.until(lambda: joiner.number == 1, 20)
+    assert known[0] is True
