Index routes by prefix and fold only what a ticket touches

Folding a ticket that changes one route checked and sorted all routes and compiled the whole table; find tried the routes of a host one by one. Both grew with the configuration.

The table now maps host and whole prefix to routes. find looks up the prefixes of the path from the longest on, at most twice the number of its segments. replaced() copies only the maps of the hosts that a ticket touches. Since the state before has no faults, only the routes that the ticket names are checked, and all routes when it removes a service. An index by first path segment was ruled out: with 2000 routes under /api it would not have helped.

--- a/src/lacewingstair/acceptance.py
+++ b/src/lacewingstair/acceptance.py
@@ -15,11 +15,17 @@
 
 from lacewingstair.errors import Fault
 from lacewingstair.routes import RouteTable
-from lacewingstair.tickets import Rollout, Route, Service, Ticket, parse_ticket
+from lacewingstair.tickets import (
+    MAX_FAULTS,
+    SECTIONS,
+    Rollout,
+    Route,
+    Service,
+    Ticket,
+    parse_ticket,
+)
 
 MAX_REMEMBERED_REFUSALS = 32
-SECTIONS = ("services", "routes", "rollouts")
-
 # Entries are flat, so that the recursion of attrs.astuple is not needed.
 _VALUES_BY_TYPE = {
     cls: operator.attrgetter(*(field.name for field in attrs.fields(cls)))
@@ -130,25 +136,22 @@
     if ticket.number == state.number and ticket.digest == state.ticket_digest:
         after = attrs.evolve(state, next_offset=record.offset + 1)
         return after, Decision(record.offset, ticket.number, Verdict.DUPLICATE)
-    faults = check_against(state, ticket)
+    faults = _number_faults(state, ticket)
+    if faults:
+        return _refuse(state, record.offset, ticket.number, faults)
+    after = _applied(state, ticket, record.offset + 1)
+    faults = _result_faults(ticket, after)
     if faults:
         return _refuse(state, record.offset, ticket.number, faults)
-    after = _apply(state, ticket, record.offset + 1)
     return after, Decision(record.offset, ticket.number, Verdict.ACCEPTED)
 
 
 def check_against(state: MeshState, ticket: Ticket) -> tuple[Fault, ...]:
     """Return why a valid ticket cannot be accepted in this state; empty if it can."""
-    if ticket.number == state.number:
-        reason = f"{ticket.number} is already taken by a ticket with other content"
-        return (Fault("number", reason),)
-    if ticket.number < state.number:
-        reason = f"{ticket.number} is not above the last accepted, {state.number}"
-        return (Fault("number", reason),)
-    services = _merged(state.services, ticket.services)
-    routes = _merged(state.routes, ticket.routes)
-    rollouts = _merged(state.rollouts, ticket.rollouts)
-    return reference_faults(services, routes, rollouts)
+    faults = _number_faults(state, ticket)
+    if faults:
+        return faults
+    return _result_faults(ticket, _applied(state, ticket, state.next_offset))
 
 
 def configuration_digest(
@@ -175,15 +178,41 @@
 def _refuse(
     state: MeshState, offset: int, number: int | None, faults: tuple[Fault, ...]
 ) -> tuple[MeshState, Decision]:
-    decision = Decision(offset, number, Verdict.REFUSED, faults)
+    decision = Decision(offset, number, Verdict.REFUSED, faults[:MAX_FAULTS])
     refusals = (*state.refusals, decision)[-MAX_REMEMBERED_REFUSALS:]
     after = attrs.evolve(state, next_offset=offset + 1, refusals=refusals)
     return after, decision
 
 
-def _merged(held: Mapping[str, Any], changes: Mapping[str, Any]) -> dict[str, Any]:
+def _number_faults(state: MeshState, ticket: Ticket) -> tuple[Fault, ...]:
+    if ticket.number == state.number:
+        reason = f"{ticket.number} is already taken by a ticket with other content"
+        return (Fault("number", reason),)
+    if ticket.number < state.number:
+        reason = f"{ticket.number} is not above the last accepted, {state.number}"
+        return (Fault("number", reason),)
+    return ()
+
+
+def _result_faults(ticket: Ticket, after: MeshState) -> tuple[Fault, ...]:
+    # The state before has no faults, so that only what the ticket names, and routes of
+    # a service that it removes, can be at fault.
+    routes: Mapping[str, Route] = {
+        name: after.routes[name] for name in ticket.routes if name in after.routes
+    }
+    if any(name not in after.services for name in ticket.services):
+        routes = after.routes
+    return reference_faults(after.services, routes, after.rollouts)
+
+
+def _merged(held: Mapping[str, Any], changes: Mapping[str, Any]) -> Mapping[str, Any]:
+    if not changes:
+        return held
     merged = {**held, **changes}
-    return {name: entry for name, entry in merged.items() if entry is not None}
+    for name, entry in changes.items():
+        if entry is None:
+            del merged[name]
+    return merged
 
 
 def _route_faults(
@@ -222,9 +251,9 @@
     return faults
 
 
-def _apply(state: MeshState, ticket: Ticket, next_offset: int) -> MeshState:
+def _applied(state: MeshState, ticket: Ticket, next_offset: int) -> MeshState:
     digest = int(state.digest, 16)
-    sections: dict[str, dict[str, Any]] = {}
+    sections: dict[str, Mapping[str, Any]] = {}
     for section in SECTIONS:
         held = getattr(state, section)
         changes = getattr(ticket, section)
@@ -234,6 +263,7 @@
         name: ticket.number if name in ticket.rollouts else state.rollout_numbers[name]
         for name in sections["rollouts"]
     }
+    routes = sections["routes"]
     return attrs.evolve(
         state,
         next_offset=next_offset,
@@ -241,7 +271,7 @@
         ticket_digest=ticket.digest,
         digest=f"{digest:032x}",
         rollout_numbers=numbers,
-        route_table=RouteTable.compile(sections["routes"]),
+        route_table=state.route_table.replaced(state.routes, routes, ticket.routes),
         **sections,
     )
 
--- a/src/lacewingstair/routes.py
+++ b/src/lacewingstair/routes.py
@@ -1,10 +1,12 @@
 """Route table: finds the route of a call by host, path and method."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import attrs
 
-from lacewingstair.tickets import Route
+from lacewingstair.tickets import Route, normal_host
+
+ANY_HOST = "*"
 
 
 @attrs.frozen
@@ -20,31 +22,88 @@
         return self.route.kind or self.name
 
 
+@attrs.frozen
+class _HostRoutes:
+    """Routes of one host by their whole prefix.
+
+    Parameters
+    ----------
+    routes_by_prefix : mapping
+        Routes in the order in which they are tried.
+    longest : int
+        Length of the longest prefix.
+    """
+
+    routes_by_prefix: Mapping[str, tuple[NamedRoute, ...]]
+    longest: int
+
+    def find(self, path: str, method: str) -> NamedRoute | None:
+        """Return the route with the longest prefix of whole segments of the path."""
+        routes_by_prefix = self.routes_by_prefix
+        if len(path) <= self.longest:
+            found = _for_method(routes_by_prefix.get(path), method)
+            if found is not None:
+                return found
+        end = min(len(path), self.longest + 1)
+        while (slash := path.rfind("/", 0, end)) >= 0:
+            # The prefix "/a/" is longer than "/a"; both match "/a/b".
+            for prefix in (path[: slash + 1], path[:slash]):
+                found = _for_method(routes_by_prefix.get(prefix), method)
+                if found is not None:
+                    return found
+            end = slash
+        return None
+
+
+_NO_ROUTES = _HostRoutes({}, 0)
+
+
 class RouteTable:
-    """Routes ordered by how specific they are.
+    """Routes indexed by host and prefix; a table is never changed.
 
     An exact host goes before ``*``, a longer prefix before a shorter one, a list of
     methods before none; the name decides between equals.
     """
 
-    def __init__(
-        self, routes_by_host: Mapping[str, tuple[NamedRoute, ...]] | None = None
-    ):
-        self._routes_by_host = dict(routes_by_host or {})
+    def __init__(self, routes_by_host: Mapping[str, _HostRoutes] | None = None) -> None:
+        self._routes_by_host = routes_by_host or {}
 
     @classmethod
     def compile(cls, routes: Mapping[str, Route]) -> "RouteTable":
         """Return the table of the routes, given by name."""
-        routes_by_host: dict[str, list[NamedRoute]] = {}
-        for name, route in routes.items():
-            for host in route.hosts:
-                routes_by_host.setdefault(host, []).append(NamedRoute(name, route))
-        return cls(
-            {
-                host: tuple(sorted(entries, key=_specificity))
-                for host, entries in routes_by_host.items()
-            }
-        )
+        return cls().replaced({}, routes, routes)
+
+    def replaced(
+        self,
+        before: Mapping[str, Route],
+        after: Mapping[str, Route],
+        names: Iterable[str],
+    ) -> "RouteTable":
+        """Return the table after a change, sharing the prefixes that did not change.
+
+        Parameters
+        ----------
+        before, after : mapping
+            Routes by name; this table is compiled from `before`.
+        names : iterable of str
+            Names whose routes differ.
+        """
+        added: dict[str, dict[str, list[NamedRoute]]] = {}
+        removed: dict[str, dict[str, set[str]]] = {}
+        for name in names:
+            for host, prefix in _places(before.get(name)):
+                removed.setdefault(host, {}).setdefault(prefix, set()).add(name)
+            route = after.get(name)
+            for host, prefix in _places(route):
+                entry = NamedRoute(name, route)
+                added.setdefault(host, {}).setdefault(prefix, []).append(entry)
+        routes_by_host = dict(self._routes_by_host)
+        for host in added.keys() | removed.keys():
+            held = routes_by_host.pop(host, _NO_ROUTES)
+            changed = _changed(held, added.get(host, {}), removed.get(host, {}))
+            if changed.routes_by_prefix:
+                routes_by_host[host] = changed
+        return RouteTable(routes_by_host)
 
     def find(self, host: str, path: str, method: str) -> NamedRoute | None:
         """Return the most specific route of a call, or None.
@@ -58,25 +117,49 @@
         method : str
             Upper-case method.
         """
-        exact = self._routes_by_host.get(_without_port(host).lower(), ())
-        for entries in (exact, self._routes_by_host.get("*", ())):
-            for entry in entries:
-                if _matches(entry.route, path, method):
-                    return entry
-        return None
-
-
-def _specificity(entry: NamedRoute) -> tuple[int, bool, str]:
-    return (-len(entry.route.path_prefix), not entry.route.methods, entry.name)
-
-
-def _matches(route: Route, path: str, method: str) -> bool:
-    if route.methods and method not in route.methods:
-        return False
-    prefix = route.path_prefix
-    if not path.startswith(prefix):
-        return False
-    return prefix.endswith("/") or len(path) == len(prefix) or path[len(prefix)] == "/"
+        routes_by_host = self._routes_by_host
+        exact = routes_by_host.get(normal_host(_without_port(host)))
+        if exact is not None:
+            found = exact.find(path, method)
+            if found is not None:
+                return found
+        others = routes_by_host.get(ANY_HOST)
+        return None if others is None else others.find(path, method)
+
+
+def _places(route: Route | None) -> list[tuple[str, str]]:
+    if route is None:
+        return []
+    return [(host, route.path_prefix) for host in dict.fromkeys(route.hosts)]
+
+
+def _changed(
+    held: _HostRoutes,
+    added: Mapping[str, list[NamedRoute]],
+    removed: Mapping[str, set[str]],
+) -> _HostRoutes:
+    routes_by_prefix = dict(held.routes_by_prefix)
+    for prefix in added.keys() | removed.keys():
+        gone = removed.get(prefix, ())
+        kept = [e for e in routes_by_prefix.pop(prefix, ()) if e.name not in gone]
+        entries = [*kept, *added.get(prefix, ())]
+        if entries:
+            routes_by_prefix[prefix] = tuple(sorted(entries, key=_specificity))
+    return _HostRoutes(routes_by_prefix, max(map(len, routes_by_prefix), default=0))
+
+
+def _specificity(entry: NamedRoute) -> tuple[bool, str]:
+    return (not entry.route.methods, entry.name)
+
+
+def _for_method(
+    entries: tuple[NamedRoute, ...] | None, method: str
+) -> NamedRoute | None:
+    for entry in entries or ():
+        methods = entry.route.methods
+        if not methods or method in methods:
+            return entry
+    return None
 
 
 def _without_port(host: str) -> str:
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -1,13 +1,18 @@
-import json
-
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from tests.ticket_texts import ROLLOUT, ticket
 
-from lacewingstair.acceptance import MeshState, TicketRecord, Verdict, fold
-
-
-def ticket(number, **sections):
-    return json.dumps({"number": number, **sections})
-
+from lacewingstair.acceptance import (
+    MeshState,
+    TicketRecord,
+    Verdict,
+    configuration_digest,
+    fold,
+    reference_faults,
+)
+from lacewingstair.routes import RouteTable
+from lacewingstair.tickets import SECTIONS
 
 FIRST = ticket(
     1,
@@ -59,3 +64,51 @@
     )
     assert changed.digest != after_first.digest
     assert restored.digest == after_first.digest
+
+
+NAMES = ("a", "b", "c")
+services = st.dictionaries(
+    st.sampled_from(NAMES),
+    st.none() | st.just({"versions": ["v1", "v2"], "current": "v1"}),
+)
+routes = st.dictionaries(
+    st.sampled_from(NAMES),
+    st.none()
+    | st.builds(
+        lambda service, path: {"service": service, "path_prefix": path},
+        st.sampled_from(NAMES),
+        st.sampled_from(("/", "/x", "/x/y")),
+    ),
+)
+rollouts = st.dictionaries(
+    st.sampled_from(NAMES),
+    st.none() | st.sampled_from(NAMES).map(lambda name: {**ROLLOUT, "service": name}),
+)
+
+
+@given(st.lists(st.tuples(services, routes, rollouts), max_size=8))
+def test_an_accepted_state_is_what_its_digest_and_references_say(changes):
+    state = MeshState()
+    for offset, (service, route, rollout) in enumerate(changes):
+        text = ticket(offset + 1, services=service, routes=route, rollouts=rollout)
+        after, decision = fold(state, TicketRecord(offset, text))
+        merged = {
+            section: {
+                name: entry
+                for name, entry in {**getattr(state, section), **change}.items()
+                if entry is not None
+            }
+            for section, change in zip(SECTIONS, (service, route, rollout), strict=True)
+        }
+        if decision.verdict is Verdict.ACCEPTED:
+            for section in SECTIONS:
+                assert getattr(after, section).keys() == merged[section].keys()
+        sections = [getattr(after, section) for section in SECTIONS]
+        assert reference_faults(*sections) == ()
+        assert after.digest == configuration_digest(*sections)
+        compiled = RouteTable.compile(after.routes)
+        assert after.route_table._routes_by_host == compiled._routes_by_host
+        if decision.verdict is Verdict.REFUSED:
+            assert decision.faults
+            assert sections == [getattr(state, section) for section in SECTIONS]
+        state = after
