End the log reader when its upkeep fails

An unexpected exception in the upkeep task was kept until the VM stopped being a reader, so that marks and checkpoints would have stopped silently. Both tasks now run in one task group. `check` of a missing ticket file is a clear error.

--- a/src/lacewingstair/cli.py
+++ b/src/lacewingstair/cli.py
@@ -23,7 +23,11 @@
 
     def check(self, ticket: str) -> None:
         """Check a ticket file offline."""
-        parsed = parse_ticket(Path(ticket).read_bytes())
+        try:
+            data = Path(ticket).read_bytes()
+        except OSError as error:
+            _fail(f"{ticket}: {error}")
+        parsed = parse_ticket(data)
         if isinstance(parsed, Err):
             _fail(f"{ticket}: {parsed.err_value}")
         print(f"{ticket}: ticket {parsed.ok_value.number} is valid")
--- a/src/lacewingstair/platform/reader.py
+++ b/src/lacewingstair/platform/reader.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import random
 from collections.abc import Callable, Iterable
 
@@ -114,17 +113,20 @@
 
     async def _read_while_reader(self) -> None:
         self.status.is_reader = True
-        upkeep = asyncio.create_task(self._upkeep_until_cancelled())
         try:
-            if self._store.state.is_empty and await self._read_system():
-                await self._tail.start_from_checkpoint()
-            while self._is_reader():
-                await self._tail.poll()
+            # A fault in either task ends both and reaches the caller of `run`.
+            async with asyncio.TaskGroup() as group:
+                upkeep = group.create_task(self._upkeep_until_cancelled())
+                await self._poll_while_reader()
+                upkeep.cancel()
         finally:
             self.status.is_reader = False
-            upkeep.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await upkeep
+
+    async def _poll_while_reader(self) -> None:
+        if self._store.state.is_empty and await self._read_system():
+            await self._tail.start_from_checkpoint()
+        while self._is_reader():
+            await self._tail.poll()
 
     async def _upkeep_until_cancelled(self) -> None:
         while True:
--- a/tests/platform/test_reader.py
+++ b/tests/platform/test_reader.py
@@ -99,6 +99,40 @@
     assert in_virtual_time(scenario)[0] == 0
 
 
+def test_a_vm_that_gains_and_loses_the_role_reads_only_meanwhile():
+    async def scenario(readers):
+        role = [False]
+        vm = readers.start_vm(is_reader=lambda: role[0])
+        readers.publish(first_ticket())
+        await readers.clock.sleep(60.0)
+        counts = [vm.client.reads]
+        role[0] = True
+        await readers.clock.sleep(60.0)
+        counts.append(vm.client.reads)
+        role[0] = False
+        await readers.clock.sleep(20.0)
+        counts.append(vm.client.reads)
+        await readers.clock.sleep(600.0)
+        return counts, vm.client.reads, vm
+
+    (counts, last, vm), _ = in_virtual_time(scenario)
+    assert counts[0] == 0 < counts[1]
+    assert last == counts[2]
+    assert not vm.reader.status.is_reader
+    assert vm.store.state.number == 1
+
+
+def test_a_fault_of_the_program_ends_the_reader_with_the_error():
+    async def scenario(readers):
+        vm = readers.start_vm()
+        vm.marks.take_backs_by_key = None
+        readers.publish(first_ticket())
+        await readers.clock.sleep(60.0)
+        return vm.task.exception()
+
+    assert isinstance(in_virtual_time(scenario)[0], ExceptionGroup)
+
+
 def test_a_new_reader_of_an_expired_log_starts_from_the_checkpoint():
     async def scenario(readers):
         old = readers.start_vm()
--- a/tests/platform/test_system_view.py
+++ b/tests/platform/test_system_view.py
@@ -94,6 +94,25 @@
     assert stream.checkpoints() == []
 
 
+@given(st.lists(st.integers(0, 3), max_size=12), st.integers(0, 3))
+def test_crossed_and_doubled_chunks_count_only_when_all_are_there(order, damaged):
+    stream = Stream()
+    token = stream.lease(0, "a")
+    data = bytes(range(256)) * (CHUNK_BYTES // 70)
+    chunks = list(split_checkpoint(data, token, 7))
+    for position, index in enumerate(order):
+        chunk = chunks[index]
+        if position == damaged:
+            chunk = attrs.evolve(chunk, data=chunk.data[:-1])
+        stream.add(1, "a", chunk)
+    intact = {index for i, index in enumerate(order) if i != damaged}
+    if stream.checkpoints():
+        assert stream.checkpoints()[0] == (token, data)
+        assert len(intact) == len(chunks)
+    elif len(intact) == len(chunks) and damaged >= len(order):
+        raise AssertionError("a whole checkpoint did not count")
+
+
 def test_a_checkpoint_older_than_the_newest_is_passed_over():
     stream = Stream()
     token = stream.lease(0, "a")
