--- a/tests/platform/test_fault_schedules.py
+++ b/tests/platform/test_fault_schedules.py
@@ -5,7 +5,6 @@
 import attrs
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
-from tests.platform.readers import Readers
 from tests.ticket_texts import ROLLOUT, SERVICES, ticket
 
 from lacewingstair.acceptance import MeshState, TicketRecord, fold
@@ -13,8 +12,9 @@
 from lacewingstair.platform.log import SYSTEM_STREAM, TICKET_STREAM
 from lacewingstair.platform.publish import publish_ticket
 from lacewingstair.platform.records import decode_record
+from lacewingstair.standins.log_readers import LogReaders
 from lacewingstair.standins.memory_log import LogFaults, MemoryLogClient
-from lacewingstair.standins.virtual_time import run_virtual
+from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
 
 VMS = 3
 RETENTION = 2000.0
@@ -63,7 +63,7 @@
     """Readers and operators of one log, and every ticket record ever on it."""
 
     def __init__(self, seed):
-        self.readers = Readers(seed=seed, retention_seconds=RETENTION)
+        self.readers = LogReaders(VirtualClock(), seed, RETENTION)
         self.rng = random.Random(seed)
         self.tickets = []
         self.system = []
--- a/tests/platform/test_reader.py
+++ b/tests/platform/test_reader.py
@@ -2,15 +2,16 @@
 
 import attrs
 import pytest
-from tests.platform.readers import Readers, captured_events
+from tests.captured_events import captured_events
 from tests.ticket_texts import first_ticket, ticket
 
 from lacewingstair.marks import RolloutKey, TakeBack
 from lacewingstair.platform import checkpointer
 from lacewingstair.platform.log import SYSTEM_STREAM, TICKET_STREAM
 from lacewingstair.platform.records import CheckpointChunk, Lease, TakeBackRecord
+from lacewingstair.standins.log_readers import LogReaders
 from lacewingstair.standins.memory_log import LogFaults
-from lacewingstair.standins.virtual_time import run_virtual
+from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
 from lacewingstair.tickets import MAX_TICKET_BYTES
 
 MARK = TakeBack(RolloutKey("move", 1), "errors", "9 of 10 calls", 12.5, "vm-1")
@@ -21,7 +22,7 @@
     """Run a scenario with readers and return its result and the events logged."""
 
     async def main():
-        readers = Readers(**options)
+        readers = LogReaders(VirtualClock(), **options)
         try:
             return await scenario(readers)
         finally:
@@ -191,8 +192,7 @@
         await readers.clock.sleep(600.0)
         in_gap = vm.reader.status.has_gap
         held = vm.store.state
-        source = Readers()
-        source.clock = readers.clock
+        source = LogReaders(readers.clock)
         for text in (first_ticket(), ticket(2), ticket(3)):
             source.publish(text)
         helper = source.start_vm()
