--- a/tests/platform/test_fault_schedules.py
+++ b/tests/platform/test_fault_schedules.py
@@ -88,11 +88,8 @@
         client = MemoryLogClient(
             self.readers.log, self.readers.clock, attrs.evolve(faults)
         )
-        self.operators.append((client, self._publish(client, text)))
-
-    def _publish(self, client, text):
-        clock, rng = self.readers.clock, self.rng
-        return asyncio.create_task(publish_ticket(client, text, clock, rng, 1e6))
+        published = publish_ticket(client, text, self.readers.clock, self.rng, 1e6)
+        self.operators.append((client, asyncio.create_task(published)))
 
     def mark(self, vm):
         key = RolloutKey("move", 1)
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -89,20 +89,14 @@
 @given(st.lists(st.tuples(services, routes, rollouts), max_size=8))
 def test_an_accepted_state_is_what_its_digest_and_references_say(changes):
     state = MeshState()
-    for offset, (service, route, rollout) in enumerate(changes):
-        text = ticket(offset + 1, services=service, routes=route, rollouts=rollout)
+    for offset, entries in enumerate(changes):
+        text = ticket(offset + 1, **dict(zip(SECTIONS, entries, strict=True)))
         after, decision = fold(state, TicketRecord(offset, text))
-        merged = {
-            section: {
-                name: entry
-                for name, entry in {**getattr(state, section), **change}.items()
-                if entry is not None
-            }
-            for section, change in zip(SECTIONS, (service, route, rollout), strict=True)
-        }
         if decision.verdict is Verdict.ACCEPTED:
-            for section in SECTIONS:
-                assert getattr(after, section).keys() == merged[section].keys()
+            for section, change in zip(SECTIONS, entries, strict=True):
+                merged = {**getattr(state, section), **change}
+                names = {name for name in merged if merged[name] is not None}
+                assert getattr(after, section).keys() == names
         sections = [getattr(after, section) for section in SECTIONS]
         assert reference_faults(*sections) == ()
         assert after.digest == configuration_digest(*sections)
--- a/tests/test_state_codec.py
+++ b/tests/test_state_codec.py
@@ -1,5 +1,3 @@
-import json
-
 import attrs
 import msgpack
 import pytest
@@ -7,39 +5,22 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from result import Err
+from tests.ticket_texts import first_ticket, ticket
 
 from lacewingstair.acceptance import MeshState, TicketRecord, fold
 from lacewingstair.state_codec import MAX_STATE_BYTES, decode_state, encode_state
 
-TICKETS = (
-    {
-        "number": 1,
-        "services": {"board": {"versions": ["v1", "v2"], "current": "v1"}},
-        "routes": {
-            "read": {"service": "board", "hosts": ["rota.example"], "worth": 3},
-            "late": {"service": "board", "path_prefix": "/late", "idempotent": False},
-        },
-    },
-    {
-        "number": 2,
-        "rollouts": {
-            "move": {
-                "service": "board",
-                "from_version": "v1",
-                "to_version": "v2",
-                "start": "2026-01-31T10:00:00Z",
-                "end_by": "2026-01-31T11:00:00Z",
-            }
-        },
-    },
-    {"number": 2, "note": "refused \ud800"},
-)
+ROUTES = {
+    "read": {"service": "board", "hosts": ["rota.example"], "worth": 3},
+    "late": {"service": "board", "path_prefix": "/late", "idempotent": False},
+}
+TICKETS = (first_ticket(), ticket(2, routes=ROUTES), ticket(2, note="refused \ud800"))
 
 
 def folded_state():
     state = MeshState()
-    for offset, document in enumerate(TICKETS):
-        state, _ = fold(state, TicketRecord(offset, json.dumps(document)))
+    for offset, text in enumerate(TICKETS):
+        state, _ = fold(state, TicketRecord(offset, text))
     return state
 
 
