Recognise late copies of the last 32 tickets

A copy of a ticket that a slow request doubled was refused when another ticket came between, so that the operator's report showed a refusal of a ticket in force. The state now holds the digests of the last 32 accepted tickets by number; a copy of one of them is a duplicate. They are part of the encoded state, which checks that the last ticket is among them.

Tests: python -m pytest, 144 passed. With only the last digest compared the new test in tests/test_acceptance.py fails; without the check in the codec one case fails.

--- a/src/lacewingstair/acceptance.py
+++ b/src/lacewingstair/acceptance.py
@@ -26,6 +26,8 @@
 )
 
 MAX_REMEMBERED_REFUSALS = 32
+# Copies of a ticket that a slow request doubles arrive among the next few tickets.
+MAX_REMEMBERED_DIGESTS = 32
 # Entries are flat, so that the recursion of attrs.astuple is not needed.
 _VALUES_BY_TYPE = {
     cls: operator.attrgetter(*(field.name for field in attrs.fields(cls)))
@@ -95,6 +97,9 @@
         Digest of services, routes and rollouts, as hex.
     services, routes, rollouts : mapping by name
         The configuration.
+    recent_digests : mapping of int to str
+        Canonical digests of the last `MAX_REMEMBERED_DIGESTS` accepted tickets by
+        number, by which a late copy is told from another ticket.
     rollout_numbers : mapping of str to int
         Ticket number that last set each rollout. It tells a rollout from a later one of
         the same name.
@@ -107,6 +112,7 @@
     next_offset: int = 0
     number: int = 0
     ticket_digest: str = ""
+    recent_digests: Mapping[int, str] = attrs.field(factory=dict)
     digest: str = "0" * 32
     services: Mapping[str, Service] = attrs.field(factory=dict)
     routes: Mapping[str, Route] = attrs.field(factory=dict)
@@ -133,7 +139,7 @@
     if isinstance(parsed, Err):
         return _refuse(state, record.offset, None, parsed.err_value.faults)
     ticket = parsed.ok_value
-    if ticket.number == state.number and ticket.digest == state.ticket_digest:
+    if state.recent_digests.get(ticket.number) == ticket.digest:
         after = attrs.evolve(state, next_offset=record.offset + 1)
         return after, Decision(record.offset, ticket.number, Verdict.DUPLICATE)
     faults = _number_faults(state, ticket)
@@ -185,7 +191,7 @@
 
 
 def _number_faults(state: MeshState, ticket: Ticket) -> tuple[Fault, ...]:
-    if ticket.number == state.number:
+    if ticket.number in state.recent_digests:
         reason = f"{ticket.number} is already taken by a ticket with other content"
         return (Fault("number", reason),)
     if ticket.number < state.number:
@@ -269,6 +275,7 @@
         next_offset=next_offset,
         number=ticket.number,
         ticket_digest=ticket.digest,
+        recent_digests=_with_digest(state.recent_digests, ticket),
         digest=f"{digest:032x}",
         rollout_numbers=numbers,
         route_table=state.route_table.replaced(state.routes, routes, ticket.routes),
@@ -276,6 +283,13 @@
     )
 
 
+def _with_digest(recent: Mapping[int, str], ticket: Ticket) -> dict[int, str]:
+    oldest = min(recent) if len(recent) >= MAX_REMEMBERED_DIGESTS else None
+    kept = {number: digest for number, digest in recent.items() if number != oldest}
+    kept[ticket.number] = ticket.digest
+    return kept
+
+
 def _changes_digest(
     section: str, held: Mapping[str, Any], changes: Mapping[str, Any]
 ) -> int:
--- a/src/lacewingstair/state_codec.py
+++ b/src/lacewingstair/state_codec.py
@@ -15,6 +15,7 @@
 from result import Err, Ok, Result
 
 from lacewingstair.acceptance import (
+    MAX_REMEMBERED_DIGESTS,
     Decision,
     MeshState,
     configuration_digest,
@@ -47,6 +48,7 @@
     next_offset: int
     number: int
     ticket_digest: str
+    recent_digests: Mapping[int, str]
     digest: str
     services: Mapping[str, Service]
     routes: Mapping[str, Route]
@@ -116,7 +118,8 @@
         array = msgpack.unpackb(
             packed.ok_value,
             use_list=False,
-            strict_map_key=True,
+            # Recent digests have integers for keys; every key's type is checked below.
+            strict_map_key=False,
             unicode_errors="surrogatepass",
         )
         if type(array) is not tuple or array[:1] != (STATE_FORMAT,):
@@ -146,6 +149,10 @@
 def _inconsistency(form: _StateForm) -> str:
     if form.next_offset < 0 or form.number < 0:
         return f"next offset {form.next_offset} or number {form.number} is negative"
+    if form.number and form.recent_digests.get(form.number) != form.ticket_digest:
+        return f"the digest of ticket {form.number} is not among the recent ones"
+    if len(form.recent_digests) > MAX_REMEMBERED_DIGESTS:
+        return f"{len(form.recent_digests)} recent digests"
     if form.rollout_numbers.keys() != form.rollouts.keys():
         return "rollout numbers and rollouts have different names"
     digest = configuration_digest(form.services, form.routes, form.rollouts)
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -4,6 +4,7 @@
 from tests.ticket_texts import ROLLOUT, ticket
 
 from lacewingstair.acceptance import (
+    MAX_REMEMBERED_DIGESTS,
     MeshState,
     TicketRecord,
     Verdict,
@@ -35,6 +36,19 @@
     assert state.next_offset == 2
 
 
+def test_a_late_copy_of_an_older_ticket_is_a_duplicate_while_it_is_remembered(
+    after_first,
+):
+    state = after_first
+    for number in range(2, MAX_REMEMBERED_DIGESTS + 2):
+        state, decision = fold(state, TicketRecord(state.next_offset, FIRST))
+        assert decision.verdict is Verdict.DUPLICATE
+        state, _ = fold(state, TicketRecord(state.next_offset, ticket(number)))
+    state, decision = fold(state, TicketRecord(state.next_offset, FIRST))
+    assert decision.verdict is Verdict.REFUSED
+    assert len(state.recent_digests) == MAX_REMEMBERED_DIGESTS
+
+
 @pytest.mark.parametrize(
     ("value", "place"),
     [
--- a/tests/test_state_codec.py
+++ b/tests/test_state_codec.py
@@ -31,7 +31,7 @@
 
 def unpack(data):
     packed = zstandard.ZstdDecompressor().decompress(data)
-    return msgpack.unpackb(packed, unicode_errors="surrogatepass")
+    return msgpack.unpackb(packed, strict_map_key=False, unicode_errors="surrogatepass")
 
 
 def test_a_decoded_state_is_equal_and_routes_calls():
@@ -55,11 +55,14 @@
         (1, "3"),
         (1, -1),
         (2, 2.0),
-        (5, []),
-        (5, {1: [["v1"], "v1"]}),
-        (6, {"a": [1]}),
-        (8, {}),
-        (9, None),
+        (4, {}),
+        (4, {"2": "x"}),
+        (4, dict.fromkeys(range(100), "x")),
+        (6, []),
+        (6, {1: [["v1"], "v1"]}),
+        (7, {"a": [1]}),
+        (9, {}),
+        (10, None),
     ],
 )
 def test_a_field_of_a_wrong_type_or_value_is_refused(index, value):
