Look for conflicting numbers after an outage, and set the retention

publish looked for a ticket with the same or a higher number only when the log had answered before the append, so not after an outage, and took an equal copy of the ticket for a conflict.

The retention of the log was a constant of 24 h, on which the renewal of checkpoints depends. [platform] log_retention_hours sets it (0.1 to 100000, default 24).

--- a/bench/log.py
+++ b/bench/log.py
@@ -7,6 +7,7 @@
 from bench.registry import benchmarks
 from bench.results import print_table, save_rows
 from lacewingstair import events
+from lacewingstair.acceptance import MeshState
 from lacewingstair.marks import RolloutKey, TakeBack
 from lacewingstair.standins.log_readers import LogReaders
 from lacewingstair.standins.memory_log import LogFaults
@@ -81,15 +82,37 @@
     reads, appends = readers.requests()
     await scenarios[name](readers)
     reads_after, appends_after = readers.requests()
+    arrivals = await _converge(readers)
     await readers.stop()
     return {
         "hour": name,
         "reads/s, all readers": (reads_after - reads) / HOUR_SECONDS,
         "appends, all readers": appends_after - appends,
         "appends/s": (appends_after - appends) / HOUR_SECONDS,
+        "ticket at the first reader, s": arrivals[0],
+        "ticket at all readers, s": arrivals[READERS - 1],
     }
 
 
+async def _converge(readers: LogReaders) -> list[float]:
+    """Publish a ticket on a log that answers; return when each reader has it."""
+    for vm in readers.vms:
+        vm.faults.is_down = False
+    start = readers.clock.monotonic()
+    number = max(vm.store.state.number for vm in readers.vms) + 1
+    arrivals: list[float] = []
+
+    def note(_: MeshState, after: MeshState) -> None:
+        if after.number == number:
+            arrivals.append(readers.clock.monotonic() - start)
+
+    for vm in readers.vms:
+        vm.store.subscribe(note)
+    readers.publish(json.dumps({"number": number}))
+    await readers.clock.sleep(60.0)
+    return arrivals
+
+
 def _first_ticket() -> dict[str, Any]:
     names = [f"move-{index}" for index in range(ROLLOUTS)]
     versions = {"versions": ["v1", "v2"], "current": "v1"}
--- a/src/lacewingstair/cli.py
+++ b/src/lacewingstair/cli.py
@@ -45,8 +45,8 @@
         print(f"{ticket}: ticket {done.number} is at offset {done.offset}")
         if done.conflict_offset is not None:
             _fail(
-                f"{ticket}: will be refused, since a ticket with the same or a higher "
-                f"number is at offset {done.conflict_offset}"
+                f"{ticket}: will be refused unless the ticket with the same or a "
+                f"higher number at offset {done.conflict_offset} is"
             )
 
     def report(self, operator: str) -> None:
--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -152,6 +152,7 @@
         is_reader=is_reader,
         clock=clock,
         rng=rng,
+        retention_seconds=settings.log_retention_seconds,
     )
     announcements = AnnouncementServer(node.set_endpoints, clock)
     calls = CallServer(store, directory, rng)
--- a/src/lacewingstair/platform/publish.py
+++ b/src/lacewingstair/platform/publish.py
@@ -6,7 +6,7 @@
 from result import Err, Ok, Result
 
 from lacewingstair.errors import PublishError, TicketError
-from lacewingstair.platform.append import Appender
+from lacewingstair.platform.append import READ_LIMIT, Appender
 from lacewingstair.platform.log import TICKET_STREAM, LogClient
 from lacewingstair.runtime import Clock
 from lacewingstair.tickets import Ticket, parse_ticket
@@ -25,8 +25,8 @@
     offset : int
         Its place in the stream.
     conflict_offset : int or None
-        Place of a ticket with the same or a higher number that was published at the
-        same time and comes first, so that this one will be refused.
+        Place of another ticket with the same or a higher number shortly before this
+        one, which will be refused unless that one is.
     """
 
     number: int
@@ -56,16 +56,12 @@
 
     appender = Appender(log, TICKET_STREAM, clock, rng)
     give_up_at = clock.monotonic() + timeout_seconds
-    end = await appender.read(0)
-    known_offset = None if isinstance(end, Err) else end.ok_value[1]
-    appended = await appender.append(text, is_same, known_offset, give_up_at)
+    appended = await appender.append(text, is_same, None, give_up_at)
     if isinstance(appended, Err):
         failed = appended.err_value
         return Err(PublishError(str(failed.error), failed.may_be_written))
     offset = appended.ok_value
-    conflict = None
-    if known_offset is not None and known_offset < offset:
-        conflict = await _conflict(appender, known_offset, offset, ticket)
+    conflict = await _conflict(appender, offset, ticket) if offset else None
     return Ok(PublishedTicket(ticket.number, offset, conflict))
 
 
@@ -76,16 +72,16 @@
     )
 
 
-async def _conflict(
-    appender: Appender, known_offset: int, offset: int, ticket: Ticket
-) -> int | None:
-    read = await appender.read(known_offset)
+async def _conflict(appender: Appender, offset: int, ticket: Ticket) -> int | None:
+    read = await appender.read(max(0, offset - READ_LIMIT))
     if isinstance(read, Err):
         return None
     for record in read.ok_value[0]:
         if record.offset >= offset:
             return None
         other = parse_ticket(record.value)
-        if isinstance(other, Ok) and other.ok_value.number >= ticket.number:
+        if isinstance(other, Err) or other.ok_value.number < ticket.number:
+            continue
+        if other.ok_value.digest != ticket.digest:
             return record.offset
     return None
--- a/src/lacewingstair/settings.py
+++ b/src/lacewingstair/settings.py
@@ -2,6 +2,7 @@
 
 import configparser
 import ipaddress
+import re
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -24,6 +25,8 @@
         ``ip:port`` of the four interfaces.
     log_url : str
         Base URL of the platform's log.
+    log_retention_seconds : float
+        How long the log keeps records; checkpoints are written well before.
     contacts : tuple of str
         VM addresses to start from.
     log_level : str
@@ -40,6 +43,7 @@
     operator_address: str
     log_url: str
     contacts: tuple[str, ...] = ()
+    log_retention_seconds: float = 86_400.0
     log_level: str = "info"
 
 
@@ -84,6 +88,13 @@
     return text
 
 
+def _retention(text: str) -> float:
+    hours = float(text) if re.fullmatch(r"\d{1,6}(\.\d{1,6})?", text) else 0.0
+    if not 0.1 <= hours <= 100_000:
+        raise ValueError("allowed are 0.1 to 100000 hours")
+    return hours * 3600.0
+
+
 def _level(text: str) -> str:
     if text not in ("debug", "info", "warning", "error"):
         raise ValueError("allowed are debug, info, warning, error")
@@ -107,6 +118,13 @@
     ),
     Setting("operator", "address", "operator_address", _address, "HTTP for operators"),
     Setting("platform", "log_url", "log_url", _url, "base URL of the log service"),
+    Setting(
+        "platform",
+        "log_retention_hours",
+        "log_retention_seconds",
+        _retention,
+        "time for which the log keeps records",
+    ),
     Setting("log", "level", "log_level", _level, "lowest level that is logged"),
 )
 
--- a/tests/platform/test_append.py
+++ b/tests/platform/test_append.py
@@ -118,6 +118,22 @@
     assert (second.offset, second.conflict_offset) == (1, 0)
 
 
+def test_a_number_that_is_below_one_published_before_is_reported_after_an_outage():
+    async def main():
+        log = LogStreams(VirtualClock())
+        operator = Operator(log)
+        for text in (ticket(7), "junk", ticket(3)):
+            log.append(TICKET_STREAM, text)
+        operator.client.faults.is_down = True
+        task = asyncio.create_task(operator.publish(ticket(3), timeout=600.0))
+        await operator.clock.sleep(60.0)
+        operator.client.faults.is_down = False
+        return (await task).unwrap()
+
+    published = run_virtual(main())
+    assert (published.offset, published.conflict_offset) == (3, 0)
+
+
 def test_a_record_that_the_log_refuses_is_not_sent_again():
     async def main():
         operator = Operator(LogStreams(VirtualClock()))
