--- a/tests/captured_events.py
+++ b/tests/captured_events.py
@@ -1,7 +1,6 @@
 """Log lines as parsed events."""
 
 import contextlib
-import re
 
 from loguru import logger
 
@@ -10,14 +9,12 @@
 
 @contextlib.contextmanager
 def captured_events():
-    """Collect the log lines as parsed events."""
-    lines = []
+    """Collect the names of the events that are logged."""
+    names = []
     sink = logger.add(
-        lambda m: lines.append(re.sub(r"\s+$", "", m)), format="{message}"
+        lambda line: names.append(parse_event(line)["event"]), format="{message}"
     )
-    found = []
     try:
-        yield found
+        yield names
     finally:
         logger.remove(sink)
-        found.extend(parse_event(line) for line in lines)
