--- a/tests/platform/test_fault_schedules.py
+++ b/tests/platform/test_fault_schedules.py
@@ -117,9 +117,8 @@
                 stream = self.readers.log.stream(TICKET_STREAM)
                 self.readers.log.expire(TICKET_STREAM, stream.first_offset + 1)
             await self.readers.clock.sleep(step.seconds)
-        for client in [v.client for v in self.readers.vms] + [
-            client for client, _ in self.operators
-        ]:
+        clients = [vm.client for vm in self.readers.vms]
+        for client in clients + [client for client, _ in self.operators]:
             client.faults = LogFaults()
         await self.readers.clock.sleep(200.0)
         published = [await task for _, task in self.operators]
--- a/tests/platform/test_http_log.py
+++ b/tests/platform/test_http_log.py
@@ -31,78 +31,72 @@
         await runner.cleanup()
 
 
-def run_with_service(scenario):
+def with_service(scenario):
+    """Run a test against the HTTP stand-in on a loopback port."""
+
     async def main():
         service = LogService(SystemClock())
         async with served(service.application()) as client:
-            return await scenario(service, client)
-
-    return asyncio.run(main())
+            await scenario(service, client)
 
+    return lambda: asyncio.run(main())
 
-def test_records_are_read_back_as_they_were_appended():
-    async def scenario(service, client):
-        texts = ["{}", "\u00e9\ud800", "x" * 100_000]
-        offsets = [(await client.append("s", text)).unwrap() for text in texts]
-        batch = (await client.read("s", 1, 10, 0.0)).unwrap()
-        return texts, offsets, batch
 
-    texts, offsets, batch = run_with_service(scenario)
-    assert offsets == [0, 1, 2]
-    assert [(r.offset, r.value) for r in batch.records] == list(
-        enumerate(texts[1:], start=1)
-    )
+@with_service
+async def test_records_are_read_back_as_they_were_appended(service, client):
+    texts = ["{}", "\u00e9\ud800", "x" * 100_000]
+    assert [(await client.append("s", text)).unwrap() for text in texts] == [0, 1, 2]
+    batch = (await client.read("s", 1, 10, 0.0)).unwrap()
+    assert [(r.offset, r.value) for r in batch.records] == [
+        (1, texts[1]),
+        (2, texts[2]),
+    ]
     assert (batch.first_offset, batch.next_offset) == (0, 3)
 
 
-def test_a_long_poll_returns_when_a_record_is_appended():
-    async def scenario(service, client):
-        poll = asyncio.create_task(client.read("s", 0, 10, 60.0))
-        while service.reads == 0:  # noqa: ASYNC110
-            await asyncio.sleep(0)
-        service.append("s", "new")
-        return (await poll).unwrap().records[0].value
-
-    assert run_with_service(scenario) == "new"
-
-
-def test_an_expired_offset_gives_the_first_one_kept():
-    async def scenario(service, client):
-        for _ in range(5):
-            service.append("s", "old")
-        service.expire("s", 3)
-        return (await client.read("s", 1, 10, 0.0)).unwrap_err()
-
-    assert run_with_service(scenario) == OffsetExpired(1, 3)
-
-
-def test_a_ticket_whose_connection_breaks_after_the_write_is_on_the_log_once():
-    async def scenario(service, client):
-        service.lost_answers = 1
-        clock, rng = SystemClock(), random.Random(1)
-        published = await publish_ticket(client, ticket(1), clock, rng)
-        return published.unwrap().offset, service.appends
-
-    assert run_with_service(scenario) == (0, 1)
-
-
-def test_a_record_that_is_too_large_is_refused_for_good():
-    async def scenario(service, client):
-        return await client.append(TICKET_STREAM, "x" * (MAX_VALUE_BYTES + 1))
-
-    assert isinstance(run_with_service(scenario).unwrap_err(), LogRefused)
-
-
-def test_a_log_that_is_down_or_gone_is_unavailable():
-    async def scenario(service, client):
-        service.is_down = True
-        answers = [await client.append("s", "x"), await client.read("s", 0, 1, 0.0)]
-        gone = HttpLogClient("http://127.0.0.1:1")
-        answers.append(await gone.read("s", 0, 1, 0.0))
-        await gone.close()
-        return answers
-
-    for answer in run_with_service(scenario):
+@with_service
+async def test_a_long_poll_returns_when_a_record_is_appended(service, client):
+    poll = asyncio.create_task(client.read("s", 0, 10, 60.0))
+    while service.reads == 0:  # noqa: ASYNC110
+        await asyncio.sleep(0)
+    service.append("s", "new")
+    assert (await poll).unwrap().records[0].value == "new"
+
+
+@with_service
+async def test_an_expired_offset_gives_the_first_one_kept(service, client):
+    for _ in range(5):
+        service.append("s", "old")
+    service.expire("s", 3)
+    answer = await client.read("s", 1, 10, 0.0)
+    assert answer.unwrap_err() == OffsetExpired(1, 3)
+
+
+@with_service
+async def test_a_ticket_whose_connection_breaks_is_on_the_log_once(service, client):
+    service.lost_answers = 1
+    clock, rng = SystemClock(), random.Random(1)
+    published = await publish_ticket(client, ticket(1), clock, rng)
+    assert (published.unwrap().offset, service.appends) == (0, 1)
+
+
+@with_service
+async def test_a_record_that_is_too_large_is_refused_for_good(service, client):
+    answer = await client.append(TICKET_STREAM, "x" * (MAX_VALUE_BYTES + 1))
+    assert isinstance(answer.unwrap_err(), LogRefused)
+
+
+@with_service
+async def test_a_log_that_is_down_or_gone_is_unavailable(service, client):
+    service.is_down = True
+    gone = HttpLogClient("http://127.0.0.1:1")
+    answers = [
+        await client.append("s", "x"),
+        await client.read("s", 0, 1, 0.0),
+        await gone.read("s", 0, 1, 0.0),
+    ]
+    await gone.close()
+    for answer in answers:
         assert isinstance(answer.unwrap_err(), LogUnavailable)
 
 
@@ -137,14 +131,12 @@
     assert isinstance(asyncio.run(main()).unwrap_err(), LogUnavailable)
 
 
-def test_an_answer_beyond_the_bound_is_not_read_to_its_end(monkeypatch):
-    monkeypatch.setattr(http_log, "MAX_RESPONSE_BYTES", 1000)
-
-    async def scenario(service, client):
-        service.append("s", "x" * 2000)
-        return await client.read("s", 0, 10, 0.0)
-
-    assert "larger" in str(run_with_service(scenario).unwrap_err())
+@with_service
+async def test_an_answer_beyond_the_bound_is_not_read_to_its_end(service, client):
+    for _ in range(http_log.MAX_RESPONSE_BYTES // MAX_VALUE_BYTES + 1):
+        service.append("s", "x" * MAX_VALUE_BYTES)
+    answer = await client.read("s", 0, 100, 0.0)
+    assert "larger" in str(answer.unwrap_err())
 
 
 def test_the_timeout_grows_for_a_slow_log_and_returns_to_its_start():
--- a/tests/platform/test_reader.py
+++ b/tests/platform/test_reader.py
@@ -2,9 +2,10 @@
 
 import attrs
 import pytest
-from tests.captured_events import captured_events
+from loguru import logger
 from tests.ticket_texts import first_ticket, ticket
 
+from lacewingstair.events import parse_event
 from lacewingstair.marks import RolloutKey, TakeBack
 from lacewingstair.platform import checkpointer
 from lacewingstair.platform.log import SYSTEM_STREAM, TICKET_STREAM
@@ -23,13 +24,17 @@
 
     async def main():
         readers = LogReaders(VirtualClock(), **options)
-        with captured_events() as events:
-            try:
-                await scenario(readers, events)
-            finally:
-                await readers.stop()
-
-    run_virtual(main())
+        await scenario(readers, events)
+        await readers.stop()
+
+    events = []
+    sink = logger.add(
+        lambda line: events.append(parse_event(line)["event"]), format="{message}"
+    )
+    try:
+        run_virtual(main())
+    finally:
+        logger.remove(sink)
 
 
 def with_readers(**options):
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -28,9 +28,9 @@
     matching = []
     for name, route in routes.items():
         prefix = route.path_prefix
-        is_match = path == prefix or path.startswith(prefix.rstrip("/") + "/")
-        if prefix.endswith("/"):
-            is_match = path.startswith(prefix)
+        is_match = path == prefix or path.startswith(
+            prefix if prefix.endswith("/") else prefix + "/"
+        )
         if not is_match or (route.methods and method not in route.methods):
             continue
         for is_exact in (host in route.hosts, False):
