End silent connections that have bytes left to send

Closing a TCP connection first flushes what is queued, which a silent peer never takes: the link stayed in place for minutes and was not opened anew. Closing now aborts after 2 s.

A VM whose zone is listed under another region by other settings no longer stops with an error when it works out its links.

--- a/src/lacewingstair/directory.py
+++ b/src/lacewingstair/directory.py
@@ -105,12 +105,6 @@
         return self.status in (VmStatus.ALIVE, VmStatus.SUSPECT)
 
 
-@attrs.frozen
-class _Entry:
-    record: VmRecord
-    digest: int
-
-
 OnRecord = Callable[[VmRecord | None, VmRecord | None], None]
 
 
@@ -119,6 +113,8 @@
 
     Attributes
     ----------
+    records_by_vm_id : dict
+        All records, tombstones included; changed only by `merge` and `remove`.
     digest : int
         64-bit digest that is equal for equal directories.
     version : int
@@ -126,7 +122,8 @@
     """
 
     def __init__(self) -> None:
-        self._entries_by_vm_id: dict[str, _Entry] = {}
+        self.records_by_vm_id: dict[str, VmRecord] = {}
+        self._digests_by_vm_id: dict[str, int] = {}
         self._vm_ids_by_bucket: list[set[str]] = [set() for _ in range(BUCKETS)]
         self._bucket_digests = [0] * BUCKETS
         self._listeners: list[OnRecord] = []
@@ -139,34 +136,41 @@
 
     def merge(self, record: VmRecord) -> bool:
         """Keep `record` if it is newer than the one held; return whether it was."""
-        held = self._entries_by_vm_id.get(record.vm_id)
-        if held is not None and record.order < held.record.order:
+        vm_id = record.vm_id
+        held = self.records_by_vm_id.get(vm_id)
+        if held is not None and record.order < held.order:
             return False
-        entry = _Entry(record, record_digest(record))
+        digest = record_digest(record)
         # Two processes that claim one VM id can issue records of the same order; the
         # digest makes every VM keep the same one.
-        is_tie = held is not None and record.order == held.record.order
-        if is_tie and entry.digest <= held.digest:
+        is_tie = held is not None and record.order == held.order
+        if is_tie and digest <= self._digests_by_vm_id[vm_id]:
             return False
-        self._replace(record.vm_id, held, entry)
+        self.records_by_vm_id[vm_id] = record
+        self._vm_ids_by_bucket[bucket_of(vm_id)].add(vm_id)
+        self._toggle(vm_id, self._digests_by_vm_id.get(vm_id, 0) ^ digest)
+        self._digests_by_vm_id[vm_id] = digest
+        self._notify(held, record)
         return True
 
     def remove(self, vm_id: str) -> None:
         """Forget a VM, after its tombstone has been kept long enough."""
-        held = self._entries_by_vm_id.get(vm_id)
-        if held is not None:
-            self._replace(vm_id, held, None)
+        held = self.records_by_vm_id.pop(vm_id, None)
+        if held is None:
+            return
+        self._vm_ids_by_bucket[bucket_of(vm_id)].discard(vm_id)
+        self._toggle(vm_id, self._digests_by_vm_id.pop(vm_id))
+        self._notify(held, None)
 
     def get(self, vm_id: str) -> VmRecord | None:
         """Return the record of a VM, or None."""
-        held = self._entries_by_vm_id.get(vm_id)
-        return None if held is None else held.record
+        return self.records_by_vm_id.get(vm_id)
 
     def __len__(self) -> int:
-        return len(self._entries_by_vm_id)
+        return len(self.records_by_vm_id)
 
     def __iter__(self) -> Iterator[VmRecord]:
-        return (entry.record for entry in self._entries_by_vm_id.values())
+        return iter(self.records_by_vm_id.values())
 
     def live(self) -> list[VmRecord]:
         """Return the records of VMs that take part in the overlay."""
@@ -179,22 +183,14 @@
     def digests_in_bucket(self, bucket: int) -> dict[int, str]:
         """Return the VM ids of a bucket by the digest of their records."""
         vm_ids = self._vm_ids_by_bucket[bucket]
-        return {self._entries_by_vm_id[vm_id].digest: vm_id for vm_id in vm_ids}
+        return {self._digests_by_vm_id[vm_id]: vm_id for vm_id in vm_ids}
 
-    def _replace(self, vm_id: str, held: _Entry | None, entry: _Entry | None) -> None:
-        bucket = bucket_of(vm_id)
-        changed = (held.digest if held else 0) ^ (entry.digest if entry else 0)
-        self._bucket_digests[bucket] ^= changed
+    def _toggle(self, vm_id: str, changed: int) -> None:
+        self._bucket_digests[bucket_of(vm_id)] ^= changed
         self.digest ^= changed
+
+    def _notify(self, before: VmRecord | None, after: VmRecord | None) -> None:
         self.version += 1
-        if entry is None:
-            del self._entries_by_vm_id[vm_id]
-            self._vm_ids_by_bucket[bucket].discard(vm_id)
-        else:
-            self._entries_by_vm_id[vm_id] = entry
-            self._vm_ids_by_bucket[bucket].add(vm_id)
-        before = held.record if held else None
-        after = entry.record if entry else None
         for listener in self._listeners:
             listener(before, after)
 
--- a/src/lacewingstair/overlay.py
+++ b/src/lacewingstair/overlay.py
@@ -231,6 +231,9 @@
     def _region_links(self, rank: int, lost_zones: frozenset[str]) -> list[Link]:
         own = self._own
         near = [z for z in self._zones_by_hash(own.region) if z not in lost_zones]
+        if own.availability_zone not in near:
+            # Another VM of the zone names another region in its settings.
+            return []
         zone_rank = near.index(own.availability_zone)
         # The first relay of the first zone pushes. Its second relay, and the first
         # relay of the second zone, keep lazy links, so that no single VM or zone is
--- a/src/lacewingstair/vm/transport.py
+++ b/src/lacewingstair/vm/transport.py
@@ -18,6 +18,8 @@
 
 MAX_SEND_BUFFER_BYTES = 8 << 20
 CONNECT_TIMEOUT_SECONDS = 2.0
+# A silent connection never takes what is still to be sent.
+FLUSH_SECONDS = 2.0
 
 
 class MessageStream(Protocol):
@@ -128,8 +130,11 @@
 
     def close(self) -> None:
         """End the stream."""
-        if not self._writer.is_closing():
-            self._writer.close()
+        if self._writer.is_closing():
+            return
+        self._writer.close()
+        loop = asyncio.get_running_loop()
+        loop.call_later(FLUSH_SECONDS, self._writer.transport.abort)
 
 
 class TcpListener:
