Name other VMs to those that find no room

VMs that start in large numbers filled the connections of the few contacts and waited there with growing delays. A VM without room now answers with the addresses of four other VMs, which the caller tries beside its contacts.

The new test allows 12 s and fails without the names.

--- a/src/lacewingstair/vm/discovery.py
+++ b/src/lacewingstair/vm/discovery.py
@@ -1,6 +1,7 @@
 """Choice of addresses to contact outside the overlay."""
 
 import random
+from collections import deque
 from collections.abc import Callable, Iterable
 
 from lacewingstair.directory import Directory, VmRecord
@@ -11,6 +12,10 @@
 ALONE_ROTATION_SECONDS = 3.0
 CONTACT_INTERVAL_SECONDS = (20.0, 60.0)
 CONTACT_SECONDS = 6.0
+# A contact that has no room names this many of the VMs that it knows, so that VMs that
+# start in large numbers spread over the mesh.
+REFERRALS = 4
+MAX_REFERRED = 32
 
 
 class Discovery:
@@ -49,6 +54,7 @@
         self._dead_addresses = dead_addresses
         self._clock = clock
         self._rng = rng
+        self._referred: deque[str] = deque(maxlen=MAX_REFERRED)
         self._chosen: list[str] = []
         self._until = float("-inf")
         self._next_at = clock.monotonic() + rng.uniform(*CONTACT_INTERVAL_SECONDS)
@@ -62,8 +68,9 @@
         """Return the connections that are wanted now besides the overlay's."""
         now = self._clock.monotonic()
         if is_alone and now >= self._until:
-            count = min(CONTACTS_AT_ONCE, len(self._contacts))
-            self._choose(self._rng.sample(self._contacts, count), now)
+            candidates = sorted({*self._contacts, *self._referred})
+            count = min(CONTACTS_AT_ONCE, len(candidates))
+            self._choose(self._rng.sample(candidates, count), now)
             self._until = now + ALONE_ROTATION_SECONDS
         elif not is_alone and now >= self._next_at:
             self._next_at = now + self._rng.uniform(*CONTACT_INTERVAL_SECONDS)
@@ -77,6 +84,16 @@
             for address in self._chosen
         ]
 
+    def refer(self, addresses: Iterable[str]) -> None:
+        """Note addresses that a VM without room has named."""
+        self._referred.extend(a for a in addresses if a != self._own.address)
+
+    def referrals(self) -> tuple[str, ...]:
+        """Return addresses of some live VMs."""
+        records = list(self._directory)
+        chosen = self._rng.sample(records, min(REFERRALS, len(records)))
+        return tuple(record.address for record in chosen if record.is_live)
+
     def _choose(self, addresses: list[str], now: float) -> None:
         self._chosen = addresses
         self._until = now + CONTACT_SECONDS
--- a/src/lacewingstair/vm/links.py
+++ b/src/lacewingstair/vm/links.py
@@ -23,7 +23,6 @@
 # A connection that ends sooner counts as a failure, so that a peer that closes at once
 # is not called again without delay.
 SERVED_SECONDS = 1.0
-BUSY_RETRY_MS = 2000
 # 16 children, the relays of 8 other zones and their second relays make 32 links; the
 # rest is for contacts and for reconnects that overlap with the connection they replace.
 MAX_ACCEPTED_CONNECTIONS = 128
@@ -82,8 +81,12 @@
         """Note that a new connection to a VM was not answered."""
         ...
 
-    def on_refused(self) -> None:
-        """Note that a VM answered that it accepts no more connections."""
+    def on_refused(self, addresses: tuple[str, ...]) -> None:
+        """Note that a VM accepts no more connections and names others."""
+        ...
+
+    def other_addresses(self) -> tuple[str, ...]:
+        """Return addresses for a VM that is not accepted."""
         ...
 
     def on_own_id(self, hello: messages.Hello) -> None:
@@ -109,7 +112,7 @@
     clock, rng
         Time and randomness.
     max_accepted : int
-        Connections accepted at a time; further ones are answered with Busy.
+        Connections accepted at a time; further ones are answered with Full.
     """
 
     def __init__(
@@ -121,7 +124,7 @@
         listener: LinkListener,
         clock: Clock,
         rng: random.Random,
-        max_accepted: int = MAX_ACCEPTED_CONNECTIONS,
+        max_accepted: int,
     ) -> None:
         self._mesh = mesh
         self._own = own
@@ -218,7 +221,7 @@
     async def _accept(self, stream: MessageStream) -> None:
         if self._accepted >= self._max_accepted:
             self._report_full()
-            stream.send(messages.Busy(BUSY_RETRY_MS, True))
+            stream.send(messages.Full(self._listener.other_addresses()))
             return
         self._accepted += 1
         self._is_full = self._is_full and self._accepted > self._max_accepted // 2
@@ -274,9 +277,9 @@
         return Ok(peer)
 
     def _is_welcome(self, hello: Any) -> bool:
-        if isinstance(hello, messages.Busy):
-            events.debug("peer_busy", retry_after_ms=hello.retry_after_ms)
-            self._listener.on_refused()
+        if isinstance(hello, messages.Full):
+            events.debug("peer_full")
+            self._listener.on_refused(hello.addresses)
             return False
         if not isinstance(hello, messages.Hello) or hello.mesh != self._mesh:
             events.warning("peer_refused", hello=f"{hello!r:.200}")
--- a/src/lacewingstair/vm/messages.py
+++ b/src/lacewingstair/vm/messages.py
@@ -209,6 +209,14 @@
     """Takes the place of a heartbeat that is the same as the last one on the link."""
 
 
+@message(19)
+@attrs.frozen
+class Full:
+    """The sender accepts no more connections; others may."""
+
+    addresses: tuple[str, ...]
+
+
 @message(17)
 @attrs.frozen
 class RecordsExpired:
--- a/src/lacewingstair/vm/node.py
+++ b/src/lacewingstair/vm/node.py
@@ -24,7 +24,7 @@
 )
 from lacewingstair.vm.evidence_relay import EvidenceRelay
 from lacewingstair.vm.failure_detector import FailureDetector
-from lacewingstair.vm.links import LinkKeeper
+from lacewingstair.vm.links import MAX_ACCEPTED_CONNECTIONS, LinkKeeper
 from lacewingstair.vm.membership import Membership
 from lacewingstair.vm.neighbours import Neighbours
 from lacewingstair.vm.peers import Peer, PeerTable
@@ -105,11 +105,18 @@
             own.region, store, directory, marks, self._marks, self._snapshots
         )
         self._evidence = EvidenceRelay(own, self.overlay, self._peers, clock)
-        discovery = Discovery(
+        self._discovery = Discovery(
             own, contacts, directory, self._detector.dead_addresses, clock, rng
         )
         self._links = LinkKeeper(
-            mesh, lambda: self.own, transport, self._peers, self, clock, rng
+            mesh,
+            lambda: self.own,
+            transport,
+            self._peers,
+            self,
+            clock,
+            rng,
+            MAX_ACCEPTED_CONNECTIONS,
         )
         self._reachability = Reachability(own, self.overlay, self._peers, clock)
         self._neighbours = Neighbours(
@@ -117,7 +124,7 @@
             self.overlay,
             self._peers,
             self._links,
-            discovery,
+            self._discovery,
             self._reachability,
             clock,
         )
@@ -126,7 +133,7 @@
             self.overlay,
             self._peers,
             self._reachability,
-            discovery.has_contacts,
+            self._discovery.has_contacts,
             clock,
             rng,
         )
@@ -243,9 +250,14 @@
         if vm_id and (not is_isolated or since > ISOLATION_SECONDS):
             self._detector.suspect(vm_id)
 
-    def on_refused(self) -> None:
-        """Note that there is a VM to wait for."""
+    def on_refused(self, addresses: tuple[str, ...]) -> None:
+        """Note that there is a mesh to wait for, and who else may have room."""
         self._reader_role.on_contact()
+        self._discovery.refer(addresses)
+
+    def other_addresses(self) -> tuple[str, ...]:
+        """Return addresses of live VMs, for one that is not accepted here."""
+        return self._discovery.referrals()
 
     def on_own_id(self, hello: messages.Hello) -> None:
         """Report another process with the id of this VM."""
--- a/tests/vm/test_node.py
+++ b/tests/vm/test_node.py
@@ -5,6 +5,7 @@
 import json
 
 import pytest
+from loguru import logger
 
 from lacewingstair.directory import Endpoint, VmStatus
 from lacewingstair.evidence import EvidenceCounter, EvidenceReport
@@ -322,6 +323,19 @@
         await cluster.until(cluster.is_settled, 60)
 
 
+def test_vms_that_find_no_room_are_named_others(monkeypatch):
+    monkeypatch.setattr("lacewingstair.vm.node.MAX_ACCEPTED_CONNECTIONS", 24)
+
+    async def main():
+        cluster = Cluster(zones(1, 1), 100, decodes=False)
+        # A single contact, which has room for a quarter of the VMs. Without the names
+        # of others, the last ones wait for room there for 25 virtual seconds.
+        await cluster.start(settle_seconds=12)
+        await cluster.stop()
+
+    run_virtual(main())
+
+
 def evidence(source, sequence, is_zone_total):
     counter = EvidenceCounter(ROLLOUT, "read", "v2", 1, 10, 1, 9, 2)
     return EvidenceReport(source, is_zone_total, sequence, (counter,))
@@ -374,8 +388,12 @@
     stream.send(hello)
     await asyncio.sleep(0.1)
     assert "stranger" in vm.node.peers_by_vm_id
+    lines = []
+    sink = logger.add(lines.append, level="INFO", format="{message}")
     stream.inject(b"\0\0\0\1\0\xc1")
     await asyncio.sleep(0.1)
+    logger.remove(sink)
+    assert [line.split()[0] for line in lines] == ["event=link_broken"]
     assert "stranger" not in vm.node.peers_by_vm_id
     cluster.publish(1)
     await cluster.until(lambda: cluster.has_ticket(1), 5)
@@ -390,7 +408,7 @@
         for _ in range(MAX_ACCEPTED_CONNECTIONS)
     ]
     late = (await other.transport.connect(address)).unwrap()
-    assert isinstance((await late.receive()).unwrap(), messages.Busy)
+    assert isinstance((await late.receive()).unwrap(), messages.Full)
     assert isinstance((await streams[0].receive()).unwrap(), messages.Hello)
     # Each is closed when its time for a Hello is over.
     async with asyncio.timeout(3):
