Keep layers of callers from multiplying attempts; do not blame upstreams for slow callers

Cause: a repeat did not tell the layers behind it that it is one, and an answer cut because its caller reads slowly counted as a failure of the version.

Change: a repeat carries Lacewingstair-Retry: no; a time-out while writing to the caller counts as cancelled.

With four layers and two upstreams each the innermost is called twice; the test fails when answers are not marked or the mark is ignored.

--- a/src/lacewingstair/caller/dispatch.py
+++ b/src/lacewingstair/caller/dispatch.py
@@ -30,6 +30,7 @@
 STALE_IDLE_SECONDS = 1.0
 REFUSAL_STATUSES = (429, 503)
 REPEATABLE_STATUSES = (502, 503, 504)
+_RETRY_NO_LINE = f"{headers.RETRY}: {headers.RETRY_NO}\r\n".encode()
 
 
 @attrs.define
@@ -86,6 +87,7 @@
     connection: UpstreamConnection | None = None
     writer: asyncio.Task[None] | None = None
     latency_seconds: float = 0.0
+    is_repeat: bool = False
     was_reused: bool = False
     idle_seconds: float = 0.0
     is_settled: bool = False
@@ -229,7 +231,9 @@
             group, upstream = chosen
             tried.append(upstream)
             is_last = len(tried) >= MAX_ATTEMPTS
-            outcome = await self._attempt(call, group, upstream, is_last)
+            attempt = Attempt(call, group, upstream, self._clock.monotonic())
+            attempt.is_repeat = len(tried) > 1
+            outcome = await self._attempt(attempt, is_last)
             if isinstance(outcome, Failure):
                 may_have_run = may_have_run or outcome.is_sent
                 last = Refusal(outcome.status, outcome.reason, not may_have_run, 1)
@@ -295,13 +299,9 @@
         reason = f"all endpoints of {call.service} are busy"
         return Refusal(503, reason, True, 1, is_short=True)
 
-    async def _attempt(
-        self, call: Call, group: Group, upstream: Upstream, is_last: bool
-    ) -> Answer | Failure:
-        now = self._clock.monotonic()
-        attempt = Attempt(call, group, upstream, now)
-        self._balancer.started(upstream)
-        self._log(call, upstream)
+    async def _attempt(self, attempt: Attempt, is_last: bool) -> Answer | Failure:
+        self._balancer.started(attempt.upstream)
+        self._log(attempt.call, attempt.upstream)
         try:
             return await self._connect_and_send(attempt, is_last)
         except asyncio.CancelledError:
@@ -341,10 +341,13 @@
         seconds: float,
     ) -> Answer | Failure:
         call = attempt.call
-        head = b"%b %b HTTP/1.1\r\n%b%b%b: %d\r\n\r\n" % (
+        # Layers behind a repeat do not repeat in turn.
+        is_marked = attempt.is_repeat and call.allows_retry
+        head = b"%b %b HTTP/1.1\r\n%b%b%b%b: %d\r\n\r\n" % (
             call.method.encode(),
             call.target.encode(),
             call.header_lines,
+            _RETRY_NO_LINE if is_marked else b"",
             call.body.framing(call.has_body),
             headers.DEADLINE_MS.encode(),
             max(1, int(remaining * 1000)),
--- a/src/lacewingstair/caller/server.py
+++ b/src/lacewingstair/caller/server.py
@@ -263,6 +263,7 @@
         if self.is_draining:
             response.force_close()
         payload = answer.payload
+        is_writing = False
         try:
             remaining = call.deadline - self._clock.monotonic()
             async with asyncio.timeout(max(0.0, remaining)):
@@ -270,12 +271,18 @@
                     response.force_close()
                 await response.prepare(request)
                 while chunk := await payload.readany():
+                    is_writing = True
                     await response.write(chunk)
+                    is_writing = False
+            is_writing = True
             await response.write_eof()
         except asyncio.CancelledError:
             self.dispatcher.cancelled(answer)
             raise
         except (TimeoutError, ClientError, ValueError, OSError) as error:
+            # A caller that reads slowly or has left says nothing about the upstream.
+            if is_writing:
+                self.dispatcher.cancelled(answer)
             return self._cut(request, response, answer, error)
         self.dispatcher.finish(answer)
         if not request.content.at_eof():
--- /dev/null
+++ b/tests/caller/test_relay.py
@@ -0,0 +1,35 @@
+import types
+
+import pytest
+from aiohttp.http import HttpVersion11
+from aiohttp.streams import EMPTY_PAYLOAD
+from multidict import CIMultiDict
+
+from lacewingstair.caller.relay import whole_answer
+
+
+@pytest.mark.parametrize(
+    ("value", "status", "is_whole"),
+    [
+        (b"plain", 200, True),
+        (b"a\rSet-Cookie: b", 200, False),
+        (b"a\nSet-Cookie: b", 200, False),
+        (b"a\r\nSet-Cookie: b\n", 200, False),
+        (b"plain", 204, False),
+        (b"plain", 500, False),
+    ],
+)
+def test_only_answers_that_need_no_check_are_written_as_bytes(value, status, is_whole):
+    """Guards against an added header and against statuses that need a mark."""
+    message = types.SimpleNamespace(
+        code=status,
+        reason="X",
+        chunked=False,
+        headers=CIMultiDict(),
+        raw_headers=((b"A", value), (b"Content-Length", b"0")),
+    )
+    answer = types.SimpleNamespace(message=message, payload=EMPTY_PAYLOAD)
+    request = types.SimpleNamespace(
+        version=HttpVersion11, method="GET", content=EMPTY_PAYLOAD
+    )
+    assert (whole_answer(answer, request) is not None) == is_whole
--- a/tests/caller/test_server.py
+++ b/tests/caller/test_server.py
@@ -52,16 +52,22 @@
         self.requests = []
 
     @contextlib.asynccontextmanager
-    async def running(self, handler=None):
+    async def running(self, handler=None, upstreams=1):
         store = StateStore()
         store.apply([TicketRecord(0, json.dumps(TICKET))])
-        backend = await asyncio.start_server(handler or self.script, "127.0.0.1", 0)
-        address = f"127.0.0.1:{backend.sockets[0].getsockname()[1]}"
-        endpoint = Endpoint("board", "v1", address)
         directory = Directory()
-        directory.merge(VmRecord("a", "r", "z", "-", 1, endpoints=(endpoint,)))
+        backends = []
+        for number in range(upstreams):
+            backend = await asyncio.start_server(handler or self.script, "127.0.0.1", 0)
+            backends.append(backend)
+            address = f"127.0.0.1:{backend.sockets[0].getsockname()[1]}"
+            endpoints = (Endpoint("board", "v1", address),)
+            directory.merge(
+                VmRecord(str(number), "r", "z", "-", 1, endpoints=endpoints)
+            )
         self.calls = CallServer(store, directory, random.Random(1))
-        self.runner = web.ServerRunner(self.calls.http_server())
+        server = self.calls.http_server()
+        self.runner = web.ServerRunner(server, shutdown_timeout=5.0)
         await self.runner.setup()
         site = web.TCPSite(self.runner, "127.0.0.1", 0)
         await site.start()
@@ -71,7 +77,8 @@
         finally:
             await self.calls.close()
             await self.runner.cleanup()
-            backend.close()
+            for backend in backends:
+                backend.close()
 
     async def script(self, reader, writer):
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
@@ -312,6 +319,40 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("inner_status", [b"503 X", b"502 X"])
+def test_layers_of_callers_do_not_multiply_attempts(inner_status):
+    """Guards against 2 ** 25 calls of the innermost service when it fails."""
+
+    async def main():
+        heads = []
+
+        async def innermost(reader, writer):
+            heads.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.write(b"HTTP/1.1 " + inner_status + b"\r\nContent-Length: 0\r\n\r\n")
+            writer.close()
+
+        def layer_before(site):
+            async def forward(reader, writer):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(await site.exchange(get("/read")))
+                writer.close()
+
+            return forward
+
+        async with contextlib.AsyncExitStack() as stack:
+            handler = innermost
+            for _ in range(4):
+                running = Site().running(handler, upstreams=2)
+                site = await stack.enter_async_context(running)
+                handler = layer_before(site)
+            received = await site.exchange(get("/read"))
+        assert received.startswith(b"HTTP/1.1 " + inner_status[:3])
+        assert len(heads) == 2
+        assert [b"Lacewingstair-Retry: no" in head for head in heads] == [False, True]
+
+    asyncio.run(main())
+
+
 def test_a_caller_that_disconnects_closes_the_upstream_connection():
     """Guards against upstream work for callers that have left."""
 
