Repeat once for all connections that were closed while idle

Cause: after a restart of a backend server each kept connection cost one repeat, since a stale one did not count as an attempt and the next was taken from the same pool.

Change: a connection closed while idle closes those that were idle for longer.

Checked: python -m pytest; the new test fails without the change.

--- a/src/lacewingstair/caller/dispatch.py
+++ b/src/lacewingstair/caller/dispatch.py
@@ -392,7 +392,8 @@
             and not attempt.call.has_body
         )
         fault = _writer_fault(attempt)
-        if is_timeout and is_silent and attempt.was_reused:
+        if is_stale or (is_timeout and is_silent and attempt.was_reused):
+            # Those that were idle for longer are closed or silent as well.
             self._pool.discard_older(attempt.upstream.address, connection.used_at)
         if is_timeout:
             attempt.upstream.limit.refused()
--- a/tests/caller/test_dispatch.py
+++ b/tests/caller/test_dispatch.py
@@ -177,6 +177,23 @@
     run_virtual(main())
 
 
+def test_a_connection_closed_while_idle_costs_one_repeat_for_all_that_idled():
+    """Guards against one repeat for each kept connection after a restart."""
+
+    async def main():
+        mesh = Mesh([])
+        (server,) = mesh.servers.values()
+        await asyncio.gather(*(mesh.send(mesh.call(f"/{i}")) for i in range(5)))
+        await asyncio.sleep(2)
+        for transport in server.transports:
+            transport.fault = Fault.CLOSE_ON_FIRST_BYTE
+        assert (await mesh.send(mesh.call("/last")))[1] == b"/last"
+        assert server.connections == 6
+        assert len(mesh.sink.outcomes) == 7
+
+    run_virtual(main())
+
+
 def test_a_caller_that_leaves_closes_the_upstream_connection():
     """Guards against backend servers working for callers that have left."""
 
