--- a/src/lacewingstair/balancing.py
+++ b/src/lacewingstair/balancing.py
@@ -67,6 +67,7 @@
     ejected_until: float = 0.0
     is_ejected: bool = False
     is_probed: bool = False
+    is_removed: bool = False
 
     @property
     def address(self) -> str:
@@ -193,6 +194,7 @@
         group = self._groups_by_key[key]
         group.tiers[upstream.tier].remove(upstream)
         group.ejected -= upstream.is_ejected
+        upstream.is_removed = True
         if not len(group):
             del self._groups_by_key[key]
         self.on_removed(upstream.address)
@@ -253,7 +255,7 @@
         upstream.consecutive_failures = 0
         upstream.limit.succeeded(upstream.in_flight + 1)
         # The answer to a call that began before the ejection proves nothing.
-        if upstream.is_ejected and is_probed:
+        if upstream.is_ejected and is_probed and not upstream.is_removed:
             self._restore(group, upstream)
 
     def failed(self, group: Group, upstream: Upstream, seconds: float) -> None:
@@ -312,6 +314,9 @@
         return upstream.calls >= EJECT_MIN_CALLS and is_frequent
 
     def _eject(self, group: Group, upstream: Upstream, *, is_certain: bool) -> None:
+        if upstream.is_removed:
+            # Its last calls end after it left the group and its counts.
+            return
         now = self._clock.monotonic()
         if not upstream.is_ejected:
             is_floor = group.ejected + 1 > EJECT_MAX_SHARE * len(group)
--- a/src/lacewingstair/caller/server.py
+++ b/src/lacewingstair/caller/server.py
@@ -47,8 +47,10 @@
         self._store = store
 
     def choose_version(self, route: str, service: str) -> str:
-        """Return the service's current version."""
-        return self._store.state.services[service].current
+        """Return the service's current version, or nothing if it was removed."""
+        # A ticket can remove the service between the choice of the route and this one.
+        found = self._store.state.services.get(service)
+        return "" if found is None else found.current
 
     def versions(self, route: str, service: str) -> tuple[str, ...]:
         """Return the service's current version alone."""
@@ -267,6 +269,7 @@
         if self.is_draining:
             response.force_close()
         payload = answer.payload
+        is_writing = False
         try:
             remaining = call.deadline - self._clock.monotonic()
             async with asyncio.timeout(max(0.0, remaining)):
@@ -274,12 +277,18 @@
                     response.force_close()
                 await response.prepare(request)
                 while chunk := await payload.readany():
+                    is_writing = True
                     await response.write(chunk)
+                    is_writing = False
+            is_writing = True
             await response.write_eof()
         except asyncio.CancelledError:
             self.dispatcher.cancelled(answer)
             raise
         except (TimeoutError, ClientError, ValueError, OSError) as error:
+            # A caller that reads slowly or has left says nothing about the upstream.
+            if is_writing:
+                self.dispatcher.cancelled(answer)
             return self._cut(request, response, answer, error)
         self.dispatcher.finish(answer)
         if not request.content.at_eof():
