Repeat failures of a new version on the old one, and keep trials to their share

Besides, calls for which the old version had no capacity went to the version on trial, which lifts its share just when the service is short.

Change: a repeat of a failed call goes to the other version, and during a rollout any answer of 500 or above is repeated there if the call may repeat; the budget of repeats is unchanged. A service that goes during a call no longer raises an error in the choice of a version.

Conclusion: callers of idempotent calls do not notice a version that fails.

--- a/src/lacewingstair/caller/dispatch.py
+++ b/src/lacewingstair/caller/dispatch.py
@@ -241,9 +241,14 @@
                     return Err(last)
                 if outcome.is_stale:
                     tried.pop()
+                else:
+                    version = self._fallback(call, upstream.endpoint.version)
                 continue
-            wants_more = self._wants_repeat(call, outcome) and not is_last
-            if wants_more and self._choose(call, version, tried) and budget.take():
+            fallback = self._fallback(call, upstream.endpoint.version)
+            is_trial = fallback != upstream.endpoint.version
+            wants_more = self._wants_repeat(call, outcome, is_trial) and not is_last
+            if wants_more and self._choose(call, fallback, tried) and budget.take():
+                version = fallback
                 may_have_run = may_have_run or not outcome.is_refusal
                 last = Refusal(502, "no other upstream", not may_have_run, 1)
                 self.abandon(outcome)
@@ -293,6 +298,16 @@
                 return group, upstream
         return None
 
+    def _fallback(self, call: Call, failed: str) -> str:
+        """Return the version for a repeat; another one than failed, if there is one.
+
+        The faults of a new version then do not reach callers whose calls may repeat.
+        """
+        for version in self._chooser.versions(call.route, call.service):
+            if version != failed and len(self._index.group(call.service, version)):
+                return version
+        return failed
+
     def _short(self, call: Call, version: str) -> Refusal:
         if not len(self._index.group(call.service, version)):
             return Refusal(503, f"no endpoint of {call.service} is ready", True, 1)
@@ -414,14 +429,16 @@
             return True
         return call.allows_repeat and call.allows_retry and budget.take()
 
-    def _wants_repeat(self, call: Call, answer: Answer) -> bool:
+    def _wants_repeat(self, call: Call, answer: Answer, is_trial: bool) -> bool:
         if answer.forbids_retry or not call.allows_retry:
             return False
         if not call.body.is_replayable:
             return False
         if answer.is_refusal:
             return True
-        return call.allows_repeat and answer.status in REPEATABLE_STATUSES
+        is_failure = answer.status >= 500 and is_trial
+        is_repeatable = is_failure or answer.status in REPEATABLE_STATUSES
+        return call.allows_repeat and is_repeatable
 
     def _settle_answer(self, answer: Answer) -> None:
         if answer.is_refusal:
--- a/src/lacewingstair/rollouts.py
+++ b/src/lacewingstair/rollouts.py
@@ -33,6 +33,8 @@
 from lacewingstair.verdicts import WRONG_TAKE_BACK, Judge
 
 STEP_SECONDS = 0.5
+# From this share on a version takes calls for which the other one has no capacity.
+PROVEN_SHARE = 0.5
 # A step this late means that the VM was paused. It then decides nothing until the
 # marks and reports that wait in its connections have been read.
 PAUSE_SECONDS = 3.0
@@ -247,22 +249,33 @@
             self._refresh()
         plan = self._plans_by_route.get(route)
         if plan is None:
-            return self._store.state.services[service].current
+            return self._current(service)
         if plan.split.takes(plan.share):
             return plan.rollout.to_version
         return plan.rollout.from_version
 
     def versions(self, route: str, service: str) -> tuple[str, ...]:
-        """Return versions that may serve a call of a route now, best first."""
+        """Return versions that may serve a call of a route now, best first.
+
+        The new version is not among them while it is on trial, so that calls for which
+        the old version has no capacity do not exceed the share of the trial.
+        """
         if self._marks.version != self._seen_marks:
             self._refresh()
         plan = self._plans_by_route.get(route)
         if plan is None:
-            return (self._store.state.services[service].current,)
+            return (self._current(service),)
         old, new = plan.rollout.from_version, plan.rollout.to_version
         if plan.is_taken_back:
             return (old,)
-        return (new, old) if plan.share >= 0.5 else (old, new)
+        if plan.share >= PROVEN_SHARE:
+            return (new, old)
+        return (old,) if self._slots(service, old) > 0 else (old, new)
+
+    def _current(self, service: str) -> str:
+        # The service may have gone with a ticket that came during the call.
+        held = self._store.state.services.get(service)
+        return "" if held is None else held.current
 
     def record(self, outcome: CallOutcome) -> None:
         """Take the outcome of one attempt."""
--- a/tests/caller/test_dispatch.py
+++ b/tests/caller/test_dispatch.py
@@ -1,9 +1,11 @@
 import asyncio
 
+import attrs
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lacewingstair.directory import Endpoint
 from lacewingstair.limits import RETRY_SHARE
 from lacewingstair.outcomes import CallResult
 from lacewingstair.standins.memory_server import Fault
@@ -263,3 +265,37 @@
         assert mesh.unreachable == ["10.0.0.0:80"]
 
     run_virtual(main())
+
+
+class TrialOf:
+    """Sends every call to the new version first, as within its trial share."""
+
+    def choose_version(self, route, service):
+        return "v2"
+
+    def versions(self, route, service):
+        return ("v1",)
+
+
+@pytest.mark.parametrize(
+    ("method", "status", "runs"), [("GET", 200, 2), ("POST", 500, 1)]
+)
+def test_a_failure_of_a_version_on_trial_is_repeated_on_the_old_one(
+    method, status, runs
+):
+    """Guards against callers that see the faults of a new version, or run twice."""
+
+    async def main():
+        mesh = Mesh([], [Fault.ERROR])
+        mesh.dispatcher._chooser = TrialOf()
+        old, new = mesh.servers
+        endpoint = Endpoint("board", "v2", new)
+        record = mesh.directory.get(new)
+        mesh.directory.merge(attrs.evolve(record, sequence=1, endpoints=(endpoint,)))
+        answered, _, _ = await mesh.send(mesh.call(method=method))
+        return answered, sum(mesh.runs.values()), mesh.servers[old].runs_by_target
+
+    answered, total, old_runs = run_virtual(main())
+    assert answered == status
+    assert total == runs
+    assert sum(old_runs.values()) == runs - 1
