--- a/src/lacewingstair/rollouts.py
+++ b/src/lacewingstair/rollouts.py
@@ -92,9 +92,9 @@
         return excess >= max(self.increase, self.deviations * spread)
 
 
-FAILURE_PROBE = ProbeRule(2, 0.15, 3.0)
+FAILURE_PROBE = ProbeRule(3, 0.15, 3.0)
 # A third of a good version's calls is above the latency threshold.
-SLOWNESS_PROBE = ProbeRule(4, 0.55, 4.0)
+SLOWNESS_PROBE = ProbeRule(8, 0.55, 4.0)
 
 
 @attrs.frozen
