Keep the legend of the rollout plot off its bars

Cause: the legend covered some bars of docs/plots/rollouts-dala.png. Change: it stands above the plot. Conclusion: all bars can be read.

--- a/bench/rollout_plots.py
+++ b/bench/rollout_plots.py
@@ -34,7 +34,7 @@
     axes.invert_yaxis()
     axes.set_xscale("log")
     axes.set_xlabel(f"faulty calls of a rollout, median, {rate:g} calls/s")
-    axes.legend()
+    axes.legend(loc="lower center", bbox_to_anchor=(0.4, 1.0), ncols=4)
     figure.tight_layout()
     PLOTS_DIRECTORY.mkdir(parents=True, exist_ok=True)
     figure.savefig(PLOTS_DIRECTORY / f"rollouts-{user}.png", dpi=80)
