Let a VM of the stand-in mesh stop while it reads the log

The measurement of a region cut for an hour never ended: crashing a VM in the same step as a publication lost the cancellation of its tail, because wait_for of CPython 3.11 returns the result in that case. The stand-in now uses asyncio.timeout.

--- a/src/lacewingstair/standins/mesh_cluster.py
+++ b/src/lacewingstair/standins/mesh_cluster.py
@@ -73,9 +73,11 @@
         if reader.availability_zone in self.cut_zones:
             return None
         if offset >= len(self.values):
-            appended = self._appended.wait()
+            # Not wait_for: in CPython 3.11 it loses a cancellation that comes together
+            # with the event.
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(appended, POLL_SECONDS)
+                async with asyncio.timeout(POLL_SECONDS):
+                    await self._appended.wait()
         records = [
             TicketRecord(offset + i, value)
             for i, value in enumerate(self.values[offset : offset + 100])
