--- a/src/lacewingstair/operator/report.py
+++ b/src/lacewingstair/operator/report.py
@@ -175,8 +175,9 @@
     if not held:
         reason = f"waits for endpoints of {rollout.to_version}"
         return attrs.evolve(entry, reason=reason)
-    if is_done(routes, held):
-        since = _time(max(mark.at for mark in held))
+    whole_from = schedule.whole_from(rollout)
+    if is_done(routes, held) and now >= whole_from:
+        since = _time(max(whole_from, *(mark.at for mark in held)))
         return attrs.evolve(entry, state=MoveState.DONE, since=since)
     since = _time(min(mark.at for mark in held))
     return attrs.evolve(entry, state=MoveState.IN_PROGRESS, since=since)
@@ -207,7 +208,8 @@
 
 def _waits_for(rollout: Rollout, mark: StageMark, now: float) -> str:
     if mark.stage >= schedule.FINAL_STAGE:
-        return ""
+        whole_from = schedule.whole_from(rollout)
+        return "" if now >= whole_from else f"the last calls, {_time(whole_from)}"
     step = schedule.next_step(rollout, mark.stage, mark.at, now)
     if step is schedule.Step.NOT_YET:
         due = schedule.next_due(rollout, mark.stage, mark.at)
--- a/src/lacewingstair/rollouts.py
+++ b/src/lacewingstair/rollouts.py
@@ -429,7 +429,7 @@
     def _phase(self, key: RolloutKey, trial: _Trial, route: str) -> int:
         """Return the stage, or one more when a route has moved and is monitored."""
         stage = self._marks.stage(key, self._zone, route)
-        is_over = self._clock.wall() >= trial.rollout.end_by
+        is_over = self._clock.wall() >= schedule.whole_from(trial.rollout)
         return stage + (is_over and stage == schedule.FINAL_STAGE)
 
     def _trial(self, key: RolloutKey) -> _Trial:
--- a/src/lacewingstair/schedule.py
+++ b/src/lacewingstair/schedule.py
@@ -15,9 +15,11 @@
 HOLD_PARTS = (0.0, 0.82, 0.86, 0.9, 0.94)
 # A stage lasts at least this part of the window when endpoints came late.
 SHORTEST_PART = 0.04
-# Share of the old version in the final stage until `end_by`; without it there is
-# nothing to compare the new version with.
+# Share of the old version in the final stage until this part of the window; without it
+# there is nothing to compare the new version with. The rest of the window covers VMs
+# whose clocks are late, so that all traffic has moved by `end_by`.
 CONTROL_SHARE = 0.1
+CONTROL_PART = 0.97
 # The share climbs for this part of the window, at most for this time.
 RAMP_SECONDS = 20.0
 RAMP_PART = 0.03
@@ -38,6 +40,11 @@
     return rollout.end_by - rollout.start
 
 
+def whole_from(rollout: Rollout) -> float:
+    """Return the time from which the final stage sends all calls to the new version."""
+    return rollout.start + CONTROL_PART * window(rollout)
+
+
 def share_at(rollout: Rollout, stage: int, entered: float, now: float) -> float:
     """Return the new version's share at a time, from 0 to 1.
 
@@ -47,7 +54,7 @@
     """
     if now < rollout.start:
         return 0.0
-    if stage >= FINAL_STAGE and now >= rollout.end_by:
+    if stage >= FINAL_STAGE and now >= whole_from(rollout):
         return 1.0
     share = _share_of_stage(rollout, stage)
     before = _share_of_stage(rollout, stage - 1) if stage > 0 else 0.0
@@ -58,7 +65,7 @@
 
 def full_share(rollout: Rollout, stage: int, now: float) -> float:
     """Return the share that a stage climbs to, from 0 to 1."""
-    if stage >= FINAL_STAGE and now >= rollout.end_by:
+    if stage >= FINAL_STAGE and now >= whole_from(rollout):
         return 1.0
     return _share_of_stage(rollout, stage)
 
