--- a/src/lacewingstair/standins/mesh_cluster.py
+++ b/src/lacewingstair/standins/mesh_cluster.py
@@ -4,7 +4,8 @@
 import contextlib
 import json
 import random
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Coroutine, Iterable, Iterator
+from typing import Any
 
 from lacewingstair.acceptance import TicketRecord
 from lacewingstair.directory import Directory, Endpoint, VmRecord
@@ -134,8 +135,11 @@
         """Listen and start the tasks."""
         listening = await self.node.listen()
         listening.unwrap()
-        runs = (self.node.run(), self._tail())
-        self._tasks = [asyncio.ensure_future(run) for run in runs]
+        self._tasks = [asyncio.ensure_future(run) for run in self.runs()]
+
+    def runs(self) -> Iterable[Coroutine[Any, Any, None]]:
+        """Return the tasks of this VM."""
+        return (self.node.run(), self._tail())
 
     async def stop(self) -> None:
         """Stop on purpose."""
@@ -179,8 +183,15 @@
         Whether receivers decode the bytes of frames.
     eager_trees : int
         Trees on which news is pushed.
+
+    Attributes
+    ----------
+    vm_class : type
+        What `make_vm` returns.
     """
 
+    vm_class: type[ClusterVm] = ClusterVm
+
     def __init__(
         self,
         places: Iterable[Place],
@@ -227,7 +238,7 @@
             incarnation=int(self.clock.wall() * 1000),
             endpoints=(Endpoint(f"service-{index}", "v1", f"{vm_id}:2"),),
         )
-        vm = ClusterVm(self, record, self.rng.getrandbits(32))
+        vm = self.vm_class(self, record, self.rng.getrandbits(32))
         self.vms_by_id[vm_id] = vm
         return vm
 
