Decide nothing in the first 2 s of steps on a rollout

A VM that was frozen before a rollout started, or before it had the ticket, decided at once when it woke, since a pause was seen only between two steps.

The time since the last step now counts as a pause also when there was no step, and steps begin 2 s before the start, so that a rollout that is known in time loses no time. A settling time for each newly active rollout was tried and dropped: it delayed the marks of a rollout that replaces another.

--- a/src/lacewingstair/rollouts.py
+++ b/src/lacewingstair/rollouts.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import random
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
@@ -34,7 +35,8 @@
 
 STEP_SECONDS = 0.5
 # A step this late means that the VM was paused. It then decides nothing until the
-# marks and reports that wait in its connections have been read.
+# marks and reports that wait in its connections have been read. The same holds when it
+# begins to step, since the ticket may be the first thing that it reads after a pause.
 PAUSE_SECONDS = 3.0
 SETTLE_SECONDS = 2.0
 
@@ -340,17 +342,21 @@
         if self._active_keys(now):
             return STEP_SECONDS
         starts = [r.start - now for r in state.rollouts.values() if r.start > now]
-        return min(starts, default=None)
+        if not starts:
+            return None
+        # Steps begin before the rollout does, so that a pause is noticed.
+        return max(STEP_SECONDS, min(starts) - SETTLE_SECONDS)
 
     def step(self) -> None:
         """Judge the evidence so far, move stages and send totals."""
         now = self._clock.monotonic()
         wall = self._clock.wall()
         active = self._active_keys(wall)
-        elapsed = STEP_SECONDS if self._last_step is None else now - self._last_step
+        # Without a step before there is nothing to notice a pause by.
+        elapsed = math.inf if self._last_step is None else now - self._last_step
         if elapsed > PAUSE_SECONDS:
             self._decides_from = now + SETTLE_SECONDS
-        self._last_step = now if active else None
+        self._last_step = now
         for plan in self._plans_by_route.values():
             if plan.is_counting:
                 plan.counters.reference.update(now)
