--- a/bench/calls_idle.py
+++ b/bench/calls_idle.py
@@ -15,6 +15,7 @@
 from lacewingstair.caller import dispatch
 from lacewingstair.caller.body import Body
 from lacewingstair.caller.dispatch import Call, Dispatcher
+from lacewingstair.caller.options import DEFAULT_OPTIONS, CallOptions
 from lacewingstair.directory import Directory, Endpoint, VmRecord
 from lacewingstair.outcomes import CallOutcome
 from lacewingstair.standins.memory_server import MemoryServer, MemoryTransport
@@ -84,7 +85,7 @@
 
 
 async def _run(
-    method: str, servers_count: int, calls: int, seed: int
+    method: str, servers_count: int, calls: int, seed: int, options: CallOptions
 ) -> dict[str, int]:
     rng = random.Random(seed)
     clock = VirtualClock()
@@ -96,7 +97,9 @@
     pool = ConnectionPool(clock, lambda address: servers[address].connect(address))
     index = EndpointIndex(directory, "r", "z", clock)
     sink = _Counter()
-    dispatcher = Dispatcher(index, pool, _OneVersion(), sink, clock, rng)
+    dispatcher = Dispatcher(
+        index, pool, _OneVersion(), sink, clock, rng, options=options
+    )
     answered = ejections = 0
     for _ in range(calls):
         # The pause is close to the idle time of the servers, so that many calls cross
@@ -122,7 +125,7 @@
     """Compare the rules for connections that were idle."""
     events.configure("error")
     rows = []
-    defaults = (dispatch.STALE_IDLE_SECONDS, dispatch.NON_IDEMPOTENT_IDLE_SECONDS)
+    defaults = (dispatch.STALE_IDLE_SECONDS, DEFAULT_OPTIONS.idle_reuse_seconds)
     for method, label, stale, non_idempotent in (
         ("GET", "resend after 1 s idle", *defaults),
         ("GET", "no resend rule", 1e9, defaults[1]),
@@ -130,11 +133,11 @@
         ("POST", "any kept connection", defaults[0], 15.0),
     ):
         dispatch.STALE_IDLE_SECONDS = stale
-        dispatch.NON_IDEMPOTENT_IDLE_SECONDS = non_idempotent
+        options = CallOptions(idle_reuse_seconds=non_idempotent)
         for servers in (1, 3):
-            counted = run_virtual(_run(method, servers, calls, 1))
+            counted = run_virtual(_run(method, servers, calls, 1, options))
             row = {"method": method, "rule": label, "upstreams": servers}
             rows.append({**row, "calls": calls, **counted})
-    dispatch.STALE_IDLE_SECONDS, dispatch.NON_IDEMPOTENT_IDLE_SECONDS = defaults
+    dispatch.STALE_IDLE_SECONDS = defaults[0]
     save_rows("calls-idle", rows)
     print_table(rows)
--- a/src/lacewingstair/backend_server/announce.py
+++ b/src/lacewingstair/backend_server/announce.py
@@ -15,6 +15,7 @@
 from lacewingstair.runtime import Clock
 
 ANNOUNCEMENT_TTL_SECONDS = 10.0
+MAX_BODY_BYTES = 64 << 10
 CHECK_SECONDS = 1.0
 RECHECK_SECONDS = 0.1
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -61,6 +62,10 @@
         Time for lapses.
     refuses_connections : callable, optional
         Returns whether nothing listens on an address.
+    ttl_seconds : float
+        Time after its last announcement until an endpoint is removed.
+    max_body_bytes : int
+        Largest body of an announcement.
     """
 
     def __init__(
@@ -68,7 +73,11 @@
         on_change: Callable[[list[Endpoint]], None],
         clock: Clock,
         refuses_connections: RefusesConnections | None = None,
+        ttl_seconds: float = ANNOUNCEMENT_TTL_SECONDS,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
+        self._ttl_seconds = ttl_seconds
+        self._max_body_bytes = max_body_bytes
         self._on_change = on_change
         self._clock = clock
         self._refuses_connections = refuses_connections or refuses_tcp_connections
@@ -77,7 +86,7 @@
 
     def application(self) -> web.Application:
         """Return the HTTP application."""
-        app = web.Application(client_max_size=64 << 10)
+        app = web.Application(client_max_size=self._max_body_bytes)
         app.router.add_post("/v1/announce", self._announce)
         app.router.add_post("/v1/drain", self._drain)
         app.router.add_post("/v1/withdraw", self._withdraw)
@@ -91,7 +100,7 @@
             is_drained = False
         if is_drained:
             endpoint = attrs.evolve(endpoint, state=EndpointState.DRAINING)
-        expires_at = self._clock.monotonic() + ANNOUNCEMENT_TTL_SECONDS
+        expires_at = self._clock.monotonic() + self._ttl_seconds
         self._announcements_by_address[endpoint.address] = Announcement(
             endpoint, expires_at, is_drained
         )
@@ -170,7 +179,7 @@
             body = {"error": str(parsed.err_value)}
             return web.json_response(body, status=400)
         self.announce(parsed.ok_value)
-        return web.json_response({"ttl_seconds": ANNOUNCEMENT_TTL_SECONDS})
+        return web.json_response({"ttl_seconds": self._ttl_seconds})
 
     async def _withdraw(self, request: web.Request) -> web.Response:
         address = _address(await _json(request))
--- a/src/lacewingstair/backend_server/connection.py
+++ b/src/lacewingstair/backend_server/connection.py
@@ -20,6 +20,15 @@
 class UpstreamConnection(ResponseHandler):
     """Connection that knows whether any byte of the present call was written.
 
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+        Loop of the connection.
+    now : float
+        Time in monotonic seconds.
+    buffer_bytes : int
+        Bytes buffered in each direction.
+
     Attributes
     ----------
     used_at : float
@@ -32,8 +41,14 @@
         Whether no call uses it; anything received then closes it.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, now: float) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        now: float,
+        buffer_bytes: int = BUFFER_BYTES,
+    ) -> None:
         super().__init__(loop)
+        self._buffer_bytes = buffer_bytes
         self.used_at = now
         self.calls = 0
         self.has_written = False
@@ -44,7 +59,7 @@
     def connection_made(self, transport: Any) -> None:
         """Bound the write buffer and let the kernel detect a silent peer."""
         super().connection_made(transport)
-        transport.set_write_buffer_limits(high=BUFFER_BYTES)
+        transport.set_write_buffer_limits(high=self._buffer_bytes)
         sock = transport.get_extra_info("socket")
         if sock is None:
             return
@@ -86,7 +101,7 @@
             # one looks complete; it is read here and refused by its head.
             read_until_eof=True,
             auto_decompress=False,
-            read_bufsize=BUFFER_BYTES,
+            read_bufsize=self._buffer_bytes,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
             max_headers=MAX_HEADERS,
--- a/src/lacewingstair/backend_server/pool.py
+++ b/src/lacewingstair/backend_server/pool.py
@@ -7,7 +7,10 @@
 import attrs
 from result import Err, Ok, Result
 
-from lacewingstair.backend_server.connection import UpstreamConnection
+from lacewingstair.backend_server.connection import (
+    BUFFER_BYTES,
+    UpstreamConnection,
+)
 from lacewingstair.errors import ConnectError, ConnectionsBusy
 from lacewingstair.runtime import Clock
 
@@ -39,9 +42,17 @@
         Time.
     connect : callable, optional
         Opens a connection to an address; raises OSError.
+    buffer_bytes : int
+        Bytes buffered in each direction of a connection.
     """
 
-    def __init__(self, clock: Clock, connect: Connect | None = None) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        connect: Connect | None = None,
+        buffer_bytes: int = BUFFER_BYTES,
+    ) -> None:
+        self._buffer_bytes = buffer_bytes
         self._clock = clock
         self._connect = connect or self._open_tcp
         self._slots_by_address: dict[str, _Slots] = {}
@@ -178,6 +189,8 @@
         host, _, port = address.rpartition(":")
         now = self._clock.monotonic()
         _, connection = await loop.create_connection(
-            lambda: UpstreamConnection(loop, now), host.strip("[]"), int(port)
+            lambda: UpstreamConnection(loop, now, self._buffer_bytes),
+            host.strip("[]"),
+            int(port),
         )
         return connection
--- a/src/lacewingstair/balancing.py
+++ b/src/lacewingstair/balancing.py
@@ -84,13 +84,15 @@
             return True
         return now >= self.ejected_until and not self.is_probed
 
-    def score(self, now: float) -> float:
+    def score(
+        self, now: float, slow_start_seconds: float = SLOW_START_SECONDS
+    ) -> float:
         """Return the expected wait, in seconds; lower is better."""
         age = now - self.slow_since
         cost = (self.in_flight + 1) * self.latency_seconds
-        if age >= SLOW_START_SECONDS:
+        if age >= slow_start_seconds:
             return cost
-        return cost / max(SLOW_START_MIN_SHARE, age / SLOW_START_SECONDS)
+        return cost / max(SLOW_START_MIN_SHARE, age / slow_start_seconds)
 
 
 class Group:
@@ -214,9 +216,17 @@
         Time.
     rng : random.Random
         Source of choices.
+    slow_start_seconds : float
+        Time in which the share of a new upstream grows to its full size.
     """
 
-    def __init__(self, clock: Clock, rng: random.Random) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        rng: random.Random,
+        slow_start_seconds: float = SLOW_START_SECONDS,
+    ) -> None:
+        self._slow_start_seconds = slow_start_seconds
         self._clock = clock
         self._rng = rng
 
@@ -296,7 +306,9 @@
         if len(usable) == 1:
             return usable[0]
         first, second = self._rng.sample(usable, 2)
-        return first if first.score(now) <= second.score(now) else second
+        seconds = self._slow_start_seconds
+        is_first = first.score(now, seconds) <= second.score(now, seconds)
+        return first if is_first else second
 
     def _longest_ejected(
         self, group: Group, tried: Collection[Upstream]
--- a/src/lacewingstair/caller/dispatch.py
+++ b/src/lacewingstair/caller/dispatch.py
@@ -17,16 +17,15 @@
 from lacewingstair.balancing import Balancer, EndpointIndex, Group, Upstream
 from lacewingstair.caller import headers
 from lacewingstair.caller.body import Body, BodyTooLarge
+from lacewingstair.caller.options import DEFAULT_OPTIONS, CallOptions
 from lacewingstair.caller.refusals import Refusal
 from lacewingstair.errors import ConnectionsBusy
+from lacewingstair.events import DecisionLog
 from lacewingstair.limits import Admission, RetryBudget
 from lacewingstair.outcomes import CallOutcome, CallResult, OutcomeSink, VersionChooser
 from lacewingstair.runtime import Clock
 
 MAX_ATTEMPTS = 3
-# A backend server closes connections that were idle for long; one used within the last
-# second has not met that limit, so a call that must not run twice rarely fails on it.
-NON_IDEMPOTENT_IDLE_SECONDS = 1.0
 STALE_IDLE_SECONDS = 1.0
 REFUSAL_STATUSES = (429, 503)
 REPEATABLE_STATUSES = (502, 503, 504)
@@ -164,8 +163,10 @@
         Time and randomness.
     on_unreachable : callable, optional
         Takes the address of an endpoint that refused a connection.
-    log_one_in : int
-        One routing decision in this many is logged; a line costs about 33 us.
+    decisions : DecisionLog, optional
+        Logs a share of the routing decisions; none is logged by default.
+    options : CallOptions, optional
+        Bounds of repeats and of the choice of upstreams.
     """
 
     def __init__(
@@ -177,9 +178,11 @@
         clock: Clock,
         rng: random.Random,
         on_unreachable: Callable[[str], None] = lambda address: None,
-        log_one_in: int = 100,
+        decisions: DecisionLog | None = None,
+        options: CallOptions = DEFAULT_OPTIONS,
     ) -> None:
-        self._log_one_in = log_one_in
+        self._decisions = decisions
+        self._options = options
         self._index = index
         self._pool = pool
         self._chooser = chooser
@@ -187,10 +190,9 @@
         self._clock = clock
         self._rng = rng
         self._on_unreachable = on_unreachable
-        self._balancer = Balancer(clock, rng)
+        self._balancer = Balancer(clock, rng, options.slow_start_seconds)
         self._admissions_by_service: dict[str, Admission] = {}
         self._budgets_by_service: dict[str, RetryBudget] = {}
-        self._decisions = 0
         index.on_removed = pool.forget
 
     def admit(self, service: str, worth: float, customer: str) -> Refusal | None:
@@ -313,7 +315,9 @@
         self, attempt: Attempt, is_last: bool
     ) -> Answer | Failure:
         call, endpoint = attempt.call, attempt.upstream.endpoint
-        max_idle = IDLE_SECONDS if call.allows_repeat else NON_IDEMPOTENT_IDLE_SECONDS
+        max_idle = self._options.idle_reuse_seconds
+        if call.allows_repeat:
+            max_idle = IDLE_SECONDS
         acquired = await self._pool.acquire(
             endpoint.address, endpoint.connections, max_idle
         )
@@ -494,13 +498,15 @@
     def _budget(self, service: str) -> RetryBudget:
         found = self._budgets_by_service.get(service)
         if found is None:
-            found = RetryBudget(self._clock)
+            options = self._options
+            found = RetryBudget(
+                self._clock, options.retry_share, options.retry_minimum_per_second
+            )
             self._budgets_by_service[service] = found
         return found
 
     def _log(self, call: Call, upstream: Upstream) -> None:
-        self._decisions += 1
-        if self._log_one_in <= 0 or self._decisions % self._log_one_in:
+        if self._decisions is None or not self._decisions.is_sampled():
             return
         events.info(
             "call_routed",
@@ -511,7 +517,6 @@
             in_flight=upstream.in_flight,
             limit=upstream.limit.value,
             latency_seconds=upstream.latency_seconds,
-            one_in=self._log_one_in,
         )
 
 
--- a/src/lacewingstair/caller/server.py
+++ b/src/lacewingstair/caller/server.py
@@ -16,9 +16,11 @@
 from lacewingstair.caller import guards, headers
 from lacewingstair.caller.body import REPLAY_BYTES, Body, read_start
 from lacewingstair.caller.dispatch import Answer, Call, Dispatcher
+from lacewingstair.caller.options import DEFAULT_OPTIONS, CallOptions
 from lacewingstair.caller.refusals import Refusal
 from lacewingstair.caller.relay import whole_answer
 from lacewingstair.directory import Directory
+from lacewingstair.events import DecisionLog
 from lacewingstair.http_server import call_server
 from lacewingstair.outcomes import CallOutcome, OutcomeSink, VersionChooser
 from lacewingstair.routes import NamedRoute
@@ -90,8 +92,10 @@
     on_answer : callable, optional
         Takes the status of each answer, 0 when the caller left, and the seconds that it
         took.
-    log_one_in : int
-        One routing decision in this many is logged; none when 0.
+    decisions : DecisionLog, optional
+        Logs a share of the routing decisions; none is logged by default.
+    options : CallOptions, optional
+        Bounds of calls.
     """
 
     def __init__(
@@ -108,11 +112,15 @@
         pool: ConnectionPool | None = None,
         on_unreachable: Callable[[str], None] = lambda address: None,
         on_answer: Callable[[int, float], None] = lambda status, seconds: None,
-        log_one_in: int = 100,
+        decisions: DecisionLog | None = None,
+        options: CallOptions = DEFAULT_OPTIONS,
     ) -> None:
         self._store = store
         self._clock = clock or SystemClock()
-        self._pool = pool or ConnectionPool(self._clock)
+        self._options = options
+        self._pool = pool or ConnectionPool(
+            self._clock, buffer_bytes=options.buffer_bytes
+        )
         self.index = EndpointIndex(directory, region, availability_zone, self._clock)
         self.dispatcher = Dispatcher(
             self.index,
@@ -122,7 +130,8 @@
             self._clock,
             rng,
             on_unreachable,
-            log_one_in,
+            decisions,
+            options,
         )
         self._on_answer = on_answer
         self.is_draining = False
@@ -135,7 +144,13 @@
         max_header_bytes : int
             Longest request line and header field.
         """
-        return call_server(self.handle, lambda: self.is_draining, max_header_bytes)
+        return call_server(
+            self.handle,
+            lambda: self.is_draining,
+            max_header_bytes,
+            max_connections=self._options.max_connections,
+            buffer_bytes=self._options.buffer_bytes,
+        )
 
     async def run(self) -> None:
         """Close connections that were idle for long, until cancelled."""
--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -11,6 +11,7 @@
 
 from lacewingstair import events
 from lacewingstair.backend_server.announce import AnnouncementServer
+from lacewingstair.caller.options import CallOptions
 from lacewingstair.caller.server import CallServer
 from lacewingstair.directory import Directory, VmRecord, VmStatus
 from lacewingstair.errors import ListenError
@@ -23,12 +24,14 @@
 from lacewingstair.operator.report import build_report
 from lacewingstair.outcomes import OutcomeSinks
 from lacewingstair.platform.http_log import HttpLogClient
+from lacewingstair.platform.options import LogOptions
 from lacewingstair.platform.reader import LogReader
 from lacewingstair.rollouts import RolloutController
 from lacewingstair.runtime import Clock
 from lacewingstair.settings import Settings
 from lacewingstair.store import StateStore
 from lacewingstair.vm.node import VmNode
+from lacewingstair.vm.options import NodeOptions
 from lacewingstair.vm.transport import TcpTransport
 
 
@@ -47,7 +50,8 @@
         self.settings = settings
         self.clock = clock
         self.is_leaving = False
-        self.store = StateStore()
+        links, backend_servers = settings.links, settings.backend_servers
+        self.store = StateStore(links.recent_records)
         self.directory = Directory()
         self.marks = Marks()
         self.metrics = Metrics()
@@ -58,11 +62,14 @@
             store=self.store,
             directory=self.directory,
             marks=self.marks,
-            transport=TcpTransport(),
+            transport=TcpTransport(links.replacement_seconds, links.send_queue_bytes),
             clock=clock,
             rng=rng,
+            options=_node_options(settings),
+        )
+        self.log = HttpLogClient(
+            settings.log_url, settings.platform.log_timeout_seconds
         )
-        self.log = HttpLogClient(settings.log_url)
         self.log_reader = LogReader(
             log=self.log,
             writer_id=f"{settings.mesh}/{settings.vm_id}/{self.node.own.incarnation}",
@@ -73,9 +80,14 @@
             is_reader=self.is_reader,
             clock=clock,
             rng=rng,
-            retention_seconds=settings.platform.log_retention_seconds,
+            options=_log_options(settings),
+        )
+        self.announcements = AnnouncementServer(
+            self.node.set_endpoints,
+            clock,
+            ttl_seconds=backend_servers.announcement_ttl_seconds,
+            max_body_bytes=backend_servers.max_body_bytes,
         )
-        self.announcements = AnnouncementServer(self.node.set_endpoints, clock)
         self.rollouts = RolloutController(
             vm_id=settings.vm_id,
             availability_zone=settings.availability_zone,
@@ -100,7 +112,8 @@
             sink=OutcomeSinks(self.metrics, self.rollouts),
             on_unreachable=self.announcements.check,
             on_answer=self.metrics.count_call,
-            log_one_in=_one_in(settings.logging.routing_sample),
+            decisions=events.DecisionLog(settings.logging.routing_sample, rng),
+            options=_call_options(settings),
         )
         self.operator = OperatorApi(
             self.report, self.status, self.health, self.metrics.registry
@@ -233,9 +246,41 @@
     )
 
 
-def _one_in(share: float) -> int:
-    """Return of how many routing decisions one is logged; 0 for none."""
-    return round(1 / share) if share > 0 else 0
+def _node_options(settings: Settings) -> NodeOptions:
+    links = settings.links
+    return NodeOptions(
+        heartbeat_seconds=links.heartbeat_seconds,
+        silence_seconds=links.silence_seconds,
+        replacement_seconds=links.replacement_seconds,
+        suspicion_seconds=links.suspicion_seconds,
+        reconnect_base_seconds=links.reconnect_base_seconds,
+        reconnect_cap_seconds=links.reconnect_cap_seconds,
+        coalesce_seconds=links.coalesce_seconds,
+        snapshot_slots=links.snapshot_slots,
+    )
+
+
+def _log_options(settings: Settings) -> LogOptions:
+    platform = settings.platform
+    return LogOptions(
+        poll_seconds=platform.log_poll_seconds,
+        retry_cap_seconds=platform.retry_cap_seconds,
+        retention_seconds=platform.log_retention_seconds,
+        lease_ttl_seconds=platform.lease_ttl_seconds,
+        checkpoint_records=platform.checkpoint_records,
+    )
+
+
+def _call_options(settings: Settings) -> CallOptions:
+    calls, backend_servers = settings.calls, settings.backend_servers
+    return CallOptions(
+        retry_share=calls.retry_share,
+        retry_minimum_per_second=calls.retry_minimum_per_second,
+        slow_start_seconds=backend_servers.slow_start_seconds,
+        idle_reuse_seconds=backend_servers.idle_reuse_seconds,
+        buffer_bytes=calls.buffer_bytes,
+        max_connections=calls.max_connections,
+    )
 
 
 def build(settings: Settings, clock: Clock, rng: random.Random) -> Daemon:
--- a/src/lacewingstair/events.py
+++ b/src/lacewingstair/events.py
@@ -95,7 +95,7 @@
 
     def is_sampled(self) -> bool:
         """Return whether the next decision is logged."""
-        return self._rng.random() < self._share
+        return self._share > 0 and self._rng.random() < self._share
 
     def call_routed(self, **fields: Any) -> None:
         """Log where a call went, if it is sampled."""
--- a/src/lacewingstair/http_server.py
+++ b/src/lacewingstair/http_server.py
@@ -1,5 +1,6 @@
 """HTTP servers of the daemon: limits on requests, listening and draining."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -17,11 +18,49 @@
 # The rest of a refused body is read for this long, so that no reset loses the refusal.
 LINGER_SECONDS = 1.0
 
+MAX_CONNECTIONS = 4096
+# The call did not run: nothing of it was read.
+_FULL_ANSWER = (
+    b"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n"
+    b"Lacewingstair-Outcome: not-run\r\nLacewingstair-Retry: no\r\n"
+    b"Retry-After: 1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%b"
+)
+_FULL_BODY = b'{"error": "too many connections of callers"}'
+
 CallHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
+class _FullConnection(asyncio.Protocol):
+    """Connection beyond the limit: it is answered and closed, whatever it asks."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Answer; input is read for a while, so that no reset loses the answer."""
+        transport.write(_FULL_ANSWER % (len(_FULL_BODY), _FULL_BODY))
+        transport.write_eof()
+        loop = asyncio.get_running_loop()
+        loop.call_later(LINGER_SECONDS, transport.close)
+
+
+class _BoundedServer(web.Server):
+    """Server with a limit on its open connections."""
+
+    def __init__(self, handler: CallHandler, max_connections: int, **options) -> None:
+        super().__init__(handler, **options)
+        self.max_connections = max_connections
+
+    def __call__(self) -> asyncio.Protocol:
+        """Return the protocol of a new connection."""
+        if len(self.connections) >= self.max_connections:
+            return _FullConnection()
+        return super().__call__()
+
+
 def call_server(
-    handler: CallHandler, is_leaving: Callable[[], bool], max_header_bytes: int
+    handler: CallHandler,
+    is_leaving: Callable[[], bool],
+    max_header_bytes: int,
+    max_connections: int = MAX_CONNECTIONS,
+    buffer_bytes: int = READ_BYTES,
 ) -> web.Server:
     """Return the server for callers; needs a running event loop.
 
@@ -34,6 +73,10 @@
         and no connection is closed while a caller sends its next call on it.
     max_header_bytes : int
         Longest request line and header field.
+    max_connections : int
+        Connections open at a time; further ones are answered 503, not run.
+    buffer_bytes : int
+        Bytes of a request that are buffered.
     """
 
     class Request(web.BaseRequest):
@@ -44,14 +87,15 @@
     def make_request(message, payload, protocol, writer, task) -> web.BaseRequest:
         return Request(message, payload, protocol, writer, task, server._loop)
 
-    server = web.Server(
+    server = _BoundedServer(
         handler,
+        max_connections,
         request_factory=make_request,
         # A caller that leaves cancels its call.
         handler_cancellation=True,
         # Bodies are passed on as they came.
         auto_decompress=False,
-        read_bufsize=READ_BYTES,
+        read_bufsize=buffer_bytes,
         lingering_time=LINGER_SECONDS,
         **_limits(max_header_bytes),
     )
--- a/src/lacewingstair/limits.py
+++ b/src/lacewingstair/limits.py
@@ -73,23 +73,36 @@
     ----------
     clock : Clock
         Time.
+    share : float
+        Share of the first attempts.
+    minimum_per_second : float
+        Repeats that are always allowed.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        share: float = RETRY_SHARE,
+        minimum_per_second: float = RETRY_MIN_PER_SECOND,
+    ) -> None:
         self._clock = clock
-        self._tokens = RETRY_MIN_PER_SECOND
+        self._share = share
+        self._minimum_per_second = minimum_per_second
+        # A budget without a minimum has to save the share of several calls.
+        self._cap = max(1.0, minimum_per_second * RETRY_BURST_SECONDS)
+        self._tokens = minimum_per_second
         self._refilled_at = clock.monotonic()
 
     def count_call(self) -> None:
         """Add the share that a first attempt earns."""
-        self._tokens += RETRY_SHARE
+        self._tokens += self._share
 
     def take(self) -> bool:
         """Return whether one repeat is allowed, and count it."""
         now = self._clock.monotonic()
-        self._tokens += (now - self._refilled_at) * RETRY_MIN_PER_SECOND
+        self._tokens += (now - self._refilled_at) * self._minimum_per_second
         self._refilled_at = now
-        self._tokens = min(self._tokens, RETRY_MIN_PER_SECOND * RETRY_BURST_SECONDS)
+        self._tokens = min(self._tokens, self._cap)
         if self._tokens < 1:
             return False
         self._tokens -= 1
--- a/src/lacewingstair/platform/append.py
+++ b/src/lacewingstair/platform/append.py
@@ -42,11 +42,19 @@
         Where records go.
     clock, rng
         Time and randomness.
+    retry_cap_seconds : float
+        Largest upper bound of the delay between attempts.
     """
 
     def __init__(
-        self, log: LogClient, stream: str, clock: Clock, rng: random.Random
+        self,
+        log: LogClient,
+        stream: str,
+        clock: Clock,
+        rng: random.Random,
+        retry_cap_seconds: float = RETRY_CAP_SECONDS,
     ) -> None:
+        self._retry_cap_seconds = retry_cap_seconds
         self._log = log
         self._stream = stream
         self._clock = clock
@@ -93,7 +101,7 @@
             if isinstance(error, LogRefused):
                 return Err(AppendFailed(error, may_be_written=False))
             delay = full_jitter(
-                self._rng, attempt, RETRY_BASE_SECONDS, RETRY_CAP_SECONDS
+                self._rng, attempt, RETRY_BASE_SECONDS, self._retry_cap_seconds
             )
             attempt += 1
             if self._clock.monotonic() + delay >= give_up_at:
--- a/src/lacewingstair/platform/checkpointer.py
+++ b/src/lacewingstair/platform/checkpointer.py
@@ -12,6 +12,7 @@
     lasting_take_backs,
     split_checkpoint,
 )
+from lacewingstair.platform.options import LogOptions
 from lacewingstair.platform.records import Lease
 from lacewingstair.platform.system_stream import SystemStream
 from lacewingstair.platform.system_view import StoredCheckpoint
@@ -19,8 +20,6 @@
 from lacewingstair.runtime import Clock
 from lacewingstair.store import StateStore
 
-LEASE_TTL_SECONDS = 60.0
-CHECKPOINT_RECORDS = 1000
 CHECKPOINT_SHARE_OF_RETENTION = 0.25
 # Bounds the appends of a VM whose wall clock is wrong by more than the retention.
 MIN_INTERVAL_SECONDS = 60.0
@@ -39,8 +38,8 @@
         What a checkpoint holds.
     clock : Clock
         Time.
-    retention_seconds : float
-        How long the log keeps records.
+    options : LogOptions
+        Retention of the log, validity of the lease and records between checkpoints.
     first_offset : callable
         Oldest offset of the ticket stream that the log keeps, as last seen.
     """
@@ -52,7 +51,7 @@
         store: StateStore,
         marks: Marks,
         clock: Clock,
-        retention_seconds: float,
+        options: LogOptions,
         first_offset: Callable[[], int],
     ) -> None:
         self._stream = stream
@@ -60,7 +59,10 @@
         self._store = store
         self._marks = marks
         self._clock = clock
-        self._interval_seconds = retention_seconds * CHECKPOINT_SHARE_OF_RETENTION
+        self._options = options
+        self._interval_seconds = (
+            options.retention_seconds * CHECKPOINT_SHARE_OF_RETENTION
+        )
         self._first_offset = first_offset
         self._next_try_at = float("-inf")
 
@@ -78,7 +80,8 @@
             return False
         if newest.next_offset < self._first_offset():
             return True
-        if state.next_offset - newest.next_offset >= CHECKPOINT_RECORDS:
+        folded = state.next_offset - newest.next_offset
+        if folded >= self._options.checkpoint_records:
             return True
         return self._age(newest) >= self._interval_seconds
 
@@ -92,8 +95,9 @@
         self._next_try_at = self._clock.monotonic() + MIN_INTERVAL_SECONDS
         # The log's time of the lease is later than this, so that the holder's own view
         # of the expiry is on the safe side.
-        deadline = self._clock.monotonic() + LEASE_TTL_SECONDS
-        lease = Lease(int(LEASE_TTL_SECONDS * 1000))
+        ttl_seconds = self._options.lease_ttl_seconds
+        deadline = self._clock.monotonic() + ttl_seconds
+        lease = Lease(int(ttl_seconds * 1000))
         appended = await self._writer.append(
             lease, self._stream.view.next_offset, deadline
         )
@@ -154,4 +158,4 @@
         if lease is None or lease.writer == self._writer.writer_id:
             return False
         seen = self._clock.monotonic() - self._stream.lease_seen_at
-        return seen < LEASE_TTL_SECONDS
+        return seen < self._options.lease_ttl_seconds
--- a/src/lacewingstair/platform/http_log.py
+++ b/src/lacewingstair/platform/http_log.py
@@ -25,19 +25,26 @@
 
     It doubles with each request that times out, and returns to its start with the first
     that is answered within that.
+
+    Parameters
+    ----------
+    base_seconds : float
+        Where it starts.
     """
 
-    def __init__(self) -> None:
-        self.seconds = REQUEST_TIMEOUT_SECONDS
+    def __init__(self, base_seconds: float = REQUEST_TIMEOUT_SECONDS) -> None:
+        self.seconds = base_seconds
+        self._base_seconds = base_seconds
+        self._cap_seconds = max(base_seconds, MAX_REQUEST_TIMEOUT_SECONDS)
 
     def note_timeout(self) -> None:
         """Take note of a request that timed out."""
-        self.seconds = min(2 * self.seconds, MAX_REQUEST_TIMEOUT_SECONDS)
+        self.seconds = min(2 * self.seconds, self._cap_seconds)
 
     def note_answer(self, elapsed_seconds: float) -> None:
         """Take note of a request that was answered."""
-        if elapsed_seconds < REQUEST_TIMEOUT_SECONDS:
-            self.seconds = REQUEST_TIMEOUT_SECONDS
+        if elapsed_seconds < self._base_seconds:
+            self.seconds = self._base_seconds
 
 
 class HttpLogClient:
@@ -47,12 +54,16 @@
     ----------
     url : str
         Base URL, such as ``http://10.0.0.1:7000``.
+    timeout_seconds : float
+        Time for an answer, in addition to the wait of a read.
     """
 
-    def __init__(self, url: str) -> None:
+    def __init__(
+        self, url: str, timeout_seconds: float = REQUEST_TIMEOUT_SECONDS
+    ) -> None:
         self._url = url.rstrip("/")
         self._session: aiohttp.ClientSession | None = None
-        self._timeout = AdaptiveTimeout()
+        self._timeout = AdaptiveTimeout(timeout_seconds)
 
     async def append(
         self, stream: str, value: str
--- a/src/lacewingstair/platform/reader.py
+++ b/src/lacewingstair/platform/reader.py
@@ -16,6 +16,7 @@
 from lacewingstair.platform.checkpoint import decode_checkpoint, lasting_take_backs
 from lacewingstair.platform.checkpointer import Checkpointer
 from lacewingstair.platform.log import LogClient
+from lacewingstair.platform.options import LogOptions
 from lacewingstair.platform.records import TakeBackRecord
 from lacewingstair.platform.status import LogStatus, ObservedLog
 from lacewingstair.platform.system_stream import SystemStream
@@ -30,7 +31,7 @@
 UPKEEP_SECONDS = 5.0
 SYSTEM_READ_SECONDS = 60.0
 WRITE_TIMEOUT_SECONDS = 30.0
-DEFAULT_RETENTION_SECONDS = 86_400.0
+DEFAULT_OPTIONS = LogOptions()
 
 
 class LogReader:
@@ -50,8 +51,8 @@
         Whether this VM reads the log now.
     clock, rng
         Time and randomness.
-    retention_seconds : float
-        How long the log keeps records.
+    options : LogOptions, optional
+        Intervals and bounds.
 
     Attributes
     ----------
@@ -71,7 +72,7 @@
         is_reader: Callable[[], bool],
         clock: Clock,
         rng: random.Random,
-        retention_seconds: float = DEFAULT_RETENTION_SECONDS,
+        options: LogOptions = DEFAULT_OPTIONS,
     ) -> None:
         self.status = LogStatus()
         observed = ObservedLog(log, self.status)
@@ -82,9 +83,18 @@
         self._clock = clock
         self._rng = rng
         self._system = SystemStream(observed, clock)
-        self._writer = SystemWriter(observed, writer_id, clock, rng)
+        self._writer = SystemWriter(
+            observed, writer_id, clock, rng, options.retry_cap_seconds
+        )
         self._tail = LogTail(
-            observed, self._system, store, publish_records, self.status, clock, rng
+            observed,
+            self._system,
+            store,
+            publish_records,
+            self.status,
+            clock,
+            rng,
+            options,
         )
         self._checkpointer = Checkpointer(
             self._system,
@@ -92,7 +102,7 @@
             store,
             marks,
             clock,
-            retention_seconds,
+            options,
             lambda: self._tail.first_offset,
         )
         self._next_system_read = float("-inf")
--- a/src/lacewingstair/platform/tail.py
+++ b/src/lacewingstair/platform/tail.py
@@ -10,6 +10,7 @@
 from lacewingstair.errors import LogUnavailable, OffsetExpired
 from lacewingstair.platform.checkpoint import decode_checkpoint
 from lacewingstair.platform.log import TICKET_STREAM, LogBatch, LogClient, LogRecord
+from lacewingstair.platform.options import LogOptions
 from lacewingstair.platform.status import LogStatus
 from lacewingstair.platform.system_stream import SystemStream
 from lacewingstair.runtime import Clock, full_jitter
@@ -17,12 +18,9 @@
 from lacewingstair.tickets import MAX_TICKET_BYTES
 
 READ_LIMIT = 128
-# A connection that has gone silent is noticed after this time and the client's timeout.
-POLL_SECONDS = 10.0
 POLL_JITTER = 0.25
 MIN_POLL_SECONDS = 1.0
 RETRY_BASE_SECONDS = 0.5
-RETRY_CAP_SECONDS = 10.0
 # How often a VM looks whether another one has closed its gap.
 GAP_RETRY_SECONDS = 10.0
 
@@ -44,6 +42,8 @@
         Kept up to date.
     clock, rng
         Time and randomness.
+    options : LogOptions
+        Time of a poll, and the longest delay between attempts.
 
     Attributes
     ----------
@@ -60,7 +60,9 @@
         status: LogStatus,
         clock: Clock,
         rng: random.Random,
+        options: LogOptions,
     ) -> None:
+        self._options = options
         self._log = log
         self._system = system
         self._store = store
@@ -78,7 +80,7 @@
         began = self._clock.monotonic()
         jitter = self._rng.uniform(1.0 - POLL_JITTER, 1.0)
         answer = await self._log.read(
-            TICKET_STREAM, start, self._limit, POLL_SECONDS * jitter
+            TICKET_STREAM, start, self._limit, self._options.poll_seconds * jitter
         )
         if isinstance(answer, Err):
             await self._handle_error(answer.err_value)
@@ -162,7 +164,10 @@
 
     async def _back_off(self) -> None:
         delay = full_jitter(
-            self._rng, self._attempt, RETRY_BASE_SECONDS, RETRY_CAP_SECONDS
+            self._rng,
+            self._attempt,
+            RETRY_BASE_SECONDS,
+            self._options.retry_cap_seconds,
         )
         self._attempt += 1
         await self._clock.sleep(delay)
--- a/src/lacewingstair/platform/writer.py
+++ b/src/lacewingstair/platform/writer.py
@@ -23,13 +23,20 @@
         Unique for this process, so that a restarted VM is another writer.
     clock, rng
         Time and randomness.
+    retry_cap_seconds : float
+        Largest upper bound of the delay between attempts.
     """
 
     def __init__(
-        self, log: LogClient, writer_id: str, clock: Clock, rng: random.Random
+        self,
+        log: LogClient,
+        writer_id: str,
+        clock: Clock,
+        rng: random.Random,
+        retry_cap_seconds: float,
     ) -> None:
         self.writer_id = writer_id
-        self._appender = Appender(log, SYSTEM_STREAM, clock, rng)
+        self._appender = Appender(log, SYSTEM_STREAM, clock, rng, retry_cap_seconds)
         self._sequence = 0
         self._lock = asyncio.Lock()
 
--- a/src/lacewingstair/settings.py
+++ b/src/lacewingstair/settings.py
@@ -18,7 +18,6 @@
 from lacewingstair.settings_values import (
     Addresses,
     Choice,
-    HeaderName,
     IpAddress,
     Kind,
     Name,
@@ -138,9 +137,6 @@
         600,
         "largest upper bound of the delay before a reconnect",
     )
-    tombstone_seconds: float = _seconds(
-        "vm", "tombstone_seconds", 3600.0, 60, 86400, "time a dead VM is remembered"
-    )
     coalesce_seconds: float = _seconds(
         "vm",
         "coalesce_seconds",
@@ -168,7 +164,7 @@
     send_queue_bytes: int = _count(
         "vm",
         "send_queue_bytes",
-        4 << 20,
+        8 << 20,
         1 << 20,
         64 << 20,
         "bytes that may wait on one link; a link beyond it is closed",
@@ -178,15 +174,8 @@
 
 @attrs.frozen
 class CallSettings:
-    """Calls: headers, retries, queues and limits on requests."""
+    """Calls: retries and limits on requests."""
 
-    outcome_header: str = _optional(
-        "caller",
-        "outcome_header",
-        HeaderName(),
-        "Lacewingstair-Outcome",
-        "header with which a refusal is marked not-run, in both directions",
-    )
     retry_share: float = _optional(
         "caller",
         "retry_share",
@@ -207,15 +196,7 @@
         4096,
         1,
         100_000,
-        "connections of callers that are open at a time",
-    )
-    max_waiting_calls: int = _count(
-        "caller",
-        "max_waiting_calls",
-        256,
-        0,
-        100_000,
-        "calls that may wait for a slot of a service; further ones are refused",
+        "connections of callers that are open at a time; further ones are answered 503",
     )
     buffer_bytes: int = _count(
         "caller",
@@ -262,7 +243,7 @@
         "idle_reuse_seconds",
         1.0,
         0,
-        60,
+        15,
         "longest idle time after which a connection is used for a call that must not"
         " run twice",
     )
@@ -284,7 +265,7 @@
     log_poll_seconds: float = _seconds(
         "platform",
         "log_poll_seconds",
-        20.0,
+        10.0,
         0,
         60,
         "longest time that a read of the log waits for a new record",
@@ -295,7 +276,8 @@
         5.0,
         0.1,
         60,
-        "time for an answer of the log, in addition to the wait of a read",
+        "time for an answer of the log, in addition to the wait of a read; it grows to"
+        " 40 s while the log is slow",
     )
     retry_cap_seconds: float = _seconds(
         "platform",
@@ -316,9 +298,9 @@
     lease_ttl_seconds: float = _seconds(
         "platform",
         "lease_ttl_seconds",
-        30.0,
+        60.0,
         1,
-        3600,
+        600,
         "validity of the lease for writing checkpoints",
     )
     checkpoint_records: int = _count(
@@ -329,14 +311,6 @@
         1_000_000,
         "folded records after which a new checkpoint is written",
     )
-    waiting_appends: int = _count(
-        "platform",
-        "waiting_appends",
-        1000,
-        1,
-        100_000,
-        "records that wait in memory while the log is down",
-    )
 
 
 @attrs.frozen
--- a/src/lacewingstair/settings_values.py
+++ b/src/lacewingstair/settings_values.py
@@ -9,7 +9,6 @@
 import attrs
 
 MAX_NAME_CHARACTERS = 100
-_HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]{1,100}")
 
 # Names, IPv4 and IPv6 addresses; the latter contain colons.
 _HOST = re.compile(r"[0-9A-Za-z:][0-9A-Za-z.:_-]*")
@@ -103,21 +102,6 @@
         return text
 
 
-@attrs.frozen
-class HeaderName:
-    """Name of an HTTP header."""
-
-    type_name = "header name"
-    unit = ""
-    allowed = "letters, digits and hyphens, as in an HTTP header name"
-
-    def parse(self, text: str) -> str:
-        """Return the name."""
-        if not _HEADER_NAME.fullmatch(text):
-            raise ValueError(text)
-        return text
-
-
 @attrs.frozen
 class Choice:
     """One of a few words."""
--- a/src/lacewingstair/standins/log_readers.py
+++ b/src/lacewingstair/standins/log_readers.py
@@ -9,7 +9,8 @@
 
 from lacewingstair.marks import Marks
 from lacewingstair.platform.log import SYSTEM_STREAM, TICKET_STREAM
-from lacewingstair.platform.reader import DEFAULT_RETENTION_SECONDS, LogReader
+from lacewingstair.platform.options import LogOptions
+from lacewingstair.platform.reader import DEFAULT_OPTIONS, LogReader
 from lacewingstair.platform.records import decode_record
 from lacewingstair.runtime import Clock
 from lacewingstair.standins.memory_log import LogFaults, LogStreams, MemoryLogClient
@@ -69,7 +70,7 @@
         self,
         clock: Clock,
         seed: int = 0,
-        retention_seconds: float = DEFAULT_RETENTION_SECONDS,
+        retention_seconds: float = DEFAULT_OPTIONS.retention_seconds,
     ) -> None:
         self.clock = clock
         self.rng = random.Random(seed)
@@ -96,7 +97,7 @@
             is_reader=is_reader,
             clock=self.clock,
             rng=random.Random(self.rng.random()),
-            retention_seconds=self._retention_seconds,
+            options=LogOptions(retention_seconds=self._retention_seconds),
         )
         self._started += 1
         task = asyncio.create_task(reader.run())
--- a/src/lacewingstair/store.py
+++ b/src/lacewingstair/store.py
@@ -17,15 +17,20 @@
 class StateStore:
     """Holds the `MeshState` and never returns to an older one.
 
+    Parameters
+    ----------
+    recent_records : int
+        Records kept to bring another VM up to date.
+
     Attributes
     ----------
     state : MeshState
         Replaced by one assignment, so that readers see one state or the next.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, recent_records: int = RECENT_RECORDS) -> None:
         self.state = MeshState()
-        self._recent: deque[TicketRecord] = deque(maxlen=RECENT_RECORDS)
+        self._recent: deque[TicketRecord] = deque(maxlen=recent_records)
         self._listeners: list[Callable[[MeshState, MeshState], None]] = []
 
     def subscribe(self, listener: Callable[[MeshState, MeshState], None]) -> None:
--- a/src/lacewingstair/vm/dissemination.py
+++ b/src/lacewingstair/vm/dissemination.py
@@ -124,7 +124,7 @@
     """Passes on changes of the directory, coalesced.
 
     A change that follows a quiet time is sent at once; those that follow within
-    `COALESCE_SECONDS` are sent together.
+    the time of coalescing are sent together.
 
     Parameters
     ----------
@@ -132,9 +132,17 @@
         Open links.
     clock : Clock
         Time.
+    coalesce_seconds : float
+        Time in which changes are collected.
     """
 
-    def __init__(self, peers: PeerTable, clock: Clock) -> None:
+    def __init__(
+        self,
+        peers: PeerTable,
+        clock: Clock,
+        coalesce_seconds: float = COALESCE_SECONDS,
+    ) -> None:
+        self._coalesce_seconds = coalesce_seconds
         self._peers = peers
         self._clock = clock
         self._pending_by_vm_id: dict[str, _Pending] = {}
@@ -155,7 +163,7 @@
 
     async def _flush_later(self) -> None:
         since = self._clock.monotonic() - self._flushed_at
-        await self._clock.sleep(max(0.0, COALESCE_SECONDS - since))
+        await self._clock.sleep(max(0.0, self._coalesce_seconds - since))
         self._flushing = None
         self._flush()
 
--- a/src/lacewingstair/vm/failure_detector.py
+++ b/src/lacewingstair/vm/failure_detector.py
@@ -39,6 +39,8 @@
         Takes a record with a raised status; merges it and passes it on.
     clock : Clock
         Time.
+    suspicion_seconds : float
+        Time in which a suspected VM may refute.
     """
 
     def __init__(
@@ -47,7 +49,9 @@
         own: VmRecord,
         publish: Callable[[VmRecord], None],
         clock: Clock,
+        suspicion_seconds: float = SUSPICION_SECONDS,
     ) -> None:
+        self._suspicion_seconds = suspicion_seconds
         self._directory = directory
         self._own = own
         self._publish = publish
@@ -65,7 +69,7 @@
             return
         events.info("vm_suspected", vm=vm_id, incarnation=record.incarnation)
         self._publish(attrs.evolve(record, status=VmStatus.SUSPECT))
-        self._set_deadline(record, SUSPICION_SECONDS)
+        self._set_deadline(record, self._suspicion_seconds)
 
     def tick(self) -> None:
         """Declare dead whose time is up and drop tombstones that have expired."""
@@ -112,7 +116,7 @@
         elif held is not None and _is_same_phase(before, after):
             self._deadlines_by_vm_id[vm_id] = held
         elif after.status is VmStatus.SUSPECT and self._is_watched(after):
-            self._set_deadline(after, SUSPICION_SECONDS + BACKUP_SECONDS)
+            self._set_deadline(after, self._suspicion_seconds + BACKUP_SECONDS)
         elif after.status is VmStatus.LEAVING and self._is_watched(after):
             self._set_deadline(after, LEAVING_SECONDS)
 
--- a/src/lacewingstair/vm/links.py
+++ b/src/lacewingstair/vm/links.py
@@ -14,12 +14,10 @@
 from lacewingstair.errors import FrameError, ListenError
 from lacewingstair.runtime import Clock, full_jitter
 from lacewingstair.vm import messages
+from lacewingstair.vm.options import NodeOptions
 from lacewingstair.vm.peers import Peer, PeerTable
 from lacewingstair.vm.transport import Listener, MessageStream, Transport
 
-RECONNECT_BASE_SECONDS = 0.1
-RECONNECT_CAP_SECONDS = 10.0
-HELLO_TIMEOUT_SECONDS = 2.0
 # A connection that ends sooner counts as a failure, so that a peer that closes at once
 # is not called again without delay.
 SERVED_SECONDS = 1.0
@@ -113,6 +111,8 @@
         Time and randomness.
     max_accepted : int
         Connections accepted at a time; further ones are answered with Full.
+    options : NodeOptions
+        Time for a Hello and delays of reconnects.
     """
 
     def __init__(
@@ -125,7 +125,9 @@
         clock: Clock,
         rng: random.Random,
         max_accepted: int,
+        options: NodeOptions,
     ) -> None:
+        self._options = options
         self._mesh = mesh
         self._own = own
         self._transport = transport
@@ -190,7 +192,10 @@
             is_served = await self._open(target, dial.is_eager)
             failures = 0 if is_served else failures + 1
             delay = full_jitter(
-                self._rng, failures, RECONNECT_BASE_SECONDS, RECONNECT_CAP_SECONDS
+                self._rng,
+                failures,
+                self._options.reconnect_base_seconds,
+                self._options.reconnect_cap_seconds,
             )
             await self._clock.sleep(delay)
         self._tasks_by_key.pop(key, None)
@@ -253,11 +258,12 @@
                 is_eager,
             )
         )
+        seconds = self._options.replacement_seconds
         try:
-            async with asyncio.timeout(HELLO_TIMEOUT_SECONDS):
+            async with asyncio.timeout(seconds):
                 received = await stream.receive()
         except TimeoutError:
-            events.info("hello_timeout", seconds=HELLO_TIMEOUT_SECONDS)
+            events.info("hello_timeout", seconds=seconds)
             return Err(_NoPeer.SILENT)
         if isinstance(received, Err):
             _log_end("", received.err_value)
--- a/src/lacewingstair/vm/node.py
+++ b/src/lacewingstair/vm/node.py
@@ -27,6 +27,7 @@
 from lacewingstair.vm.links import MAX_ACCEPTED_CONNECTIONS, LinkKeeper
 from lacewingstair.vm.membership import Membership
 from lacewingstair.vm.neighbours import Neighbours
+from lacewingstair.vm.options import NodeOptions
 from lacewingstair.vm.peers import Peer, PeerTable
 from lacewingstair.vm.reachability import Reachability
 from lacewingstair.vm.reader_role import ReaderRole
@@ -35,12 +36,9 @@
 from lacewingstair.vm.snapshot_server import SnapshotServer
 from lacewingstair.vm.transport import Listener, Transport
 
-HEARTBEAT_SECONDS = 1.0
-SILENCE_SECONDS = 3.0
-# A longer time between two heartbeats of this VM means that it was itself paused.
-PAUSE_SECONDS = 2.5
 # A VM that hears nobody is more likely cut off than the only one alive.
 ISOLATION_SECONDS = 30.0
+DEFAULT_OPTIONS = NodeOptions()
 
 
 class VmNode:
@@ -62,6 +60,8 @@
         Time and randomness.
     eager_trees : int
         Trees of the zone on which news is pushed.
+    options : NodeOptions, optional
+        Intervals and bounds.
 
     Attributes
     ----------
@@ -84,15 +84,21 @@
         clock: Clock,
         rng: random.Random,
         eager_trees: int = 1,
+        options: NodeOptions = DEFAULT_OPTIONS,
     ) -> None:
+        self._options = options
         self._clock = clock
         self._rng = rng
         self._directory = directory
-        self._peers = PeerTable(own)
+        self._peers = PeerTable(own, options.fresh_seconds)
         self.overlay = Overlay(directory, own, eager_trees)
-        self._publisher = DirectoryPublisher(self._peers, clock)
+        self._publisher = DirectoryPublisher(
+            self._peers, clock, options.coalesce_seconds
+        )
         self._membership = Membership(directory, own, self._announce, clock)
-        self._detector = FailureDetector(directory, own, self._publish_status, clock)
+        self._detector = FailureDetector(
+            directory, own, self._publish_status, clock, options.suspicion_seconds
+        )
         self._tickets = TicketPublisher(own, store, self._peers)
         self._marks = MarkPublisher(marks, self._peers)
         self._snapshots = SnapshotClient(
@@ -105,6 +111,7 @@
             lambda: self._snapshots.is_joined,
             clock,
             rng,
+            options.snapshot_slots,
         )
         self.repair = Repair(
             own.region, store, directory, marks, self._marks, self._snapshots
@@ -122,6 +129,7 @@
             clock,
             rng,
             MAX_ACCEPTED_CONNECTIONS,
+            options,
         )
         self._reachability = Reachability(own, self.overlay, self._peers, clock)
         self._neighbours = Neighbours(
@@ -172,14 +180,15 @@
 
     async def run(self) -> None:
         """Keep links and heartbeats until cancelled."""
+        interval = self._options.heartbeat_seconds
         try:
             self._ticked_at = self._clock.monotonic()
             self._tick()
             # VMs that start at the same moment do not stay in step.
-            await self._clock.sleep(self._rng.uniform(0.0, HEARTBEAT_SECONDS))
+            await self._clock.sleep(self._rng.uniform(0.0, interval))
             while True:
                 self._tick()
-                await self._clock.sleep(HEARTBEAT_SECONDS)
+                await self._clock.sleep(interval)
         finally:
             await self._publisher.close()
             await self.snapshot_server.close()
@@ -251,7 +260,7 @@
     def on_unreachable(self, vm_id: str) -> None:
         """Suspect a neighbour whose new connection was not answered."""
         since = self._clock.monotonic() - self._heard_at
-        is_isolated = since > SILENCE_SECONDS
+        is_isolated = since > self._options.silence_seconds
         if vm_id and (not is_isolated or since > ISOLATION_SECONDS):
             self._detector.suspect(vm_id)
 
@@ -294,7 +303,7 @@
         now = self._clock.monotonic()
         gap = now - self._ticked_at
         self._ticked_at = now
-        if gap > PAUSE_SECONDS:
+        if gap > self._options.pause_seconds:
             self._resume(now, gap)
         self._close_silent(now)
         self._detector.tick()
@@ -313,7 +322,7 @@
 
     def _close_silent(self, now: float) -> None:
         for peer in self._peers:
-            if now - peer.last_heard >= SILENCE_SECONDS:
+            if now - peer.last_heard >= self._options.silence_seconds:
                 peer.stream.close()
 
     def _announce(self, record: VmRecord) -> None:
--- a/src/lacewingstair/vm/peers.py
+++ b/src/lacewingstair/vm/peers.py
@@ -69,10 +69,13 @@
     ----------
     own : VmRecord
         This VM; only its id and place are used.
+    fresh_seconds : float
+        Time since its last frame for which a connection is taken to work.
     """
 
-    def __init__(self, own: VmRecord) -> None:
+    def __init__(self, own: VmRecord, fresh_seconds: float = FRESH_SECONDS) -> None:
         self._own = own
+        self._fresh_seconds = fresh_seconds
         self.by_vm_id: dict[str, Peer] = {}
 
     def __iter__(self) -> Iterator[Peer]:
@@ -129,7 +132,7 @@
         return True
 
     def _keeps(self, held: Peer, peer: Peer) -> bool:
-        is_stale = peer.last_heard - held.last_heard > FRESH_SECONDS
+        is_stale = peer.last_heard - held.last_heard > self._fresh_seconds
         if is_stale or held.is_opened_here == peer.is_opened_here:
             return False
         return held.is_opened_here == (self._own.vm_id < peer.vm_id)
--- a/src/lacewingstair/vm/transport.py
+++ b/src/lacewingstair/vm/transport.py
@@ -81,7 +81,9 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         encoder: FrameEncoder,
+        max_queued_bytes: int = MAX_SEND_BUFFER_BYTES,
     ) -> None:
+        self._max_queued_bytes = max_queued_bytes
         self._reader = reader
         self._writer = writer
         self._encoder = encoder
@@ -118,7 +120,7 @@
             return
         self.bytes_sent += len(frame)
         self._writer.write(frame)
-        if self._writer.transport.get_write_buffer_size() > MAX_SEND_BUFFER_BYTES:
+        if self._writer.transport.get_write_buffer_size() > self._max_queued_bytes:
             self._writer.transport.abort()
 
     async def drain(self) -> None:
@@ -149,20 +151,34 @@
 
 
 class TcpTransport:
-    """Streams over TCP."""
+    """Streams over TCP.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    connect_timeout_seconds : float
+        Time for a connection to open.
+    max_queued_bytes : int
+        Bytes that may wait on one stream; one beyond it is closed.
+    """
+
+    def __init__(
+        self,
+        connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
+        max_queued_bytes: int = MAX_SEND_BUFFER_BYTES,
+    ) -> None:
+        self.connect_timeout_seconds = connect_timeout_seconds
+        self.max_queued_bytes = max_queued_bytes
         self._encoder = FrameEncoder()
 
     async def connect(self, address: str) -> Result[MessageStream, ConnectError]:
         """Open a stream to ``ip:port``."""
         host, _, port = address.rpartition(":")
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            async with asyncio.timeout(self.connect_timeout_seconds):
                 reader, writer = await asyncio.open_connection(host, int(port))
         except (OSError, TimeoutError, ValueError) as error:
             return Err(ConnectError(address, str(error) or type(error).__name__))
-        return Ok(TcpStream(reader, writer, self._encoder))
+        return Ok(TcpStream(reader, writer, self._encoder, self.max_queued_bytes))
 
     async def listen(
         self, address: str, on_stream: OnStream
@@ -172,7 +188,7 @@
         async def accept(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
-            stream = TcpStream(reader, writer, self._encoder)
+            stream = TcpStream(reader, writer, self._encoder, self.max_queued_bytes)
             try:
                 await on_stream(stream)
             except asyncio.CancelledError:
--- a/tests/platform/test_reader.py
+++ b/tests/platform/test_reader.py
@@ -8,6 +8,7 @@
 from lacewingstair.marks import RolloutKey, TakeBack
 from lacewingstair.platform import checkpointer
 from lacewingstair.platform.log import SYSTEM_STREAM, TICKET_STREAM
+from lacewingstair.platform.options import LogOptions
 from lacewingstair.platform.records import CheckpointChunk, Lease, TakeBackRecord
 from lacewingstair.standins.log_readers import LogReaders
 from lacewingstair.standins.memory_log import LogFaults
@@ -253,7 +254,7 @@
 
     async def pause_before_chunk(stream, value):
         if '"checkpoint-chunk"' in value:
-            await readers.clock.sleep(checkpointer.LEASE_TTL_SECONDS + 60.0)
+            await readers.clock.sleep(LogOptions().lease_ttl_seconds + 60.0)
             woken.append(value)
         return await append(stream, value)
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -9,8 +9,8 @@
 from lacewingstair.standins.local import free_ports
 
 
-def call_runner(handler, is_leaving, max_header_bytes, drain_seconds):
-    server = call_server(handler, is_leaving, max_header_bytes)
+def call_runner(handler, is_leaving, max_header_bytes, drain_seconds, **limits):
+    server = call_server(handler, is_leaving, max_header_bytes, **limits)
     return web.ServerRunner(server, shutdown_timeout=drain_seconds)
 
 
@@ -70,6 +70,43 @@
     )
 
 
+def test_connections_beyond_the_limit_are_answered_and_closed():
+    """Guards against callers that take the memory of the process."""
+    calls = []
+
+    async def answer_ok(_):
+        calls.append(1)
+        return web.Response(text="ok")
+
+    async def check(_, url, __):
+        port = int(url.rpartition(":")[2])
+        request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+        first, second = [
+            await asyncio.open_connection("127.0.0.1", port) for _ in range(2)
+        ]
+        for _, writer in (first, second):
+            writer.write(request)
+        assert (await first[0].readline()).startswith(b"HTTP/1.1 200")
+        refused = await second[0].read()
+        assert refused.startswith(b"HTTP/1.1 503")
+        assert b"Lacewingstair-Outcome: not-run\r\n" in refused
+        assert len(calls) == 1
+        for _, writer in (first, second):
+            writer.close()
+            await writer.wait_closed()
+        status = 503
+        while status == 503:
+            # The server sees the end of the first connection a little later.
+            async with aiohttp.request("GET", url) as answer:
+                status = answer.status
+        assert status == 200
+
+    with_server(
+        lambda: call_runner(answer_ok, lambda: False, 8190, 1.0, max_connections=1),
+        check,
+    )
+
+
 def test_open_calls_are_finished_before_the_server_stops():
     started, finish = asyncio.Event(), asyncio.Event()
 
