--- a/src/lacewingstair/standins/full_mesh.py
+++ b/src/lacewingstair/standins/full_mesh.py
@@ -218,6 +218,12 @@
         self.history.append(value)
         return self.streams.append(TICKET_STREAM, value)
 
+    def lose_records(self, next_offset: int) -> None:
+        """Lose the records from an offset on, as a log restored from a backup does."""
+        self.streams.truncate(TICKET_STREAM, next_offset)
+        del self.history[next_offset:]
+        del self._states[next_offset + 1 :]
+
     def publish(self, number: int, **sections: Any) -> int:
         """Append a ticket; without sections one that changes a route."""
         if not sections:
