Give the metrics without a source one, and list what exists

Control bytes, convergence lag and two of the queues were declared and always empty; refused tickets were counted from the 32 refusals that a state keeps, so that a larger batch was cut off.

- control_bytes: vm/traffic.py keeps the kind of the peer of each open stream and adds up the byte counts, which the streams had already, when /metrics is read; ended connections are added to a total.
Connections without a Hello have the kind "unknown".
HttpLogClient counts heads and bodies of its requests and answers.
No work per message is added.
- convergence_lag_seconds: TicketRecord has no time, so only log readers know it.
They measure records that arrive while they are at the end of the log and that they are the first to bring in; records that are read late after a start say nothing.
- queue_size keeps the queue take_backs, the only one there is; send_queue_bytes is new and shows the bytes that wait on links.

docs/operations.md listed an event that does not exist (message_ignored); a test now also looks from the page to the source. bench/calls.py logs the default share of decisions, as it did before dispatch took a DecisionLog.

Seen to fail: tests of traffic (2) without the total of ended connections, and the test of the lag without the condition on the end of the log.

--- a/bench/calls.py
+++ b/bench/calls.py
@@ -79,7 +79,10 @@
     directory = Directory()
     endpoint = Endpoint("board", "v1", f"127.0.0.1:{BACKEND_PORT}", slots=20)
     directory.merge(VmRecord("a", "r", "z", "-", 1, endpoints=(endpoint,)))
-    calls = CallServer(store, directory, random.Random(1))
+    rng = random.Random(1)
+    # The default share of a daemon.
+    decisions = events.DecisionLog(0.01, rng)
+    calls = CallServer(store, directory, rng, decisions=decisions)
     tune_garbage_collection()
     await _listen(calls.http_server(), HOP_PORTS["lacewingstair"])
 
--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -127,7 +127,9 @@
             report=self.report,
             health=self.health,
             is_reader=self.is_reader,
+            log=self.log,
             log_status=self.log_reader.status,
+            traffic=self.node.traffic,
         )
         self._runners: list[web.AppRunner | web.ServerRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
--- a/src/lacewingstair/metrics.py
+++ b/src/lacewingstair/metrics.py
@@ -4,9 +4,11 @@
 the parts. ``docs/operations.md`` explains each metric and what to do about it.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
 
 from lacewingstair.outcomes import CallOutcome
 
@@ -26,10 +28,38 @@
     2.0,
     5.0,
 )
-PEER_KINDS = ("zone", "region", "other_region", "log")
 ROLLOUT_STATES = ("waiting", "in progress", "done", "taken back")
 
 
+class FollowedCounter(Collector):
+    """Counter whose values are read when the metrics are.
+
+    Parameters
+    ----------
+    name, text : str
+        As for any metric; the name without ``_total``.
+    labels : tuple of str
+        Names of the labels.
+    """
+
+    def __init__(self, name: str, text: str, labels: tuple[str, ...] = ()) -> None:
+        self._name = name
+        self._text = text
+        self._labels = labels
+        self._values: Callable[[], Mapping[tuple[str, ...], float]] = dict
+
+    def follow(self, values: Callable[[], Mapping[tuple[str, ...], float]]) -> None:
+        """Show the values that `values` returns by the values of the labels."""
+        self._values = values
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """Yield the present values."""
+        family = CounterMetricFamily(self._name, self._text, labels=self._labels)
+        for labels, value in sorted(self._values().items()):
+            family.add_metric(labels, value)
+        yield family
+
+
 class Metrics:
     """Metrics of one VM, in a registry of its own.
 
@@ -59,23 +89,23 @@
             buckets=LATENCY_BUCKETS,
             registry=self.registry,
         )
-        self.control_bytes = self._counter(
+        self.control_bytes = self._followed(
             "control_bytes",
             "Bytes between VMs and with the log, by kind of peer and direction.",
             ("peer", "direction"),
         )
-        self.refused_tickets = self._counter(
-            "refused_tickets", "Records of the ticket stream that were refused."
+        self.refused_tickets = self._followed(
+            "refused_tickets",
+            "Records of the ticket stream that this VM has refused.",
         )
         self.ticket_number = self._gauge(
             "ticket_number", "Number of the ticket in force."
         )
         self.convergence_lag_seconds = self._gauge(
             "convergence_lag_seconds",
-            "Time from the log's time of the last ticket to its application, seconds;"
-            " NaN until measured.",
+            "Time from the log's time of a record to its application, seconds;"
+            " on log readers alone; NaN until measured.",
         )
-        self.convergence_lag_seconds.set(float("nan"))
         self.log_up = self._gauge("log_up", "1 while the log answers this VM, else 0.")
         self.log_gap = self._gauge(
             "log_gap", "1 while records have expired that no checkpoint covers."
@@ -95,6 +125,9 @@
         self.queue_size = self._gauge(
             "queue_size", "Entries that wait in a queue, by queue.", ("queue",)
         )
+        self.send_queue_bytes = self._gauge(
+            "send_queue_bytes", "Bytes that wait to be sent on links to other VMs."
+        )
         self.ready = self._gauge("ready", "1 while the VM takes calls, else 0.")
 
     def record(self, outcome: CallOutcome) -> None:
@@ -118,6 +151,13 @@
         full = f"lacewingstair_{name}"
         return Counter(full, text, labels, registry=self.registry)
 
+    def _followed(
+        self, name: str, text: str, labels: tuple[str, ...] = ()
+    ) -> FollowedCounter:
+        counter = FollowedCounter(f"lacewingstair_{name}", text, labels)
+        self.registry.register(counter)
+        return counter
+
     def _gauge(self, name: str, text: str, labels: tuple[str, ...] = ()) -> Gauge:
         return Gauge(f"lacewingstair_{name}", text, labels, registry=self.registry)
 
--- a/src/lacewingstair/operator/observe.py
+++ b/src/lacewingstair/operator/observe.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Mapping, Sized
 from typing import Any
 
-from lacewingstair.acceptance import MeshState
 from lacewingstair.directory import Directory, VmStatus
 from lacewingstair.marks import Marks
 from lacewingstair.metrics import (
@@ -14,8 +13,10 @@
     follow_labelled,
 )
 from lacewingstair.operator.health import Health
+from lacewingstair.platform.http_log import HttpLogClient
 from lacewingstair.platform.status import LogStatus
 from lacewingstair.store import StateStore
+from lacewingstair.vm.traffic import LinkTraffic
 
 _STATUS_NAMES = tuple(status.name.lower() for status in VmStatus)
 
@@ -30,7 +31,9 @@
     report: Callable[[], Mapping[str, Any]],
     health: Callable[[], Health],
     is_reader: Callable[[], bool],
+    log: HttpLogClient,
     log_status: LogStatus,
+    traffic: LinkTraffic,
 ) -> None:
     """Let the metrics follow the parts; values are read when ``/metrics`` is."""
     follow(metrics.ticket_number, lambda: store.state.number)
@@ -47,11 +50,25 @@
     follow_labelled(metrics.vms, _STATUS_NAMES, lambda: _statuses(directory))
     follow_labelled(metrics.rollouts, ROLLOUT_STATES, lambda: _rollouts(report()))
 
-    def count_refused(before: MeshState, after: MeshState) -> None:
-        new = [d for d in after.refusals if d.offset >= before.next_offset]
-        metrics.refused_tickets.inc(len(new))
+    metrics.refused_tickets.follow(lambda: {(): store.refused})
+    metrics.control_bytes.follow(lambda: _control_bytes(traffic, log))
+    follow(metrics.send_queue_bytes, traffic.queued_bytes)
+    follow(metrics.convergence_lag_seconds, lambda: _lag(log_status))
 
-    store.subscribe(count_refused)
+
+def _control_bytes(
+    traffic: LinkTraffic, log: HttpLogClient
+) -> dict[tuple[str, str], int]:
+    return {
+        **traffic.bytes_by_kind_and_direction(),
+        ("log", "sent"): log.bytes_sent,
+        ("log", "received"): log.bytes_received,
+    }
+
+
+def _lag(log_status: LogStatus) -> float:
+    lag = log_status.lag_seconds
+    return float("nan") if lag is None else lag
 
 
 def _endpoints(directory: Directory) -> int:
--- a/src/lacewingstair/platform/http_log.py
+++ b/src/lacewingstair/platform/http_log.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections.abc import Iterable
 from typing import Any
 
 import aiohttp
@@ -56,6 +57,11 @@
         Base URL, such as ``http://10.0.0.1:7000``.
     timeout_seconds : float
         Time for an answer, in addition to the wait of a read.
+
+    Attributes
+    ----------
+    bytes_sent, bytes_received : int
+        Bytes of the heads and bodies of requests and answers so far.
     """
 
     def __init__(
@@ -64,6 +70,8 @@
         self._url = url.rstrip("/")
         self._session: aiohttp.ClientSession | None = None
         self._timeout = AdaptiveTimeout(timeout_seconds)
+        self.bytes_sent = 0
+        self.bytes_received = 0
 
     async def append(
         self, stream: str, value: str
@@ -112,7 +120,7 @@
         self, method: str, url: str, wait_seconds: float, **options: Any
     ) -> Result[tuple[int, dict[str, Any]], LogUnavailable]:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = aiohttp.ClientSession(trace_configs=[self._trace()])
         timeout = aiohttp.ClientTimeout(total=wait_seconds + self._timeout.seconds)
         start = asyncio.get_running_loop().time()
         try:
@@ -120,7 +128,8 @@
                 method, url, timeout=timeout, allow_redirects=False, **options
             ) as response:
                 status = response.status
-                data = await _read_bounded(response)
+                self.bytes_received += _head_bytes(response)
+                data = await self._read_bounded(response)
             body = json.loads(data)
         except TimeoutError:
             self._timeout.note_timeout()
@@ -132,14 +141,38 @@
             return Err(LogUnavailable(url, "the answer is not a JSON object"))
         return Ok((status, body))
 
+    async def _read_bounded(self, response: aiohttp.ClientResponse) -> bytes:
+        data = bytearray()
+        async for chunk in response.content.iter_chunked(READ_CHUNK_BYTES):
+            data += chunk
+            self.bytes_received += len(chunk)
+            if len(data) > MAX_RESPONSE_BYTES:
+                reason = f"the answer is larger than {MAX_RESPONSE_BYTES} bytes"
+                raise ValueError(reason)
+        return bytes(data)
+
+    def _trace(self) -> aiohttp.TraceConfig:
+        async def on_head(_session, _context, params) -> None:
+            line = f"{params.method} {params.url.raw_path_qs} HTTP/1.1\r\n\r\n"
+            self.bytes_sent += len(line) + _field_bytes(params.headers.items())
+
+        async def on_sent(_session, _context, params) -> None:
+            self.bytes_sent += len(params.chunk)
+
+        trace = aiohttp.TraceConfig()
+        trace.on_request_headers_sent.append(on_head)
+        trace.on_request_chunk_sent.append(on_sent)
+        return trace
+
+
+def _head_bytes(response: aiohttp.ClientResponse) -> int:
+    line = f"HTTP/1.1 {response.status} {response.reason}\r\n\r\n"
+    return len(line) + _field_bytes(response.raw_headers)
+
 
-async def _read_bounded(response: aiohttp.ClientResponse) -> bytes:
-    data = bytearray()
-    async for chunk in response.content.iter_chunked(READ_CHUNK_BYTES):
-        data += chunk
-        if len(data) > MAX_RESPONSE_BYTES:
-            raise ValueError(f"the answer is larger than {MAX_RESPONSE_BYTES} bytes")
-    return bytes(data)
+def _field_bytes(fields: Iterable[tuple[str | bytes, str | bytes]]) -> int:
+    # A colon, a space and a line end.
+    return sum(len(name) + len(value) + 4 for name, value in fields)
 
 
 def _is_offset(value: Any) -> bool:
--- a/src/lacewingstair/platform/status.py
+++ b/src/lacewingstair/platform/status.py
@@ -32,6 +32,9 @@
         none is known.
     pending_take_backs : int
         Take-back marks that wait to be written.
+    lag_seconds : float or None
+        Time from the log's time of a record to its application, for the last record
+        that this VM was the first to bring in while it waited at the end of the log.
     """
 
     is_reader: bool = False
@@ -43,6 +46,7 @@
     appends: int = 0
     checkpoint_offset: int = -1
     pending_take_backs: int = 0
+    lag_seconds: float | None = None
 
 
 class ObservedLog:
--- a/src/lacewingstair/platform/tail.py
+++ b/src/lacewingstair/platform/tail.py
@@ -72,6 +72,7 @@
         self._rng = rng
         self._attempt = 0
         self._limit = READ_LIMIT
+        self._was_at_end = False
         self.first_offset = 0
 
     async def poll(self) -> None:
@@ -94,7 +95,7 @@
             return
         self._status.has_lost_data = False
         self._close_gap()
-        self._publish([_ticket_record(record) for record in batch.records])
+        self._hand_on(batch)
         has_waited = self._clock.monotonic() - began >= MIN_POLL_SECONDS
         if self._store.state.next_offset > start or has_waited:
             self._attempt = 0
@@ -102,6 +103,17 @@
         # A log that answers at once with nothing new is not asked in a tight loop.
         await self._back_off()
 
+    def _hand_on(self, batch: LogBatch) -> None:
+        held = self._store.state.next_offset
+        self._publish([_ticket_record(record) for record in batch.records])
+        now = self._store.state.next_offset
+        # Records that are read late, after a start or an outage of this VM, say nothing
+        # about the time that tickets take.
+        if self._was_at_end and held < now and batch.records:
+            published_at = batch.records[-1].time_ms / 1000
+            self._status.lag_seconds = self._clock.wall() - published_at
+        self._was_at_end = now >= batch.next_offset
+
     async def start_from_checkpoint(self) -> None:
         """Take over the newest checkpoint that is newer than the state held."""
         for stored in reversed(self._system.view.checkpoints):
--- a/src/lacewingstair/standins/memory_network.py
+++ b/src/lacewingstair/standins/memory_network.py
@@ -186,6 +186,8 @@
     ----------
     is_silent : bool
         Whether everything sent from this end is lost without notice.
+    bytes_received, bytes_sent, queued_bytes : int
+        As for any stream; nothing waits here.
     """
 
     def __init__(self, network: MemoryNetwork, transport: "MemoryTransport") -> None:
@@ -196,6 +198,7 @@
         self._is_closed = False
         self._latency = 0.0
         self.is_silent = False
+        self.bytes_received = self.bytes_sent = self.queued_bytes = 0
 
     def join(self, other: "MemoryStream") -> None:
         """Connect this end to the other one."""
@@ -265,10 +268,12 @@
 
     def _take(self, item: Any, size: int) -> None:
         if not self._is_closed:
+            self.bytes_received += size
             self._transport.bytes_received += size
             self._inbox.put_nowait(item)
 
     def _count(self, body: Any, size: int) -> None:
+        self.bytes_sent += size
         self._transport.bytes_sent += size
         regions = (self.place.region, self.far_place.region)
         self._network.bytes_by_region_pair[regions] += size
--- a/src/lacewingstair/store.py
+++ b/src/lacewingstair/store.py
@@ -26,10 +26,14 @@
     ----------
     state : MeshState
         Replaced by one assignment, so that readers see one state or the next.
+    refused : int
+        Records refused here since the start; those that came with a whole state were
+        refused elsewhere and do not count.
     """
 
     def __init__(self, recent_records: int = RECENT_RECORDS) -> None:
         self.state = MeshState()
+        self.refused = 0
         self._recent: deque[TicketRecord] = deque(maxlen=recent_records)
         self._listeners: list[Callable[[MeshState, MeshState], None]] = []
 
@@ -52,6 +56,7 @@
                 break
             state, decision = fold(state, record)
             decisions.append(decision)
+            self.refused += decision.verdict is Verdict.REFUSED
             self._recent.append(record)
         if decisions:
             self._replace(before, state)
--- a/src/lacewingstair/vm/links.py
+++ b/src/lacewingstair/vm/links.py
@@ -16,6 +16,7 @@
 from lacewingstair.vm import messages
 from lacewingstair.vm.options import NodeOptions
 from lacewingstair.vm.peers import Peer, PeerTable
+from lacewingstair.vm.traffic import LinkTraffic
 from lacewingstair.vm.transport import Listener, MessageStream, Transport
 
 # A connection that ends sooner counts as a failure, so that a peer that closes at once
@@ -113,6 +114,8 @@
         Connections accepted at a time; further ones are answered with Full.
     options : NodeOptions
         Time for a Hello and delays of reconnects.
+    traffic : LinkTraffic
+        Told of connections, whose bytes it adds up.
     """
 
     def __init__(
@@ -126,7 +129,9 @@
         rng: random.Random,
         max_accepted: int,
         options: NodeOptions,
+        traffic: LinkTraffic,
     ) -> None:
+        self._traffic = traffic
         self._options = options
         self._mesh = mesh
         self._own = own
@@ -207,6 +212,7 @@
             self._listener.on_unreachable(target.vm_id)
             return False
         stream = connected.ok_value
+        self._traffic.opened(stream)
         try:
             greeted = await self._greet(stream, True, is_eager)
             if isinstance(greeted, Err):
@@ -222,8 +228,16 @@
             return self._clock.monotonic() - started_at >= SERVED_SECONDS
         finally:
             stream.close()
+            self._traffic.ended(stream)
 
     async def _accept(self, stream: MessageStream) -> None:
+        self._traffic.opened(stream)
+        try:
+            await self._accept_counted(stream)
+        finally:
+            self._traffic.ended(stream)
+
+    async def _accept_counted(self, stream: MessageStream) -> None:
         if self._accepted >= self._max_accepted:
             self._report_full()
             stream.send(messages.Full(self._listener.other_addresses()))
@@ -280,6 +294,7 @@
             is_opened_here=is_opened_here,
             is_eager=is_eager if is_opened_here else hello.is_eager,
         )
+        self._traffic.greeted(peer)
         return Ok(peer)
 
     def _is_welcome(self, hello: Any) -> bool:
--- a/src/lacewingstair/vm/node.py
+++ b/src/lacewingstair/vm/node.py
@@ -34,6 +34,7 @@
 from lacewingstair.vm.repair import Repair
 from lacewingstair.vm.snapshot_client import SnapshotClient
 from lacewingstair.vm.snapshot_server import SnapshotServer
+from lacewingstair.vm.traffic import LinkTraffic
 from lacewingstair.vm.transport import Listener, Transport
 
 # A VM that hears nobody is more likely cut off than the only one alive.
@@ -69,6 +70,8 @@
         Neighbours of this VM.
     snapshot_server : SnapshotServer
         Counts snapshots served.
+    traffic : LinkTraffic
+        Counts bytes between VMs.
     """
 
     def __init__(
@@ -120,6 +123,7 @@
         self._discovery = Discovery(
             own, contacts, directory, self._detector.dead_addresses, clock, rng
         )
+        self.traffic = LinkTraffic(own)
         self._links = LinkKeeper(
             mesh,
             lambda: self.own,
@@ -130,6 +134,7 @@
             rng,
             MAX_ACCEPTED_CONNECTIONS,
             options,
+            self.traffic,
         )
         self._reachability = Reachability(own, self.overlay, self._peers, clock)
         self._neighbours = Neighbours(
--- /dev/null
+++ b/src/lacewingstair/vm/traffic.py
@@ -0,0 +1,62 @@
+"""Bytes on the links of this VM, by the kind of the other VM."""
+
+from collections import Counter
+
+from lacewingstair.directory import VmRecord
+from lacewingstair.vm.peers import Peer
+from lacewingstair.vm.transport import MessageStream
+
+ZONE = "zone"
+REGION = "region"
+OTHER_REGION = "other_region"
+# Connections whose other end has not introduced itself.
+UNKNOWN = "unknown"
+
+
+class LinkTraffic:
+    """Adds up what the streams have counted, when it is asked for.
+
+    Parameters
+    ----------
+    own : VmRecord
+        This VM; only its place is used.
+    """
+
+    def __init__(self, own: VmRecord) -> None:
+        self._own = own
+        self._kinds_by_stream: dict[MessageStream, str] = {}
+        self._ended: Counter[tuple[str, str]] = Counter()
+
+    def opened(self, stream: MessageStream) -> None:
+        """Note a new connection."""
+        self._kinds_by_stream[stream] = UNKNOWN
+
+    def greeted(self, peer: Peer) -> None:
+        """Note who is at the other end of a connection."""
+        self._kinds_by_stream[peer.stream] = self._kind(peer)
+
+    def ended(self, stream: MessageStream) -> None:
+        """Keep the bytes of a connection that has ended."""
+        _add(self._ended, self._kinds_by_stream.pop(stream), stream)
+
+    def bytes_by_kind_and_direction(self) -> Counter[tuple[str, str]]:
+        """Return the bytes of frames since the start."""
+        total = Counter(self._ended)
+        for stream, kind in self._kinds_by_stream.items():
+            _add(total, kind, stream)
+        return total
+
+    def queued_bytes(self) -> int:
+        """Return the bytes that wait to be sent."""
+        return sum(stream.queued_bytes for stream in self._kinds_by_stream)
+
+    def _kind(self, peer: Peer) -> str:
+        if peer.region != self._own.region:
+            return OTHER_REGION
+        is_same_zone = peer.availability_zone == self._own.availability_zone
+        return ZONE if is_same_zone else REGION
+
+
+def _add(total: Counter[tuple[str, str]], kind: str, stream: MessageStream) -> None:
+    total[kind, "sent"] += stream.bytes_sent
+    total[kind, "received"] += stream.bytes_received
--- a/src/lacewingstair/vm/transport.py
+++ b/src/lacewingstair/vm/transport.py
@@ -23,7 +23,23 @@
 
 
 class MessageStream(Protocol):
-    """Ordered stream of messages to one peer."""
+    """Ordered stream of messages to one peer.
+
+    Attributes
+    ----------
+    bytes_received, bytes_sent : int
+        Bytes of frames so far.
+    queued_bytes : int
+        Bytes that wait to be sent.
+    """
+
+    bytes_received: int
+    bytes_sent: int
+
+    @property
+    def queued_bytes(self) -> int:
+        """Bytes that wait to be sent."""
+        ...
 
     async def receive(self) -> Result[Any, FrameError]:
         """Return the next message; an error when the stream has ended or is broken."""
@@ -90,6 +106,11 @@
         self.bytes_received = 0
         self.bytes_sent = 0
 
+    @property
+    def queued_bytes(self) -> int:
+        """Bytes that wait to be sent."""
+        return self._writer.transport.get_write_buffer_size()
+
     async def receive(self) -> Result[Any, FrameError]:
         """Return the next message; an error when the stream has ended or is broken."""
         try:
@@ -120,7 +141,7 @@
             return
         self.bytes_sent += len(frame)
         self._writer.write(frame)
-        if self._writer.transport.get_write_buffer_size() > self._max_queued_bytes:
+        if self.queued_bytes > self._max_queued_bytes:
             self._writer.transport.abort()
 
     async def drain(self) -> None:
--- a/tests/caller/test_dispatch.py
+++ b/tests/caller/test_dispatch.py
@@ -1,9 +1,12 @@
 import asyncio
+import random
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from loguru import logger
 
+from lacewingstair.events import DecisionLog, parse_event
 from lacewingstair.limits import RETRY_SHARE
 from lacewingstair.outcomes import CallResult
 from lacewingstair.standins.memory_server import Fault
@@ -114,6 +117,27 @@
     run_virtual(main())
 
 
+def test_each_attempt_is_logged_once_when_all_decisions_are():
+    """Guards against decisions that are sampled twice or not at all."""
+
+    async def main():
+        mesh = Mesh([Fault.REFUSE], [])
+        mesh.servers["10.0.0.1:80"].next_fault = mesh.servers["10.0.0.0:80"].next_fault
+        mesh.dispatcher._decisions = DecisionLog(1.0, random.Random(1))
+        assert (await mesh.send(mesh.call("/1", "POST")))[0] == 200
+        return {outcome.address for outcome in mesh.sink.outcomes}
+
+    lines = []
+    sink = logger.add(lambda line: lines.append(parse_event(line)), format="{message}")
+    try:
+        addresses = run_virtual(main())
+    finally:
+        logger.remove(sink)
+    routed = [line for line in lines if line["event"] == "call_routed"]
+    assert len(routed) == 2
+    assert {line["address"] for line in routed} == addresses
+
+
 def test_late_and_extra_answers_reach_nobody():
     """Guards against an answer that is taken for the one of the next call."""
 
--- a/tests/operator/test_api.py
+++ b/tests/operator/test_api.py
@@ -1,4 +1,5 @@
 import asyncio
+import math
 import random
 
 import aiohttp
@@ -67,18 +68,28 @@
 
 def test_metrics_follow_the_state_of_the_parts():
     async def check(daemon, request):
-        records = [TicketRecord(0, FIRST), TicketRecord(1, "no ticket")]
+        # More than the state keeps.
+        bad = [TicketRecord(offset, "no ticket") for offset in range(1, 41)]
+        records = [TicketRecord(0, FIRST), *bad]
         daemon.node.publish_records(records)
         daemon.marks.merge_take_back(
             TakeBack(RolloutKey("move", 99), "failures", "9 of 10", 1.0, "vm-1")
         )
         _, text = await request("/metrics")
         assert metric(text, "lacewingstair_ticket_number ") == 1
-        assert metric(text, "lacewingstair_refused_tickets_total ") == 1
+        assert metric(text, "lacewingstair_refused_tickets_total ") == 40
         assert metric(text, "lacewingstair_take_backs ") == 1
         assert metric(text, 'lacewingstair_vms{status="alive"}') == 1
         assert metric(text, "lacewingstair_log_up ") == 0
         assert metric(text, "lacewingstair_ready ") == 1
+        assert metric(text, "lacewingstair_send_queue_bytes ") == 0
+        assert math.isnan(metric(text, "lacewingstair_convergence_lag_seconds "))
+        daemon.log_reader.status.lag_seconds = 0.25
+        daemon.log.bytes_sent = 7
+        _, text = await request("/metrics")
+        assert metric(text, "lacewingstair_convergence_lag_seconds ") == 0.25
+        sent = 'lacewingstair_control_bytes_total{direction="sent",peer="log"}'
+        assert metric(text, sent) == 7
 
     with_daemon(check)
 
--- a/tests/platform/test_http_log.py
+++ b/tests/platform/test_http_log.py
@@ -54,6 +54,40 @@
     assert (batch.first_offset, batch.next_offset) == (0, 3)
 
 
+def test_the_bytes_of_requests_and_answers_are_counted():
+    """Guards against control bytes that differ from those on the wire."""
+    answer = (
+        b"HTTP/1.1 200 OK\r\nContent-Length: 12\r\nContent-Type: application/json\r\n"
+        b'X-A: b\r\n\r\n{"offset":7}'
+    )
+    received = []
+
+    async def script(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                fields = dict(
+                    line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:-2]
+                )
+                body = await reader.readexactly(int(fields.get(b"content-length", 0)))
+                received.append(len(head) + len(body))
+                writer.write(answer)
+        writer.close()
+
+    async def main():
+        server = await asyncio.start_server(script, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = HttpLogClient(f"http://127.0.0.1:{port}")
+        assert (await client.append("s", "\u00e9" * 1000)).unwrap() == 7
+        await client.read("s", 1, 10, 0.0)
+        await client.close()
+        server.close()
+        assert client.bytes_sent == sum(received)
+        assert client.bytes_received == 2 * len(answer)
+
+    asyncio.run(main())
+
+
 @with_service
 async def test_a_long_poll_returns_when_a_record_is_appended(service, client):
     poll = asyncio.create_task(client.read("s", 0, 10, 60.0))
--- a/tests/platform/test_reader.py
+++ b/tests/platform/test_reader.py
@@ -48,6 +48,27 @@
     return decorate
 
 
+@with_readers()
+async def test_lag_is_measured_only_for_records_that_arrive_while_waiting(readers, _):
+    """Guards against an alarm for records that were read long after they appeared."""
+    readers.publish(first_ticket())
+    await readers.clock.sleep(1000.0)
+    vm = readers.start_vm()
+    await readers.clock.sleep(60.0)
+    assert (vm.store.state.number, vm.reader.status.lag_seconds) == (1, None)
+    readers.publish(ticket(2))
+    await readers.clock.sleep(10.0)
+    assert vm.store.state.number == 2
+    assert vm.reader.status.lag_seconds == 0.0
+    vm.faults.is_down = True
+    readers.publish(ticket(3))
+    await readers.clock.sleep(30.0)
+    vm.faults.is_down = False
+    await readers.clock.sleep(30.0)
+    assert vm.store.state.number == 3
+    assert 30.0 <= vm.reader.status.lag_seconds < 45.0
+
+
 @with_readers()
 async def test_tickets_reach_every_reader_and_idle_polls_are_few(readers, events):
     vms = [readers.start_vm() for _ in range(8)]
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -59,13 +59,22 @@
     return names
 
 
-def test_every_event_of_the_source_is_listed():
+def events_of_the_source():
     sources = sorted((ROOT / "src").rglob("*.py"))
-    found = {name for path in sources for name in events_of(path)} | {"call_routed"}
+    return {name for path in sources for name in events_of(path)}
+
+
+def test_every_event_of_the_source_is_listed():
+    found = events_of_the_source()
     assert len(found) > 20
     assert found - LISTED == set()
 
 
+def test_every_event_and_metric_that_is_listed_exists():
+    """Guards against operators who wait for a line that is never logged."""
+    assert LISTED - events_of_the_source() - set(Metrics().names()) == set()
+
+
 def test_every_metric_is_explained():
     assert set(Metrics().names()) - LISTED == set()
 
