Let a service name statuses by which calls did not run

docs/design.md had not_run_statuses in section 3.1, but the schema refused it, so that a backend server that cannot set Lacewingstair-Outcome lost every non-idempotent call that it refused.

An answer with one of them is a refusal: the call goes to another upstream, counts as not run for balancing and rollouts, and an answer that is passed back is marked not-run. Without the list the caller gets the answer as it came.

The statuses are sorted and without duplicates, so that their order does not change the digest.

Seen to fail: without passing the statuses to the call (1 test), with the statuses ignored (3), with any missing header taken for a refusal (4), with any header taken for a refusal (1), and with the answer passed on unmarked on kept connections (1).

--- a/src/lacewingstair/caller/dispatch.py
+++ b/src/lacewingstair/caller/dispatch.py
@@ -58,6 +58,8 @@
         False when an outer layer has already repeated it.
     deadline : float
         When its answer is of no use any more, in monotonic seconds.
+    not_run_statuses : tuple of int
+        Statuses by which the service says that the call did not run.
     """
 
     method: str
@@ -73,6 +75,7 @@
     allows_repeat: bool
     allows_retry: bool
     deadline: float
+    not_run_statuses: tuple[int, ...] = ()
 
 
 @attrs.define(eq=False)
@@ -109,9 +112,13 @@
     @property
     def is_refusal(self) -> bool:
         """Whether the backend server says that the call did not run."""
-        if self.status not in REFUSAL_STATUSES:
+        is_vouched = self.status in self.attempt.call.not_run_statuses
+        if not is_vouched and self.status not in REFUSAL_STATUSES:
             return False
-        outcome = self.message.headers.get(headers.OUTCOME, "")
+        outcome = self.message.headers.get(headers.OUTCOME)
+        if outcome is None:
+            return is_vouched
+        # A backend server that calls others may pass on that a call may have run.
         return outcome.lower() == headers.OUTCOME_NOT_RUN
 
     @property
--- a/src/lacewingstair/caller/server.py
+++ b/src/lacewingstair/caller/server.py
@@ -26,6 +26,7 @@
 from lacewingstair.routes import NamedRoute
 from lacewingstair.runtime import Clock, SystemClock
 from lacewingstair.store import StateStore
+from lacewingstair.tickets import Service
 
 MAX_LINE_BYTES = 8190
 SWEEP_SECONDS = 5.0
@@ -201,10 +202,15 @@
         named = state.route_table.find(request.host, path, request.method)
         if named is None:
             return Err(Refusal(404, f"no route for {request.host}{path[:200]}"))
-        return await self._prepare_routed(request, named, target.ok_value)
+        service = state.services[named.route.service]
+        return await self._prepare_routed(request, named, service, target.ok_value)
 
     async def _prepare_routed(
-        self, request: web.BaseRequest, named: NamedRoute, target: str
+        self,
+        request: web.BaseRequest,
+        named: NamedRoute,
+        service: Service,
+        target: str,
     ) -> Result[Call, Refusal]:
         route = named.route
         timeout = guards.timeout_ms(request, route.timeout_ms)
@@ -236,6 +242,7 @@
                 allows_repeat=route.allows_repeat(request.method),
                 allows_retry=fields.get(headers.RETRY, "").lower() != headers.RETRY_NO,
                 deadline=deadline,
+                not_run_statuses=service.not_run_statuses,
             )
         )
 
@@ -275,7 +282,9 @@
     async def _pass_back(
         self, request: web.BaseRequest, answer: Answer, call: Call
     ) -> web.StreamResponse:
-        if request.keep_alive and not self.is_draining:
+        # A refusal is marked as not run, also when its status alone says so.
+        is_passed_on = request.keep_alive and not self.is_draining
+        if is_passed_on and not answer.is_refusal:
             whole = whole_answer(answer, request)
             if whole is not None:
                 self.dispatcher.finish(answer)
@@ -334,6 +343,8 @@
     response._headers = CIMultiDict(headers.end_to_end(message.headers.items()))
     if answer.status >= 500 or answer.is_refusal:
         response.headers[headers.RETRY] = headers.RETRY_NO
+    if answer.is_refusal:
+        response.headers[headers.OUTCOME] = headers.OUTCOME_NOT_RUN
     return response
 
 
--- a/src/lacewingstair/standins/memory_server.py
+++ b/src/lacewingstair/standins/memory_server.py
@@ -12,6 +12,8 @@
 from lacewingstair.backend_server.connection import UpstreamConnection
 
 LATE_SECONDS = 60.0
+# By which a call is refused without the header.
+REFUSAL_STATUS = 418
 
 
 class Fault(enum.Enum):
@@ -24,6 +26,7 @@
     CLOSE_AFTER_RUN = "close after run"  # runs
     TRUNCATE = "truncate"  # runs
     REFUSE = "refuse"  # does not run
+    REFUSE_BY_STATUS = "refuse by status"  # does not run
     ERROR = "error"  # runs
     UNAVAILABLE = "unavailable"  # runs
     SILENT_BEFORE_RUN = "silent before run"  # does not run
@@ -165,6 +168,9 @@
             refusal = _answer(503, b"", b"Lacewingstair-Outcome: not-run\r\n")
             transport.answer(refusal)
             return
+        if fault is Fault.REFUSE_BY_STATUS:
+            transport.answer(_answer(REFUSAL_STATUS, b"busy"))
+            return
         self.runs_by_target[target] += 1
         seconds = LATE_SECONDS if fault is Fault.LATE else self.seconds
         loop = asyncio.get_running_loop()
--- a/src/lacewingstair/state_codec.py
+++ b/src/lacewingstair/state_codec.py
@@ -25,7 +25,7 @@
 from lacewingstair.routes import RouteTable
 from lacewingstair.tickets import Rollout, Route, Service
 
-STATE_FORMAT = 1
+STATE_FORMAT = 2
 MAX_STATE_BYTES = 64 << 20
 COMPRESSION_LEVEL = 3
 
--- a/src/lacewingstair/tickets.py
+++ b/src/lacewingstair/tickets.py
@@ -35,10 +35,14 @@
         Versions that backend servers may announce.
     current : str
         Version that serves when no rollout moves traffic.
+    not_run_statuses : tuple of int
+        HTTP statuses, ascending, by which its backend servers say that a call did not
+        run. The operator vouches for it.
     """
 
     versions: tuple[str, ...]
     current: str
+    not_run_statuses: tuple[int, ...] = ()
 
 
 @attrs.frozen
@@ -324,7 +328,13 @@
 
 
 def _service(entry: dict[str, Any]) -> Service:
-    return Service(versions=tuple(entry["versions"]), current=entry["current"])
+    # JSON Schema takes 503.0 for an integer.
+    statuses = {int(status) for status in entry.get("not_run_statuses", ())}
+    return Service(
+        versions=tuple(entry["versions"]),
+        current=entry["current"],
+        not_run_statuses=tuple(sorted(statuses)),
+    )
 
 
 def normal_host(host: str) -> str:
--- a/src/lacewingstair/vm/messages.py
+++ b/src/lacewingstair/vm/messages.py
@@ -18,7 +18,7 @@
 from lacewingstair.evidence import EvidenceReport
 from lacewingstair.marks import StageMark, TakeBack
 
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 MAX_TEXT_IN_ERROR = 80
 
 _types_by_code: dict[int, type] = {}
--- a/tests/caller/test_dispatch.py
+++ b/tests/caller/test_dispatch.py
@@ -9,7 +9,7 @@
 from lacewingstair.events import DecisionLog, parse_event
 from lacewingstair.limits import RETRY_SHARE
 from lacewingstair.outcomes import CallResult
-from lacewingstair.standins.memory_server import Fault
+from lacewingstair.standins.memory_server import REFUSAL_STATUS, Fault
 from lacewingstair.standins.virtual_time import run_virtual
 from tests.caller.harness import Mesh
 
@@ -35,7 +35,8 @@
         async def one(number, method, body, pause):
             await asyncio.sleep(pause)
             target = f"/{number}"
-            status, answer, not_run = await mesh.send(mesh.call(target, method, body))
+            call = mesh.call(target, method, body, not_run_statuses=(REFUSAL_STATUS,))
+            status, answer, not_run = await mesh.send(call)
             if status == 200 and answer is not None:
                 assert answer == target.encode()
             return target, method, not_run
@@ -59,6 +60,7 @@
     [
         (Fault.REFUSE_CONNECTION, "POST", 200, 1, False),
         (Fault.REFUSE, "POST", 200, 1, False),
+        (Fault.REFUSE_BY_STATUS, "POST", 418, 0, False),
         (Fault.CLOSE_ON_FIRST_BYTE, "POST", 502, 0, False),
         (Fault.CLOSE_BEFORE_RUN, "POST", 502, 0, False),
         (Fault.CLOSE_AFTER_RUN, "POST", 502, 1, False),
@@ -94,6 +96,35 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize(
+    ("faults", "status", "runs", "not_run"),
+    [
+        ([Fault.REFUSE_BY_STATUS], 200, 1, False),
+        ([Fault.REFUSE_BY_STATUS] * 3, 418, 0, True),
+        ([Fault.UNAVAILABLE], 503, 1, False),
+        ([Fault.ERROR], 500, 1, False),
+    ],
+)
+def test_a_post_is_repeated_after_a_status_that_the_service_vouches_for(
+    faults, status, runs, not_run
+):
+    """Guards against a lost reservation, and against one that runs twice."""
+
+    async def main():
+        mesh = Mesh([], [], [])
+        left = list(faults)
+        for server in mesh.servers.values():
+            server.next_fault = lambda: left.pop() if left else Fault.NONE
+        call = mesh.call("/1", "POST", not_run_statuses=(REFUSAL_STATUS,))
+        result = await mesh.send(call)
+        assert (result[0], result[2]) == (status, not_run)
+        assert mesh.runs["/1"] == runs
+        refused = [o for o in mesh.sink.outcomes if o.result is CallResult.NOT_RUN]
+        assert len(refused) == faults.count(Fault.REFUSE_BY_STATUS)
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize(
     ("first", "not_run"),
     [
--- a/tests/caller/test_server.py
+++ b/tests/caller/test_server.py
@@ -52,9 +52,9 @@
         self.requests = []
 
     @contextlib.asynccontextmanager
-    async def running(self, handler=None, upstreams=1):
+    async def running(self, handler=None, upstreams=1, ticket=TICKET):
         store = StateStore()
-        store.apply([TicketRecord(0, json.dumps(TICKET))])
+        store.apply([TicketRecord(0, json.dumps(ticket))])
         directory = Directory()
         backends = []
         for number in range(upstreams):
@@ -375,3 +375,48 @@
                 await closed.wait()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("statuses", "fields", "status", "outcome", "attempts"),
+    [
+        ([418, 503], b"", b"418", b"not-run", 2),
+        ([418, 503], b"Lacewingstair-Outcome: unknown\r\n", b"418", b"unknown", 1),
+        ([503], b"", b"418", None, 1),
+        ([], b"", b"418", None, 1),
+    ],
+)
+def test_the_statuses_of_a_service_tell_that_a_call_did_not_run(
+    statuses, fields, status, outcome, attempts
+):
+    """Guards against a ticket whose statuses have no effect on calls, or too much."""
+    board = {**TICKET["services"]["board"], "not_run_statuses": statuses}
+    received = []
+
+    async def refuse(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                received.append(await reader.readuntil(b"\r\n\r\n"))
+                head = b"HTTP/1.1 418 X\r\n%bContent-Length: 4\r\n\r\n" % fields
+                writer.write(head + b"busy")
+        writer.close()
+
+    async def main():
+        ticket = {**TICKET, "services": {"board": board}}
+        kept = b"POST /read/1 HTTP/1.1\r\nHost: a\r\n\r\n"
+        async with Site().running(refuse, upstreams=2, ticket=ticket) as site:
+            return await site.exchange(kept, get("/read/2", method="POST"))
+
+    answers = asyncio.run(main()).split(b"HTTP/1.1 ")[1:]
+    assert len(answers) == 2
+    for answer in answers:
+        head, _, body = answer.partition(b"\r\n\r\n")
+        assert head.startswith(status)
+        assert body == b"busy"
+        marks = [
+            line.partition(b": ")[2]
+            for line in head.split(b"\r\n")
+            if line.startswith(b"Lacewingstair-Outcome")
+        ]
+        assert marks == ([] if outcome is None else [outcome])
+    assert len(received) == 2 * attempts
--- a/tests/test_state_codec.py
+++ b/tests/test_state_codec.py
@@ -8,13 +8,18 @@
 
 from lacewingstair.acceptance import MeshState, TicketRecord, fold
 from lacewingstair.state_codec import MAX_STATE_BYTES, decode_state, encode_state
-from tests.ticket_texts import first_ticket, ticket
+from tests.ticket_texts import SERVICES, first_ticket, ticket
 
 ROUTES = {
     "read": {"service": "board", "hosts": ["rota.example"], "worth": 3},
     "late": {"service": "board", "path_prefix": "/late", "idempotent": False},
 }
-TICKETS = (first_ticket(), ticket(2, routes=ROUTES), ticket(2, note="refused \ud800"))
+BOARD = {**SERVICES["board"], "not_run_statuses": [503, 418]}
+TICKETS = (
+    first_ticket(),
+    ticket(2, routes=ROUTES, services={"board": BOARD}),
+    ticket(2, note="refused \ud800"),
+)
 
 
 def folded_state():
@@ -39,6 +44,7 @@
     decoded = decode_state(encode_state(state)).unwrap()
     assert decoded == state
     assert decoded.refusals
+    assert decoded.services["board"].not_run_statuses == (418, 503)
     named = decoded.route_table.find("rota.example", "/", "GET")
     assert named.name == "read"
 
@@ -51,7 +57,7 @@
 @pytest.mark.parametrize(
     ("index", "value"),
     [
-        (0, 2),
+        (0, 1),
         (1, "3"),
         (1, -1),
         (2, 2.0),
@@ -59,7 +65,9 @@
         (4, {"2": "x"}),
         (4, dict.fromkeys(range(100), "x")),
         (6, []),
-        (6, {1: [["v1"], "v1"]}),
+        (6, {1: [["v1"], "v1", []]}),
+        (6, {"board": [["v1", "v2"], "v1"]}),
+        (6, {"board": [["v1", "v2"], "v1", ["503"]]}),
         (7, {"a": [1]}),
         (9, {}),
         (10, None),
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -10,6 +10,7 @@
     MAX_TICKET_BYTES,
     TICKET_SCHEMA,
     parse_ticket,
+    ticket_from_document,
 )
 from tests.ticket_texts import ROLLOUT, SERVICES, first_ticket, ticket
 
@@ -43,12 +44,38 @@
     assert parsed.methods == ("GET", "POST")
 
 
+def test_statuses_of_refusals_are_none_by_default_and_normalised():
+    """Guards against digests that differ by the order or form of the statuses."""
+    entry = {**SERVICES["board"], "not_run_statuses": [503, 418.0]}
+    services = {"a": SERVICES["board"], "b": entry}
+    parsed = parse_ticket(ticket(1, services=services)).unwrap().services
+    assert parsed["a"].not_run_statuses == ()
+    assert parsed["b"].not_run_statuses == (418, 503)
+    document = {"number": 1, "services": services}
+    assert ticket_from_document(document).unwrap().services == parsed
+
+
 @pytest.mark.parametrize(
     ("section", "entry", "place"),
     [
         ("services", {"versions": ["v1"]}, "services.x"),
         ("services", {"versions": ["v1"], "current": "v2"}, "services.x.current"),
         ("services", {"versions": ["v\n"], "current": "v"}, "services.x.versions.0"),
+        (
+            "services",
+            {**SERVICES["board"], "not_run_statuses": [399]},
+            "services.x.not_run_statuses.0",
+        ),
+        (
+            "services",
+            {**SERVICES["board"], "not_run_statuses": [503, 600]},
+            "services.x.not_run_statuses.1",
+        ),
+        (
+            "services",
+            {**SERVICES["board"], "not_run_statuses": [503, 503]},
+            "services.x.not_run_statuses",
+        ),
         ("routes", {"service": "s", "worth": 0}, "routes.x.worth"),
         ("routes", {"service": "s", "worth": 10**400}, "routes.x.worth"),
         ("routes", {"service": "s", "timeout_ms": 1.5}, "routes.x.timeout_ms"),
