--- a/tests/caller/test_dispatch.py
+++ b/tests/caller/test_dispatch.py
@@ -1,14 +1,17 @@
 import asyncio
+import random
 
 import attrs
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from loguru import logger
 
 from lacewingstair.directory import Endpoint
+from lacewingstair.events import DecisionLog, parse_event
 from lacewingstair.limits import RETRY_SHARE
 from lacewingstair.outcomes import CallResult
-from lacewingstair.standins.memory_server import Fault
+from lacewingstair.standins.memory_server import REFUSAL_STATUS, Fault
 from lacewingstair.standins.virtual_time import run_virtual
 from tests.caller.harness import Mesh
 
@@ -34,7 +37,8 @@
         async def one(number, method, body, pause):
             await asyncio.sleep(pause)
             target = f"/{number}"
-            status, answer, not_run = await mesh.send(mesh.call(target, method, body))
+            call = mesh.call(target, method, body, not_run_statuses=(REFUSAL_STATUS,))
+            status, answer, not_run = await mesh.send(call)
             if status == 200 and answer is not None:
                 assert answer == target.encode()
             return target, method, not_run
@@ -58,6 +62,7 @@
     [
         (Fault.REFUSE_CONNECTION, "POST", 200, 1, False),
         (Fault.REFUSE, "POST", 200, 1, False),
+        (Fault.REFUSE_BY_STATUS, "POST", 418, 0, False),
         (Fault.CLOSE_ON_FIRST_BYTE, "POST", 502, 0, False),
         (Fault.CLOSE_BEFORE_RUN, "POST", 502, 0, False),
         (Fault.CLOSE_AFTER_RUN, "POST", 502, 1, False),
@@ -93,6 +98,35 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize(
+    ("faults", "status", "runs", "not_run"),
+    [
+        ([Fault.REFUSE_BY_STATUS], 200, 1, False),
+        ([Fault.REFUSE_BY_STATUS] * 3, 418, 0, True),
+        ([Fault.UNAVAILABLE], 503, 1, False),
+        ([Fault.ERROR], 500, 1, False),
+    ],
+)
+def test_a_post_is_repeated_after_a_status_that_the_service_vouches_for(
+    faults, status, runs, not_run
+):
+    """Guards against a lost reservation, and against one that runs twice."""
+
+    async def main():
+        mesh = Mesh([], [], [])
+        left = list(faults)
+        for server in mesh.servers.values():
+            server.next_fault = lambda: left.pop() if left else Fault.NONE
+        call = mesh.call("/1", "POST", not_run_statuses=(REFUSAL_STATUS,))
+        result = await mesh.send(call)
+        assert (result[0], result[2]) == (status, not_run)
+        assert mesh.runs["/1"] == runs
+        refused = [o for o in mesh.sink.outcomes if o.result is CallResult.NOT_RUN]
+        assert len(refused) == faults.count(Fault.REFUSE_BY_STATUS)
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize(
     ("first", "not_run"),
     [
@@ -116,6 +150,27 @@
     run_virtual(main())
 
 
+def test_each_attempt_is_logged_once_when_all_decisions_are():
+    """Guards against decisions that are sampled twice or not at all."""
+
+    async def main():
+        mesh = Mesh([Fault.REFUSE], [])
+        mesh.servers["10.0.0.1:80"].next_fault = mesh.servers["10.0.0.0:80"].next_fault
+        mesh.dispatcher._decisions = DecisionLog(1.0, random.Random(1))
+        assert (await mesh.send(mesh.call("/1", "POST")))[0] == 200
+        return {outcome.address for outcome in mesh.sink.outcomes}
+
+    lines = []
+    sink = logger.add(lambda line: lines.append(parse_event(line)), format="{message}")
+    try:
+        addresses = run_virtual(main())
+    finally:
+        logger.remove(sink)
+    routed = [line for line in lines if line["event"] == "call_routed"]
+    assert len(routed) == 2
+    assert {line["address"] for line in routed} == addresses
+
+
 def test_late_and_extra_answers_reach_nobody():
     """Guards against an answer that is taken for the one of the next call."""
 
