Settle states that differ at one offset; take an id back from a dead process

Lost data: VMs with tickets that the log lost, and VMs that folded it anew, stayed apart for good.

Two processes with one id: when the later one ended, the earlier one took the death for its own. It now refutes. That alone did not mend it: links belong to ids, so nobody noticed the end while the earlier one had links.

A rule that jumps over a gap in the log was weighed and left out, since it can drop an accepted ticket (docs/decisions.md).

--- a/src/lacewingstair/operator/health.py
+++ b/src/lacewingstair/operator/health.py
@@ -1,5 +1,7 @@
 """Health of a VM for operators."""
 
+from collections.abc import Sequence
+
 import attrs
 
 from lacewingstair.platform.status import LogStatus
@@ -41,6 +43,7 @@
     log_status: LogStatus,
     links: int,
     live_vms: int,
+    diverged_from: Sequence[str] = (),
 ) -> Health:
     """Return the health; a VM that is cut off stays ready with what it holds."""
     reasons = []
@@ -55,6 +58,10 @@
         warnings.append("records of the log have expired that no checkpoint covers")
     if log_status.has_lost_data:
         warnings.append("the log ends before records that this VM has applied")
+    if diverged_from:
+        warnings.append(
+            "another state at the same offset on " + ", ".join(diverged_from)
+        )
     if links == 0 and live_vms > 1:
         warnings.append("no link to another VM")
     return Health(not reasons, tuple(reasons), tuple(warnings))
--- a/src/lacewingstair/store.py
+++ b/src/lacewingstair/store.py
@@ -61,6 +61,21 @@
         self._replace(before, state)
         return True
 
+    def settle(self, state: MeshState) -> bool:
+        """Take over another state of the same offset; return whether it was taken.
+
+        States of one offset differ after the log lost records. The higher ticket
+        number wins, then the higher digest, so that all VMs end with the same one.
+        """
+        before = self.state
+        if state.next_offset != before.next_offset:
+            return False
+        if settling_order(state) <= settling_order(before):
+            return False
+        self._recent.clear()
+        self._replace(before, state)
+        return True
+
     def records_since(self, offset: int) -> tuple[TicketRecord, ...] | None:
         """Return the records from an offset on, or None when they are not kept."""
         if offset == self.state.next_offset:
@@ -75,6 +90,16 @@
             listener(before, after)
 
 
+def settling_order(state: MeshState) -> tuple[int, int]:
+    """Return what decides between states of one offset."""
+    return (state.number, low_64_bits(state.digest))
+
+
+def low_64_bits(digest: str) -> int:
+    """Return the part of a state's digest that heartbeats carry."""
+    return int(digest[-16:], 16)
+
+
 def accepted(decisions: Iterable[Decision]) -> list[Decision]:
     """Return the decisions that changed the configuration."""
     return [d for d in decisions if d.verdict is Verdict.ACCEPTED]
--- a/src/lacewingstair/vm/membership.py
+++ b/src/lacewingstair/vm/membership.py
@@ -12,6 +12,9 @@
 
 # Above any start time in milliseconds; leaves room to raise it in 64 bits.
 MAX_INCARNATION = 1 << 62
+# A later process that is wrongly held dead raises its own incarnation by one, which
+# must not be equal to that of the process that takes the id back.
+RECLAIM_STEP = 2
 
 
 class Membership:
@@ -71,16 +74,24 @@
         own = self.own
         events.error("vm_id_conflict", vm=own.vm_id, address=own.address, other=address)
 
+    def reclaim(self) -> None:
+        """Take the id back from another process that does not answer."""
+        held = self._directory.get(self.own.vm_id)
+        events.info("vm_id_reclaimed", vm=self.own.vm_id, other=held.address)
+        self._conflicts.discard(held.address)
+        self.update(incarnation=held.incarnation + RECLAIM_STEP)
+
     def _accept_own(self, record: VmRecord) -> bool:
         if record.order <= self.own.order:
             return False
         is_other_process = record.address != self.own.address
-        if is_other_process and record.incarnation > self.own.incarnation:
+        is_later = is_other_process and record.incarnation > self.own.incarnation
+        if is_later and record.status is not VmStatus.DEAD:
             # The process that started later keeps the id; refuting it would make the
             # two raise their incarnations against each other for ever.
-            if record.status is not VmStatus.DEAD:
-                self.report_conflict(record.address)
+            self.report_conflict(record.address)
             return self._directory.merge(record)
         events.info("refuted", vm=record.vm_id, status=record.status.name.lower())
-        self.update(incarnation=record.incarnation + 1)
+        raised = RECLAIM_STEP if is_later else 1
+        self.update(incarnation=record.incarnation + raised)
         return False
--- a/src/lacewingstair/vm/node.py
+++ b/src/lacewingstair/vm/node.py
@@ -24,6 +24,7 @@
 )
 from lacewingstair.vm.evidence_relay import EvidenceRelay
 from lacewingstair.vm.failure_detector import FailureDetector
+from lacewingstair.vm.id_conflict import IdReclaimer
 from lacewingstair.vm.links import MAX_ACCEPTED_CONNECTIONS, LinkKeeper
 from lacewingstair.vm.membership import Membership
 from lacewingstair.vm.neighbours import Neighbours
@@ -92,6 +93,7 @@
         self.overlay = Overlay(directory, own, eager_trees)
         self._publisher = DirectoryPublisher(self._peers, clock)
         self._membership = Membership(directory, own, self._announce, clock)
+        self._id_reclaimer = IdReclaimer(self._membership, directory, transport, clock)
         self._detector = FailureDetector(directory, own, self._publish_status, clock)
         self._tickets = TicketPublisher(own, store, self._peers)
         self._marks = MarkPublisher(marks, self._peers)
@@ -107,7 +109,13 @@
             rng,
         )
         self.repair = Repair(
-            own.region, store, directory, marks, self._marks, self._snapshots
+            own.region,
+            store,
+            directory,
+            marks,
+            self._marks,
+            self._snapshots,
+            lambda peer: self._peers.by_vm_id.get(peer.vm_id) is peer,
         )
         self._evidence = EvidenceRelay(own, self.overlay, self._peers, clock)
         self._discovery = Discovery(
@@ -181,6 +189,7 @@
                 self._tick()
                 await self._clock.sleep(HEARTBEAT_SECONDS)
         finally:
+            self._id_reclaimer.close()
             await self._publisher.close()
             await self.snapshot_server.close()
             await self._links.close()
@@ -298,6 +307,7 @@
             self._resume(now, gap)
         self._close_silent(now)
         self._detector.tick()
+        self._id_reclaimer.tick()
         self._reachability.tick()
         self._neighbours.tick(self._snapshots.is_joined)
         self._reader_role.tick()
--- a/src/lacewingstair/vm/repair.py
+++ b/src/lacewingstair/vm/repair.py
@@ -7,11 +7,12 @@
 """
 
 import struct
+from collections.abc import Callable
 
 from lacewingstair import events
 from lacewingstair.directory import BUCKETS, Directory
 from lacewingstair.marks import Marks
-from lacewingstair.store import StateStore
+from lacewingstair.store import StateStore, low_64_bits, settling_order
 from lacewingstair.vm import messages
 from lacewingstair.vm.dissemination import (
     MarkPublisher,
@@ -39,6 +40,8 @@
         Sends all marks.
     snapshots : SnapshotClient
         Gets a state whose records are not kept.
+    is_linked : callable
+        Whether the link to a peer is open.
 
     Attributes
     ----------
@@ -54,6 +57,7 @@
         marks: Marks,
         mark_publisher: MarkPublisher,
         snapshots: SnapshotClient,
+        is_linked: Callable[[Peer], bool],
     ) -> None:
         self._region = region
         self._store = store
@@ -61,12 +65,23 @@
         self._marks = marks
         self._mark_publisher = mark_publisher
         self._snapshots = snapshots
+        self._is_linked = is_linked
         self._marks_digest = marks.digest()
         self._may_ask_state = True
         self._may_ask_directory = True
         self._diverged_offset = -1
+        self._diverged_from: dict[str, Peer] = {}
         self.digest_exchanges = 0
 
+    def diverged_from(self) -> list[str]:
+        """Return the linked VMs that held another state at the same offset."""
+        self._diverged_from = {
+            vm_id: peer
+            for vm_id, peer in self._diverged_from.items()
+            if self._is_linked(peer)
+        }
+        return sorted(self._diverged_from)
+
     def next_heartbeat(self) -> messages.Heartbeat:
         """Return the heartbeat of a new interval."""
         self._may_ask_state = True
@@ -80,7 +95,7 @@
         return messages.Heartbeat(
             state.next_offset,
             state.number,
-            _low_64_bits(state.digest),
+            low_64_bits(state.digest),
             self._directory.digest,
             self._marks_digest,
         )
@@ -161,9 +176,8 @@
         state = self._store.state
         if heartbeat.next_offset <= state.next_offset:
             peer.state_lag = 0
-            is_same_offset = heartbeat.next_offset == state.next_offset
-            if is_same_offset and heartbeat.state_digest != _low_64_bits(state.digest):
-                self._report_divergence(peer)
+            if heartbeat.next_offset == state.next_offset:
+                self._compare_same_offset(peer, heartbeat)
             return
         peer.state_lag += 1
         if not self._is_missed(peer, peer.state_lag):
@@ -172,6 +186,17 @@
             self._may_ask_state = False
             peer.stream.send(messages.StateRequest(state.next_offset))
 
+    def _compare_same_offset(self, peer: Peer, heartbeat: messages.Heartbeat) -> None:
+        ours = settling_order(self._store.state)
+        theirs = (heartbeat.number, heartbeat.state_digest)
+        if theirs == ours:
+            self._diverged_from.pop(peer.vm_id, None)
+            return
+        self._diverged_from[peer.vm_id] = peer
+        self._report_divergence(peer)
+        if theirs > ours:
+            self._snapshots.settle(peer)
+
     def _compare_marks(self, peer: Peer, heartbeat: messages.Heartbeat) -> None:
         is_same = heartbeat.marks_digest == self._marks_digest
         peer.marks_lag = 0 if is_same else peer.marks_lag + 1
@@ -209,7 +234,3 @@
         if self._diverged_offset != offset:
             self._diverged_offset = offset
             events.error("state_diverged", peer=peer.vm_id, next_offset=offset)
-
-
-def _low_64_bits(digest: str) -> int:
-    return int(digest[-16:], 16)
--- a/src/lacewingstair/vm/snapshot_client.py
+++ b/src/lacewingstair/vm/snapshot_client.py
@@ -79,6 +79,16 @@
             self._needs_state = True
             self.poll()
 
+    def settle(self, peer: Peer) -> None:
+        """Get the state of a peer that has the same offset and another state."""
+        if self._fetch is not None or not self.is_joined:
+            return
+        now = self._clock.monotonic()
+        self._fetch = _Fetch(peer, now + ANSWER_TIMEOUT_SECONDS)
+        # The peer sends its state to those that have less.
+        before = self._store.state.next_offset - 1
+        peer.stream.send(messages.SnapshotRequest(before, False))
+
     def poll(self) -> None:
         """Ask a peer when a snapshot is needed and the time for it has come."""
         now = self._clock.monotonic()
@@ -131,7 +141,9 @@
         self._needs_state = False
         self._asked.clear()
         state = snapshot.state
-        is_adopted = state is not None and self._store.adopt(state)
+        is_adopted = state is not None and (
+            self._store.adopt(state) or self._store.settle(state)
+        )
         events.info(
             "snapshot_taken_over",
             peer=peer.vm_id,
