--- a/src/lacewingstair/standins/full_mesh.py
+++ b/src/lacewingstair/standins/full_mesh.py
@@ -17,6 +17,7 @@
 from lacewingstair.marks import StageMark, TakeBack
 from lacewingstair.outcomes import CallOutcome, CallResult
 from lacewingstair.platform.log import TICKET_STREAM
+from lacewingstair.platform.options import LogOptions
 from lacewingstair.platform.reader import LogReader
 from lacewingstair.rollouts import PAUSE_SECONDS, STEP_SECONDS, RolloutController
 from lacewingstair.standins.memory_log import LogFaults, LogStreams, MemoryLogClient
@@ -90,7 +91,7 @@
             is_reader=self.node.is_log_reader,
             clock=self.clock,
             rng=random.Random(seed + 2),
-            retention_seconds=RETENTION_SECONDS,
+            options=LogOptions(retention_seconds=RETENTION_SECONDS),
         )
         self.rollouts = RolloutController(
             vm_id=record.vm_id,
--- a/src/lacewingstair/vm/node.py
+++ b/src/lacewingstair/vm/node.py
@@ -24,6 +24,7 @@
 )
 from lacewingstair.vm.evidence_relay import EvidenceRelay
 from lacewingstair.vm.failure_detector import FailureDetector
+from lacewingstair.vm.id_conflict import IdReclaimer
 from lacewingstair.vm.links import MAX_ACCEPTED_CONNECTIONS, LinkKeeper
 from lacewingstair.vm.membership import Membership
 from lacewingstair.vm.neighbours import Neighbours
@@ -99,6 +100,7 @@
             self._peers, clock, options.coalesce_seconds
         )
         self._membership = Membership(directory, own, self._announce, clock)
+        self._id_reclaimer = IdReclaimer(self._membership, directory, transport, clock)
         self._detector = FailureDetector(
             directory, own, self._publish_status, clock, options.suspicion_seconds
         )
@@ -117,7 +119,13 @@
             options.snapshot_slots,
         )
         self.repair = Repair(
-            own.region, store, directory, marks, self._marks, self._snapshots
+            own.region,
+            store,
+            directory,
+            marks,
+            self._marks,
+            self._snapshots,
+            lambda peer: self._peers.by_vm_id.get(peer.vm_id) is peer,
         )
         self._evidence = EvidenceRelay(own, self.overlay, self._peers, clock)
         self._discovery = Discovery(
@@ -195,6 +203,7 @@
                 self._tick()
                 await self._clock.sleep(interval)
         finally:
+            self._id_reclaimer.close()
             await self._publisher.close()
             await self.snapshot_server.close()
             await self._links.close()
@@ -312,6 +321,7 @@
             self._resume(now, gap)
         self._close_silent(now)
         self._detector.tick()
+        self._id_reclaimer.tick()
         self._reachability.tick()
         self._neighbours.tick(self._snapshots.is_joined)
         self._reader_role.tick()
