Require a silence of two heartbeats at least

The check allowed equal values, with which any heartbeat that is a little late replaces a working link. The page now says that all VMs need the same interval.

The row of heartbeat_seconds in tests/test_daemon.py takes 1.5 for 2.5, which the check refuses beside the default silence of 3 s.

python -m pytest: all passed.

--- a/src/lacewingstair/settings.py
+++ b/src/lacewingstair/settings.py
@@ -94,7 +94,12 @@
     """Links between VMs, dissemination and failure detection; times in seconds."""
 
     heartbeat_seconds: float = _seconds(
-        "vm", "heartbeat_seconds", 1.0, 0.1, 60, "interval of heartbeats on each link"
+        "vm",
+        "heartbeat_seconds",
+        1.0,
+        0.1,
+        60,
+        "interval of heartbeats on each link; the same on all VMs",
     )
     silence_seconds: float = _seconds(
         "vm",
@@ -553,18 +558,20 @@
         reason = f"{vm_address!r} is not valid; other VMs connect to this address"
         yield Fault(lines.place("vm", "address"), reason)
     links = values["links"]
-    yield from _order_faults(links, "heartbeat_seconds", "silence_seconds", lines)
+    # A heartbeat that is a little late must not look like a silent link.
+    yield from _order_faults(links, 2, "heartbeat_seconds", "silence_seconds", lines)
     yield from _order_faults(
-        links, "reconnect_base_seconds", "reconnect_cap_seconds", lines
+        links, 1, "reconnect_base_seconds", "reconnect_cap_seconds", lines
     )
 
 
 def _order_faults(
-    links: LinkSettings, low: str, high: str, lines: Lines
+    links: LinkSettings, times: int, low: str, high: str, lines: Lines
 ) -> Iterator[Fault]:
-    if getattr(links, high) < getattr(links, low):
+    least = times * getattr(links, low)
+    if getattr(links, high) < least:
+        shown = f"{times} times {low}" if times > 1 else low
         reason = (
-            f"{getattr(links, high)} is not valid; allowed: at least {low},"
-            f" {getattr(links, low)}"
+            f"{getattr(links, high)} is not valid; allowed: at least {shown}, {least}"
         )
         yield Fault(lines.place("vm", high), reason)
--- a/src/lacewingstair/settings_page.py
+++ b/src/lacewingstair/settings_page.py
@@ -20,7 +20,7 @@
 ## Checks across settings
 
 * The four addresses differ, and the address in `[vm]` is one that other VMs can reach.
-* `silence_seconds` is at least `heartbeat_seconds`.
+* `silence_seconds` is at least 2 times `heartbeat_seconds`.
 * `reconnect_cap_seconds` is at least `reconnect_base_seconds`.
 """
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -76,7 +76,7 @@
         "10.0.0.2:1 10.0.0.3:1",
         lambda d: " ".join(d.node._discovery._contacts),
     ),
-    "[vm] heartbeat_seconds": (2.5, node("heartbeat_seconds")),
+    "[vm] heartbeat_seconds": (1.5, node("heartbeat_seconds")),
     "[vm] silence_seconds": (7.0, node("silence_seconds")),
     "[vm] replacement_seconds": (
         7.0,
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -86,6 +86,8 @@
     ("addition", "place"),
     [
         ("[vm]\nsilence_seconds = 0.5", "line 14: [vm] silence_seconds"),
+        ("[vm]\nsilence_seconds = 1.9", "line 14: [vm] silence_seconds"),
+        ("[vm]\nsilence_seconds = 2", None),
         ("[vm]\nreconnect_base_seconds = 10", None),
         ("[vm]\nreconnect_cap_seconds = 0.1", None),
         (
