Split the rollout controller into modules with one job

One class chose versions, counted calls, summed evidence, ran the judges, issued marks and kept time, so none of these could be read or tested alone.

Change: the controller keeps the steps, the choice of versions and the publication of marks. The rest moves to - rollout_view.py: rollouts of the configuration with the zone's marks; - route_plans.py: share of each version per route, counts of its calls; - probes.py: recent calls that make a VM lower its share; - evidence_totals.py: totals of a subtree and the reports made of them; - trials.py: judges of a rollout and what they decide. Tests import the probe rules from probes.py, and their test moves to tests/test_probes.py unchanged. RouteCounters is split into a latency reference and a CallHistory.

--- /dev/null
+++ b/src/lacewingstair/evidence_totals.py
@@ -0,0 +1,132 @@
+"""Totals of the calls in the subtree of one VM, and the reports made of them."""
+
+from collections.abc import Collection, Mapping
+
+import attrs
+
+from lacewingstair.evidence import (
+    EvidenceReport,
+    EvidenceTransport,
+    Growth,
+    Place,
+    Tally,
+    counters,
+    zone_of,
+    zone_source,
+)
+from lacewingstair.marks import RolloutKey
+from lacewingstair.rollout_view import RolloutView
+
+
+@attrs.frozen
+class ZoneGrowth:
+    """What the counts of one place have grown by in an availability zone."""
+
+    availability_zone: str
+    place: Place
+    tally: Tally
+
+
+class EvidenceTotals:
+    """Adds up the counts of this VM and of its children, and reports the sums.
+
+    Parameters
+    ----------
+    vm_id : str
+        This VM.
+    view : RolloutView
+        Configuration and marks in force in its zone.
+    transport : EvidenceTransport
+        Carries evidence to the parent and between zones.
+    first_sequence : int
+        Above the numbers of the reports of an earlier process of the same VM.
+    """
+
+    def __init__(
+        self,
+        vm_id: str,
+        view: RolloutView,
+        transport: EvidenceTransport,
+        first_sequence: int,
+    ) -> None:
+        self._vm_id = vm_id
+        self._view = view
+        self._transport = transport
+        self._sequence = first_sequence
+        self._totals_by_place: dict[Place, Tally] = {}
+        self._fresh: list[ZoneGrowth] = []
+        self._growth = Growth()
+        self._zone_growth = Growth()
+        self._last_sent: dict[bool, tuple[object, ...] | None] = {}
+        transport.on_evidence(self._on_evidence)
+        transport.on_child_lost(self._growth.forget)
+
+    def add(self, place: Place, tally: Tally) -> None:
+        """Add counts of this VM or of a child; drop those of unknown rollouts."""
+        if not self._view.is_known(place.key):
+            return
+        self._totals_by_place.setdefault(place, Tally()).add(tally)
+        self._fresh.append(ZoneGrowth(self._view.availability_zone, place, tally))
+
+    def take_fresh(self) -> list[ZoneGrowth]:
+        """Return what has come in since the call before, in the order of arrival."""
+        fresh, self._fresh = self._fresh, []
+        return fresh
+
+    def drop_unknown(self) -> None:
+        """Drop the totals of rollouts that the configuration does not hold."""
+        for place in list(self._totals_by_place):
+            if not self._view.is_known(place.key):
+                del self._totals_by_place[place]
+
+    def send(
+        self,
+        active: Collection[RolloutKey],
+        stages: Mapping[tuple[RolloutKey, str], int],
+    ) -> None:
+        """Send the totals of the active rollouts if they have changed.
+
+        Parameters
+        ----------
+        active : collection of RolloutKey
+            Rollouts to report.
+        stages : mapping
+            Present stage by rollout and route.
+        """
+        if not active:
+            self._last_sent.clear()
+            return
+        is_root = self._transport.is_zone_root()
+        # Earlier stages change no more; the one before the present is kept for calls
+        # that end late.
+        recent = {
+            place: tally
+            for place, tally in self._totals_by_place.items()
+            if place.stage >= stages.get((place.key, place.route), 0) - 1
+        }
+        held = counters(recent, active)
+        if self._last_sent.get(is_root) == held:
+            return
+        self._last_sent = {is_root: held}
+        self._sequence += 1
+        source = self._vm_id
+        if is_root:
+            source = zone_source(self._view.availability_zone, self._vm_id)
+        self._transport.send_evidence(
+            EvidenceReport(source, is_root, self._sequence, held)
+        )
+
+    def _on_evidence(self, report: EvidenceReport) -> None:
+        if not report.is_zone_total:
+            for place, tally in self._growth.take(report).items():
+                self.add(place, tally)
+            return
+        zone = zone_of(report)
+        if zone == self._view.availability_zone:
+            return
+        growth = self._zone_growth.take(report)
+        self._fresh.extend(
+            ZoneGrowth(zone, place, tally)
+            for place, tally in growth.items()
+            if self._view.is_known(place.key)
+        )
--- a/src/lacewingstair/operator/report.py
+++ b/src/lacewingstair/operator/report.py
@@ -14,7 +14,7 @@
 from lacewingstair import schedule
 from lacewingstair.acceptance import MeshState
 from lacewingstair.marks import Marks, RolloutKey, StageMark
-from lacewingstair.rollouts import routes_of
+from lacewingstair.rollout_view import routes_of
 from lacewingstair.tickets import Rollout
 
 
--- /dev/null
+++ b/src/lacewingstair/rollout_view.py
@@ -0,0 +1,86 @@
+"""What the configuration and the marks in force say about rollouts in one zone."""
+
+from lacewingstair import schedule
+from lacewingstair.acceptance import MeshState
+from lacewingstair.marks import Marks, RolloutKey, StageMark
+from lacewingstair.store import StateStore
+from lacewingstair.tickets import Rollout
+
+
+class RolloutView:
+    """Reads rollouts from the configuration and the marks, for one availability zone.
+
+    Parameters
+    ----------
+    availability_zone : str
+        Zone whose stage marks count.
+    store, marks
+        Configuration and marks in force.
+    """
+
+    def __init__(self, availability_zone: str, store: StateStore, marks: Marks) -> None:
+        self.availability_zone = availability_zone
+        self._store = store
+        self._marks = marks
+
+    @property
+    def state(self) -> MeshState:
+        """Configuration in force."""
+        return self._store.state
+
+    @property
+    def marks_version(self) -> int:
+        """Number that changes with every change of the marks."""
+        return self._marks.version
+
+    def rollouts(self) -> list[tuple[RolloutKey, Rollout]]:
+        """Return the rollouts of the configuration."""
+        state = self._store.state
+        return [
+            (RolloutKey(name, state.rollout_numbers[name]), rollout)
+            for name, rollout in state.rollouts.items()
+        ]
+
+    def is_known(self, key: RolloutKey) -> bool:
+        """Return whether the configuration holds this very rollout."""
+        return self._store.state.rollout_numbers.get(key.name) == key.number
+
+    def is_taken_back(self, key: RolloutKey) -> bool:
+        """Return whether the rollout has a take-back mark."""
+        return self._marks.is_taken_back(key)
+
+    def stage(self, key: RolloutKey, route: str) -> int:
+        """Return the stage that the zone has reached on a route."""
+        return self._marks.stage(key, self.availability_zone, route)
+
+    def stage_mark(self, key: RolloutKey, route: str) -> StageMark | None:
+        """Return the zone's stage mark of a route, None before the first."""
+        place = (key, self.availability_zone, route)
+        return self._marks.marks_by_place.get(place)
+
+    def active_keys(self, wall: float) -> list[RolloutKey]:
+        """Return the rollouts that are active at a wall time in seconds."""
+        return [
+            key
+            for key, rollout in self.rollouts()
+            if self.is_active(key, rollout, wall)
+        ]
+
+    def is_active(self, key: RolloutKey, rollout: Rollout, wall: float) -> bool:
+        """Return whether a rollout moves or is monitored at a wall time in seconds."""
+        if wall < rollout.start or self._marks.is_taken_back(key):
+            return False
+        if wall < schedule.monitored_until(rollout):
+            return True
+        return any(
+            self.stage(key, route) < schedule.FINAL_STAGE
+            for route in routes_of(self._store.state, rollout)
+        )
+
+
+def routes_of(state: MeshState, rollout: Rollout) -> tuple[str, ...]:
+    """Return the names of the routes that a rollout moves, sorted."""
+    names = (
+        name for name, route in state.routes.items() if route.service == rollout.service
+    )
+    return tuple(sorted(names))
--- /dev/null
+++ b/src/lacewingstair/route_plans.py
@@ -0,0 +1,210 @@
+"""Plans of routes: the share of each version, and the counts of its calls."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from lacewingstair import schedule
+from lacewingstair.evidence import Place, Tally
+from lacewingstair.evidence_totals import EvidenceTotals
+from lacewingstair.latency import LatencyReference
+from lacewingstair.marks import RolloutKey
+from lacewingstair.outcomes import CallOutcome, CallResult
+from lacewingstair.probes import PROBE_SHARE, CallHistory, RecentCall
+from lacewingstair.rollout_view import RolloutView, routes_of
+from lacewingstair.runtime import Clock
+from lacewingstair.splitting import SmoothSplit
+from lacewingstair.tickets import Rollout
+
+# A new endpoint's latency and slow failures count for nothing during its cold start.
+# Failures faster than this are no effect of a cold start.
+COLD_SECONDS = 10.0
+COLD_FAILURE_SECONDS = 0.5
+
+# New slots per old slot that a share may use: backend servers in normal operation run
+# at less than half of their slots.
+CAPACITY_FACTOR = 2.0
+
+
+@attrs.define
+class RoutePlan:
+    """How the calls of one route are split now, and what has been counted of them.
+
+    Parameters
+    ----------
+    key, rollout
+        Rollout that moves the route.
+    split : SmoothSplit
+        Draws the version of each call.
+    reference : LatencyReference
+        Latency above which a call is slow.
+    history : CallHistory
+        Last calls of both versions.
+    share : float
+        Part of the calls that the new version gets, 0 to 1.
+    stage : int
+        Stage that the zone has reached.
+    is_taken_back, is_counting : bool
+        Whether the version is taken back, and whether outcomes are counted.
+    old, new : Tally
+        Counts of the versions that are not yet in the totals.
+    """
+
+    key: RolloutKey
+    rollout: Rollout
+    split: SmoothSplit
+    reference: LatencyReference
+    history: CallHistory = attrs.field(factory=CallHistory)
+    share: float = 0.0
+    stage: int = 0
+    is_taken_back: bool = False
+    is_counting: bool = False
+    old: Tally = attrs.field(factory=Tally)
+    new: Tally = attrs.field(factory=Tally)
+
+    def place(self, route: str, is_new: bool) -> Place:
+        """Return what `new` or `old` counts."""
+        rollout = self.rollout
+        version = rollout.to_version if is_new else rollout.from_version
+        return Place(self.key, route, version, self.stage)
+
+    def record(self, outcome: CallOutcome, now: float) -> None:
+        """Count the outcome of one attempt, ended at `now` in monotonic seconds."""
+        if not self.is_counting:
+            return
+        is_new = outcome.version == self.rollout.to_version
+        if not is_new and outcome.version != self.rollout.from_version:
+            return
+        tally = self.new if is_new else self.old
+        is_cold = outcome.endpoint_age_seconds < COLD_SECONDS
+        result = outcome.result
+        if result is CallResult.OK:
+            is_slow = not is_cold and self._time(outcome, is_new, tally, now)
+            tally.calls += 1
+            self.history.add(is_new, RecentCall(now, False, is_slow))
+        elif result is CallResult.FAILED:
+            if is_cold and outcome.latency_seconds > COLD_FAILURE_SECONDS:
+                return
+            tally.calls += 1
+            tally.failures += 1
+            self.history.add(is_new, RecentCall(now, True, False))
+        elif result is CallResult.NOT_RUN and not is_cold:
+            tally.refused += 1
+
+    def _time(
+        self, outcome: CallOutcome, is_new: bool, tally: Tally, now: float
+    ) -> bool:
+        """Count the latency of a call; return whether the call was slow."""
+        if not is_new:
+            self.reference.add(outcome.latency_seconds, now)
+        if self.reference.threshold is None:
+            return False
+        is_slow = outcome.latency_seconds > self.reference.threshold
+        tally.timed += 1
+        tally.slow += is_slow
+        return is_slow
+
+
+class RoutePlans:
+    """Works out the plan of each route from configuration, marks and time.
+
+    Parameters
+    ----------
+    view : RolloutView
+        Configuration and marks in force in the zone of this VM.
+    totals : EvidenceTotals
+        Takes the counts of the plans.
+    clock, rng
+        Time and randomness.
+    slots : callable
+        Returns the slots of the ready endpoints of a service's version.
+    """
+
+    def __init__(
+        self,
+        view: RolloutView,
+        totals: EvidenceTotals,
+        clock: Clock,
+        rng: random.Random,
+        slots: Callable[[str, str], int],
+    ) -> None:
+        self._view = view
+        self._totals = totals
+        self._clock = clock
+        self._rng = rng
+        self._slots = slots
+        self._seen_marks = -1
+        self._plans_by_route: dict[str, RoutePlan] = {}
+
+    def get(self, route: str) -> RoutePlan | None:
+        """Return the plan of a route by the present marks, None without a rollout."""
+        if self._view.marks_version != self._seen_marks:
+            self.refresh()
+        return self._plans_by_route.get(route)
+
+    def record(self, outcome: CallOutcome) -> None:
+        """Count the outcome of one attempt; ignored without a rollout of its route."""
+        plan = self._plans_by_route.get(outcome.route)
+        if plan is not None:
+            plan.record(outcome, self._clock.monotonic())
+
+    def stages(self) -> dict[tuple[RolloutKey, str], int]:
+        """Return the present stage by rollout and route."""
+        return {
+            (plan.key, route): plan.stage
+            for route, plan in self._plans_by_route.items()
+        }
+
+    def update_references(self, now: float) -> None:
+        """Bring the reference latencies up to a monotonic time in seconds."""
+        for plan in self._plans_by_route.values():
+            if plan.is_counting:
+                plan.reference.update(now)
+
+    def refresh(self) -> None:
+        """Move the counts to the totals and work out all plans anew."""
+        wall = self._clock.wall()
+        self._seen_marks = self._view.marks_version
+        self._plans_by_route = {
+            route: self._updated_plan(route, key, rollout, wall)
+            for key, rollout in self._view.rollouts()
+            for route in routes_of(self._view.state, rollout)
+        }
+
+    def _updated_plan(
+        self, route: str, key: RolloutKey, rollout: Rollout, wall: float
+    ) -> RoutePlan:
+        plan = self._plans_by_route.get(route)
+        if plan is None or plan.key != key:
+            reference = LatencyReference(rollout.max_latency_ratio)
+            plan = RoutePlan(key, rollout, SmoothSplit(self._rng), reference)
+        self._move_counts(route, plan)
+        plan.rollout = rollout
+        plan.stage = self._view.stage(key, route)
+        plan.is_taken_back = self._view.is_taken_back(key)
+        plan.is_counting = self._view.is_active(key, rollout, wall)
+        plan.share = self._share(route, plan, wall)
+        return plan
+
+    def _move_counts(self, route: str, plan: RoutePlan) -> None:
+        for is_new in (False, True):
+            tally = plan.new if is_new else plan.old
+            if not tally.is_empty:
+                self._totals.add(plan.place(route, is_new), tally)
+        plan.old, plan.new = Tally(), Tally()
+
+    def _share(self, route: str, plan: RoutePlan, wall: float) -> float:
+        rollout = plan.rollout
+        if plan.is_taken_back:
+            return 0.0
+        new = self._slots(rollout.service, rollout.to_version)
+        old = self._slots(rollout.service, rollout.from_version)
+        mark = self._view.stage_mark(plan.key, route)
+        entered = rollout.start if mark is None else mark.at
+        share = schedule.share_at(rollout, plan.stage, entered, wall)
+        if old > 0:
+            share = min(share, CAPACITY_FACTOR * new / old)
+        if plan.is_counting and plan.history.is_probing(self._clock.monotonic()):
+            share = min(share, PROBE_SHARE)
+        return share
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -9,12 +9,7 @@
 from lacewingstair.marks import StageMark, TakeBack
 from lacewingstair.operator.report import MoveState, make_report
 from lacewingstair.outcomes import CallOutcome, CallResult
-from lacewingstair.rollouts import (
-    FAILURE_PROBE,
-    SETTLE_SECONDS,
-    SLOWNESS_PROBE,
-    RolloutController,
-)
+from lacewingstair.rollouts import SETTLE_SECONDS, RolloutController
 from lacewingstair.standins.rollout_mesh import (
     Answer,
     RolloutMesh,
@@ -370,14 +365,6 @@
     assert mesh.vms()[0].reports[-1].counters[0].failures == 1
 
 
-def test_chance_does_not_start_a_probe_but_a_fault_does():
-    assert not FAILURE_PROBE.holds([True, True], [])
-    assert not FAILURE_PROBE.holds([True] * 8 + [False] * 12, [True, False] * 20)
-    assert FAILURE_PROBE.holds([True] * 5 + [False] * 15, [False] * 50)
-    assert not SLOWNESS_PROBE.holds([True] * 10 + [False] * 10, [True, False, False])
-    assert SLOWNESS_PROBE.holds([True] * 20, [True, False, False] * 20)
-
-
 def test_a_controller_without_rollouts_sets_no_timer_and_wakes_for_a_ticket():
     async def main():
         mesh = RolloutMesh({"a-1": "a"}, 1, random.Random(1))
