Return to the first relay of a link after its pause

Cause: a link tries the relays of the other side in turn and stayed with the second one for as long as that served. A relay that was paused for a few seconds, or declared dead and back, got no link from the other zones of its region, so after 10 s it held these zones for lost, took over the links between regions and the log reading of its region, and kept both. A link's mode was also set on every target that happened to be linked, not only on the one that the link leads to, which made links eager that ought to be lazy.

Change: a link that leads to another than its first target tries the first one every 5 s, below the 10 s after which a zone counts as lost; the other connection then ends as unwanted. The mode is set where the link leads to.

Test: test_a_relay_that_was_paused_gets_its_links_and_role_back, with pauses of 6 and 30 s, fails in both cases on the code before (`pytest tests/vm/test_node.py -k paused_gets`: linked to {r0z2, r1z1}, r0z0 missing) and passes now.

--- a/src/lacewingstair/vm/links.py
+++ b/src/lacewingstair/vm/links.py
@@ -23,6 +23,9 @@
 # A connection that ends sooner counts as a failure, so that a peer that closes at once
 # is not called again without delay.
 SERVED_SECONDS = 1.0
+# A relay that nobody links to takes the other zones for lost after 10 s, so others must
+# return to it sooner after a pause. A VM that stays paused is declared dead by then.
+RETURN_SECONDS = 5.0
 # 16 children, the relays of 8 other zones and their second relays make 32 links; the
 # rest is for contacts and for reconnects that overlap with the connection they replace.
 MAX_ACCEPTED_CONNECTIONS = 128
@@ -138,6 +141,8 @@
         self._is_full = False
         self._dials_by_key: dict[str, Dial] = {}
         self._tasks_by_key: dict[str, asyncio.Task[None]] = {}
+        self._return_at_by_key: dict[str, float] = {}
+        self._returns_by_key: dict[str, asyncio.Task[bool]] = {}
         self._server: Listener | None = None
 
     async def listen(self) -> Result[Listener, ListenError]:
@@ -155,10 +160,11 @@
             task = self._tasks_by_key.get(dial.key)
             if (task is None or task.done()) and not self._is_linked(dial.targets[0]):
                 self._tasks_by_key[dial.key] = asyncio.create_task(self._keep(dial.key))
+        self._return_to_first_targets()
 
     async def close(self) -> None:
         """Close all connections and stop accepting."""
-        tasks = list(self._tasks_by_key.values())
+        tasks = [*self._tasks_by_key.values(), *self._returns_by_key.values()]
         for task in tasks:
             task.cancel()
         for peer in self._peers:
@@ -171,12 +177,40 @@
     def _is_linked(self, target: Target) -> bool:
         return self._peers.get(target.vm_id) is not None
 
+    def target_of(self, dial: Dial) -> Target:
+        """Return the target that a wanted connection leads to, or is to lead to."""
+        linked = (target for target in dial.targets if self._is_linked(target))
+        return next(linked, dial.targets[0])
+
     def _set_mode(self, dial: Dial) -> None:
-        for target in dial.targets:
-            peer = self._peers.get(target.vm_id)
-            if peer is not None and peer.is_eager != dial.is_eager:
-                peer.is_eager = dial.is_eager
-                peer.stream.send(messages.LinkMode(dial.is_eager))
+        # Only where the connection leads to: other targets can be linked for another
+        # reason, and a second eager link would bring everything twice.
+        peer = self._peers.get(self.target_of(dial).vm_id)
+        if peer is None or peer.is_eager == dial.is_eager:
+            return
+        peer.is_eager = dial.is_eager
+        peer.stream.send(messages.LinkMode(dial.is_eager))
+
+    def _return_to_first_targets(self) -> None:
+        now = self._clock.monotonic()
+        return_at_by_key: dict[str, float] = {}
+        for key, dial in self._dials_by_key.items():
+            first = dial.targets[0]
+            if self.target_of(dial) is first:
+                # Linked to the first one, or to none and being opened.
+                continue
+            at = self._return_at_by_key.get(key, now + RETURN_SECONDS)
+            if at <= now:
+                at = now + RETURN_SECONDS
+                self._start_return(key, first, dial.is_eager)
+            return_at_by_key[key] = at
+        self._return_at_by_key = return_at_by_key
+
+    def _start_return(self, key: str, first: Target, is_eager: bool) -> None:
+        running = {k: t for k, t in self._returns_by_key.items() if not t.done()}
+        self._returns_by_key = running
+        if key not in running:
+            running[key] = asyncio.create_task(self._open(first, is_eager))
 
     async def _keep(self, key: str) -> None:
         failures = 0
--- a/src/lacewingstair/vm/neighbours.py
+++ b/src/lacewingstair/vm/neighbours.py
@@ -94,7 +94,7 @@
         return Dial(f"child {vm_id}", (Target(vm_id, address),), is_eager)
 
     def _close_unwanted(self, dials: list[Dial]) -> None:
-        wanted = {self._wanted_target(dial) for dial in dials}
+        wanted = {self._links.target_of(dial).vm_id for dial in dials}
         for tree in range(len(TREE_SALTS)):
             wanted.update(self._overlay.children(tree))
         has_wanted = any(peer.vm_id in wanted for peer in self._peers)
@@ -107,11 +107,6 @@
                 _end(peer)
         self._unwanted_ticks = ticks
 
-    def _wanted_target(self, dial: Dial) -> str:
-        vm_ids = [target.vm_id for target in dial.targets]
-        linked = [vm_id for vm_id in vm_ids if self._peers.get(vm_id) is not None]
-        return (linked or vm_ids)[0]
-
 
 def _end(peer: Peer) -> None:
     peer.stream.send(messages.Goodbye("no longer a neighbour"))
--- a/tests/vm/test_node.py
+++ b/tests/vm/test_node.py
@@ -211,6 +211,33 @@
     assert await cluster.until(lambda: cluster.has_ticket(2), 5) < 0.5
 
 
+@pytest.mark.parametrize("pause_seconds", [6, 30])
+def test_a_relay_that_was_paused_gets_its_links_and_role_back(pause_seconds):
+    """Guards against a zone that holds the others for lost, and doubled eager links."""
+
+    @in_mesh(zone_count=4)
+    async def scenario(cluster):
+        for place in list(cluster.places):
+            zone = cluster.in_zone(place.availability_zone)
+            (relay,) = [vm for vm in zone if vm.node.is_zone_root()]
+            relay.transport.running.clear()
+            await asyncio.sleep(pause_seconds)
+            relay.transport.running.set()
+            await asyncio.sleep(40)
+            linked = {peer.availability_zone for peer in relay.node.peers}
+            assert set(cluster.zones_of(place.region)) <= linked
+        eager = [
+            (vm, peer)
+            for vm in cluster
+            for peer in vm.node.peers
+            if peer.is_eager and peer.region != vm.place.region
+        ]
+        # One link, seen from both ends.
+        assert len(eager) == 2
+
+    scenario()
+
+
 @in_mesh()
 async def test_a_leaf_that_dies_is_noticed_without_a_link_to_it(cluster):
     victim = cluster.in_zone(cluster.places[0].availability_zone)[-1]
