Add the setting log_region: one region reads the log and pushes tickets

Cause: the readers of every region fetch each ticket by HTTP.

Change: with `[platform] log_region`, the gateways of that region (first relays of its first two zones) read the log, and tickets go over the eager link to each other region once, as compressed deltas. A missing push is pulled on the first heartbeat that shows it. Gateways of other regions open a link to the log's region when they accepted none, read the log after 4 s without one unless tickets come by another region, and stop when it is back. Empty setting: as before.

The readers are the first relays of two zones, not the first two by hash over the region, which can stand in one zone: a zone that cannot reach the log would hold up all regions.

Ruled out: closing the role by the news of the region alone. Tickets are rare, so silence says nothing; the link is the sign, and news only keeps a region from reading that is supplied by a third one. Also ruled out: letting the mode of the gateway's own link be set from both ends; the two sent LinkMode to each other every second, and the link was eager for one of the two, so that a ticket crossed four times (trial).

Tests: each failure in virtual time in tests/vm/test_log_region_link.py.

Known limit: tickets stop when both gateways of the log's region reach the other regions but not the log.

--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -61,6 +61,7 @@
             transport=TcpTransport(),
             clock=clock,
             rng=rng,
+            log_region=settings.platform.log_region,
         )
         self.log = HttpLogClient(settings.log_url)
         self.log_reader = LogReader(
--- a/src/lacewingstair/overlay.py
+++ b/src/lacewingstair/overlay.py
@@ -34,11 +34,14 @@
     is_eager : bool
         Whether news is sent at once. A lazy link carries heartbeats and pulls when the
         digests still differ after one interval.
+    keeps_mode : bool
+        Whether the other VM decides on the mode once the link is open.
     """
 
     key: str
     vm_ids: tuple[str, ...]
     is_eager: bool = True
+    keeps_mode: bool = False
 
 
 def rank_key(vm_id: str, salt: str) -> bytes:
@@ -150,6 +153,24 @@
                 keyed.extend(order.keyed(READERS_PER_REGION))
         return [vm_id for _, vm_id in sorted(keyed)[:READERS_PER_REGION]]
 
+    def gateways(self, lost_zones: frozenset[str] = frozenset()) -> list[str]:
+        """Return the first relays of the first two zones of the own region.
+
+        They hold links to other regions. A region of one zone has both of its relays.
+        """
+        zones = [
+            z for z in self._zones_by_hash(self._own.region) if z not in lost_zones
+        ]
+        if len(zones) == 1:
+            return self.relays(zones[0])
+        return [self.relays(zone)[0] for zone in zones[:2]]
+
+    def region_relays(self, region: str) -> list[str]:
+        """Return the VMs to try in turn for a link to a region, best first."""
+        if region not in self._regions_by_zone.values():
+            return []
+        return self._region_targets(region, 0, 0)
+
     def parents(self) -> list[str | None]:
         """Return the parent in each tree, None for the root."""
         return [self._parent(order) for order in self._trees()]
--- a/src/lacewingstair/settings.py
+++ b/src/lacewingstair/settings.py
@@ -23,6 +23,7 @@
     Kind,
     Name,
     Number,
+    OptionalName,
     Url,
     split_address,
 )
@@ -281,6 +282,14 @@
 class PlatformSettings:
     """Use of the platform's log; times in seconds."""
 
+    log_region: str = _optional(
+        "platform",
+        "log_region",
+        OptionalName(),
+        "",
+        "region in which the log stands, the same on all VMs; only VMs of this region"
+        " read the log while others reach it; VMs of every region when empty",
+    )
     log_poll_seconds: float = _seconds(
         "platform",
         "log_poll_seconds",
--- a/src/lacewingstair/settings_values.py
+++ b/src/lacewingstair/settings_values.py
@@ -48,6 +48,17 @@
         return text
 
 
+@attrs.frozen
+class OptionalName(Name):
+    """A name without spaces, or nothing."""
+
+    allowed = f"empty, or {Name.allowed}"
+
+    def parse(self, text: str) -> str:
+        """Return the name."""
+        return super().parse(text) if text else ""
+
+
 @attrs.frozen
 class IpAddress:
     """An IP address with a port."""
--- a/src/lacewingstair/standins/mesh_cluster.py
+++ b/src/lacewingstair/standins/mesh_cluster.py
@@ -112,6 +112,7 @@
             clock=self.clock,
             rng=random.Random(seed),
             eager_trees=cluster.eager_trees,
+            log_region=cluster.log_region,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -179,6 +180,8 @@
         Whether receivers decode the bytes of frames.
     eager_trees : int
         Trees on which news is pushed.
+    log_region : str
+        Region that reads the log for all; empty if each reads it.
     """
 
     def __init__(
@@ -188,10 +191,12 @@
         seed: int = 1,
         decodes: bool = True,
         eager_trees: int = 1,
+        log_region: str = "",
     ) -> None:
         self.places = list(places)
         self.vms_per_zone = vms_per_zone
         self.eager_trees = eager_trees
+        self.log_region = log_region
         self.clock = VirtualClock()
         self.rng = random.Random(seed)
         self.network = MemoryNetwork(self.rng, decodes=decodes)
--- a/src/lacewingstair/vm/dissemination.py
+++ b/src/lacewingstair/vm/dissemination.py
@@ -33,12 +33,17 @@
         The configuration.
     peers : PeerTable
         Open links.
+    log_region : str
+        Region whose VMs read the log for all regions; empty if each reads it.
     """
 
-    def __init__(self, own: VmRecord, store: StateStore, peers: PeerTable) -> None:
+    def __init__(
+        self, own: VmRecord, store: StateStore, peers: PeerTable, log_region: str = ""
+    ) -> None:
         self._own = own
         self._store = store
         self._peers = peers
+        self._is_in_log_region = own.region == log_region
 
     def apply(
         self, records: tuple[TicketRecord, ...], source: Peer | None
@@ -62,11 +67,12 @@
         return decisions
 
     def _push(self, delta: messages.TicketDelta, source: Peer | None) -> None:
-        # Each region has its own log readers. A region whose readers are cut off from
-        # the log pulls after the heartbeats have shown the difference.
+        # Other regions get tickets from the log's region or, if none is set, read the
+        # log themselves. A region that gets them in neither way pulls after heartbeats
+        # have shown the difference.
         for peer in self._peers:
-            is_near = peer.region == self._own.region
-            if is_near and self._peers.is_push_target(peer, source):
+            is_wanted = self._is_in_log_region or peer.region == self._own.region
+            if is_wanted and self._peers.is_push_target(peer, source):
                 peer.stream.send(delta)
 
 
--- a/src/lacewingstair/vm/links.py
+++ b/src/lacewingstair/vm/links.py
@@ -58,11 +58,14 @@
         VMs to try in turn.
     is_eager : bool
         Whether news is pushed over it.
+    keeps_mode : bool
+        Whether the other VM decides on the mode once the link is open.
     """
 
     key: str
     targets: tuple[Target, ...]
     is_eager: bool
+    keeps_mode: bool = False
 
 
 class LinkListener(Protocol):
@@ -186,7 +189,7 @@
         # Only where the connection leads to: other targets can be linked for another
         # reason, and a second eager link would bring everything twice.
         peer = self._peers.get(self.target_of(dial).vm_id)
-        if peer is None or peer.is_eager == dial.is_eager:
+        if peer is None or dial.keeps_mode or peer.is_eager == dial.is_eager:
             return
         peer.is_eager = dial.is_eager
         peer.stream.send(messages.LinkMode(dial.is_eager))
--- a/src/lacewingstair/vm/neighbours.py
+++ b/src/lacewingstair/vm/neighbours.py
@@ -6,6 +6,7 @@
 from lacewingstair.vm import messages
 from lacewingstair.vm.discovery import Discovery
 from lacewingstair.vm.links import Dial, LinkKeeper, Target
+from lacewingstair.vm.log_region_link import LogRegionLink
 from lacewingstair.vm.peers import Peer, PeerTable
 from lacewingstair.vm.reachability import Reachability
 
@@ -30,6 +31,8 @@
         Gives contacts.
     reachability : Reachability
         Tells which zones are lost.
+    log_region_link : LogRegionLink
+        Gives the link that a gateway opens to the log's region.
     clock : Clock
         Time.
     """
@@ -42,6 +45,7 @@
         links: LinkKeeper,
         discovery: Discovery,
         reachability: Reachability,
+        log_region_link: LogRegionLink,
         clock: Clock,
     ) -> None:
         self._directory = directory
@@ -50,6 +54,7 @@
         self._links = links
         self._discovery = discovery
         self._reachability = reachability
+        self._log_region_link = log_region_link
         self._clock = clock
         self._missing_since: dict[str, float] = {}
         self._unwanted_ticks: dict[str, int] = {}
@@ -64,12 +69,16 @@
 
     def _overlay_dials(self) -> list[Dial]:
         dials: list[Dial] = []
-        for link in self._overlay.links(self._reachability.lost_zones()):
+        links = self._overlay.links(self._reachability.lost_zones())
+        log_region_link = self._log_region_link.wanted()
+        if log_region_link is not None:
+            links.append(log_region_link)
+        for link in links:
             targets = tuple(
                 Target(vm_id, self._directory.get(vm_id).address)
                 for vm_id in link.vm_ids
             )
-            dials.append(Dial(link.key, targets, link.is_eager))
+            dials.append(Dial(link.key, targets, link.is_eager, link.keeps_mode))
         return dials
 
     def _missing_children(self) -> list[Dial]:
--- a/src/lacewingstair/vm/node.py
+++ b/src/lacewingstair/vm/node.py
@@ -25,6 +25,7 @@
 from lacewingstair.vm.evidence_relay import EvidenceRelay
 from lacewingstair.vm.failure_detector import FailureDetector
 from lacewingstair.vm.links import MAX_ACCEPTED_CONNECTIONS, LinkKeeper
+from lacewingstair.vm.log_region_link import LogRegionLink
 from lacewingstair.vm.membership import Membership
 from lacewingstair.vm.neighbours import Neighbours
 from lacewingstair.vm.peers import Peer, PeerTable
@@ -62,6 +63,8 @@
         Time and randomness.
     eager_trees : int
         Trees of the zone on which news is pushed.
+    log_region : str
+        Region whose VMs read the log for all regions; empty if each reads it.
 
     Attributes
     ----------
@@ -84,6 +87,7 @@
         clock: Clock,
         rng: random.Random,
         eager_trees: int = 1,
+        log_region: str = "",
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -93,7 +97,7 @@
         self._publisher = DirectoryPublisher(self._peers, clock)
         self._membership = Membership(directory, own, self._announce, clock)
         self._detector = FailureDetector(directory, own, self._publish_status, clock)
-        self._tickets = TicketPublisher(own, store, self._peers)
+        self._tickets = TicketPublisher(own, store, self._peers, log_region)
         self._marks = MarkPublisher(marks, self._peers)
         self._snapshots = SnapshotClient(
             own, self._peers, store, self._merge_snapshot, clock, rng
@@ -107,7 +111,13 @@
             rng,
         )
         self.repair = Repair(
-            own.region, store, directory, marks, self._marks, self._snapshots
+            own.region,
+            store,
+            directory,
+            marks,
+            self._marks,
+            self._snapshots,
+            is_read_once=bool(log_region),
         )
         self._evidence = EvidenceRelay(own, self.overlay, self._peers, clock)
         self._discovery = Discovery(
@@ -124,6 +134,9 @@
             MAX_ACCEPTED_CONNECTIONS,
         )
         self._reachability = Reachability(own, self.overlay, self._peers, clock)
+        self._log_region_link = LogRegionLink(
+            own, log_region, self.overlay, self._peers, self._reachability
+        )
         self._neighbours = Neighbours(
             directory,
             self.overlay,
@@ -131,6 +144,7 @@
             self._links,
             self._discovery,
             self._reachability,
+            self._log_region_link,
             clock,
         )
         self._reader_role = ReaderRole(
@@ -138,6 +152,8 @@
             self.overlay,
             self._peers,
             self._reachability,
+            self._log_region_link,
+            store,
             self._discovery.has_contacts,
             clock,
             rng,
--- a/src/lacewingstair/vm/repair.py
+++ b/src/lacewingstair/vm/repair.py
@@ -1,9 +1,10 @@
 """Repair of what was missed, by the digests that heartbeats carry.
 
 Tickets and marks are rare and reach a region within a fraction of the interval, so a
-heartbeat that shows a difference mostly shows a missed push. From other regions they
-take another way, and the directory changes all the time; there only a difference that
-lasts is looked into. One peer is asked an interval.
+heartbeat that shows a difference mostly shows a missed push. Regions that each read the
+log get tickets at different moments, marks take longer between regions, and the
+directory changes all the time; there only a difference that lasts is looked into. One
+peer is asked an interval.
 """
 
 import struct
@@ -39,6 +40,8 @@
         Sends all marks.
     snapshots : SnapshotClient
         Gets a state whose records are not kept.
+    is_read_once : bool
+        Whether one region reads the log and pushes tickets to the others.
 
     Attributes
     ----------
@@ -54,6 +57,7 @@
         marks: Marks,
         mark_publisher: MarkPublisher,
         snapshots: SnapshotClient,
+        is_read_once: bool = False,
     ) -> None:
         self._region = region
         self._store = store
@@ -61,6 +65,7 @@
         self._marks = marks
         self._mark_publisher = mark_publisher
         self._snapshots = snapshots
+        self._is_read_once = is_read_once
         self._marks_digest = marks.digest()
         self._may_ask_state = True
         self._may_ask_directory = True
@@ -166,7 +171,7 @@
                 self._report_divergence(peer)
             return
         peer.state_lag += 1
-        if not self._is_missed(peer, peer.state_lag):
+        if not self._is_read_once and not self._is_missed(peer, peer.state_lag):
             return
         if self._may_ask_state:
             self._may_ask_state = False
