--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -65,6 +65,7 @@
             transport=TcpTransport(links.replacement_seconds, links.send_queue_bytes),
             clock=clock,
             rng=rng,
+            log_region=settings.platform.log_region,
             options=_node_options(settings),
         )
         self.log = HttpLogClient(
--- a/src/lacewingstair/standins/mesh_cluster.py
+++ b/src/lacewingstair/standins/mesh_cluster.py
@@ -115,6 +115,7 @@
             clock=self.clock,
             rng=random.Random(seed),
             eager_trees=cluster.eager_trees,
+            log_region=cluster.log_region,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -190,6 +191,8 @@
     ----------
     vm_class : type
         What `make_vm` returns.
+    log_region : str
+        Region that reads the log for all; empty if each reads it.
     """
 
     vm_class: type[ClusterVm] = ClusterVm
@@ -201,10 +204,12 @@
         seed: int = 1,
         decodes: bool = True,
         eager_trees: int = 1,
+        log_region: str = "",
     ) -> None:
         self.places = list(places)
         self.vms_per_zone = vms_per_zone
         self.eager_trees = eager_trees
+        self.log_region = log_region
         self.clock = VirtualClock()
         self.rng = random.Random(seed)
         self.network = MemoryNetwork(self.rng, decodes=decodes)
--- a/src/lacewingstair/vm/node.py
+++ b/src/lacewingstair/vm/node.py
@@ -26,6 +26,7 @@
 from lacewingstair.vm.failure_detector import FailureDetector
 from lacewingstair.vm.id_conflict import IdReclaimer
 from lacewingstair.vm.links import MAX_ACCEPTED_CONNECTIONS, LinkKeeper
+from lacewingstair.vm.log_region_link import LogRegionLink
 from lacewingstair.vm.membership import Membership
 from lacewingstair.vm.neighbours import Neighbours
 from lacewingstair.vm.options import NodeOptions
@@ -64,6 +65,8 @@
         Trees of the zone on which news is pushed.
     options : NodeOptions, optional
         Intervals and bounds.
+    log_region : str
+        Region whose VMs read the log for all regions; empty if each reads it.
 
     Attributes
     ----------
@@ -89,6 +92,7 @@
         rng: random.Random,
         eager_trees: int = 1,
         options: NodeOptions = DEFAULT_OPTIONS,
+        log_region: str = "",
     ) -> None:
         self._options = options
         self._clock = clock
@@ -104,7 +108,7 @@
         self._detector = FailureDetector(
             directory, own, self._publish_status, clock, options.suspicion_seconds
         )
-        self._tickets = TicketPublisher(own, store, self._peers)
+        self._tickets = TicketPublisher(own, store, self._peers, log_region)
         self._marks = MarkPublisher(marks, self._peers)
         self._snapshots = SnapshotClient(
             own, self._peers, store, self._merge_snapshot, clock, rng
@@ -126,6 +130,7 @@
             self._marks,
             self._snapshots,
             lambda peer: self._peers.by_vm_id.get(peer.vm_id) is peer,
+            is_read_once=bool(log_region),
         )
         self._evidence = EvidenceRelay(own, self.overlay, self._peers, clock)
         self._discovery = Discovery(
@@ -145,6 +150,9 @@
             self.traffic,
         )
         self._reachability = Reachability(own, self.overlay, self._peers, clock)
+        self._log_region_link = LogRegionLink(
+            own, log_region, self.overlay, self._peers, self._reachability
+        )
         self._neighbours = Neighbours(
             directory,
             self.overlay,
@@ -152,6 +160,7 @@
             self._links,
             self._discovery,
             self._reachability,
+            self._log_region_link,
             clock,
         )
         self._reader_role = ReaderRole(
@@ -159,6 +168,8 @@
             self.overlay,
             self._peers,
             self._reachability,
+            self._log_region_link,
+            store,
             self._discovery.has_contacts,
             clock,
             rng,
