Bound the time between reads in an outage, so that tickets are in force in 5 s

Also test that a bad version gets few calls, and none 1 s later in the zone and 3 s later elsewhere.

--- a/src/lacewingstair/platform/tail.py
+++ b/src/lacewingstair/platform/tail.py
@@ -22,7 +22,11 @@
 POLL_JITTER = 0.25
 MIN_POLL_SECONDS = 1.0
 RETRY_BASE_SECONDS = 0.5
-RETRY_CAP_SECONDS = 10.0
+# A ticket is in force within 5 s after an outage, of which the mesh takes a part. Full
+# jitter of the same mean would leave up to twice this time between two reads.
+RETRY_CAP_SECONDS = 4.4
+RETRY_CAP_JITTER = 0.1
+MAX_ATTEMPT = 10
 # How often a VM looks whether another one has closed its gap.
 GAP_RETRY_SECONDS = 10.0
 
@@ -161,10 +165,15 @@
         )
 
     async def _back_off(self) -> None:
-        delay = full_jitter(
-            self._rng, self._attempt, RETRY_BASE_SECONDS, RETRY_CAP_SECONDS
-        )
-        self._attempt += 1
+        if RETRY_BASE_SECONDS * 2**self._attempt < RETRY_CAP_SECONDS:
+            delay = full_jitter(
+                self._rng, self._attempt, RETRY_BASE_SECONDS, RETRY_CAP_SECONDS
+            )
+        else:
+            jitter = self._rng.uniform(1.0 - RETRY_CAP_JITTER, 1.0)
+            delay = RETRY_CAP_SECONDS * jitter
+        # Bounded, since the exponent grows for as long as the outage lasts.
+        self._attempt = min(self._attempt + 1, MAX_ATTEMPT)
         await self._clock.sleep(delay)
 
 
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -5,6 +5,7 @@
 import unittest.mock
 
 import attrs
+import pytest
 from aiohttp.streams import StreamReader
 from aiohttp.test_utils import make_mocked_request
 from hypothesis import HealthCheck, given, settings
@@ -15,7 +16,7 @@
 from lacewingstair.caller.headers import OUTCOME, OUTCOME_NOT_RUN
 from lacewingstair.caller.server import CallServer
 from lacewingstair.directory import VmStatus
-from lacewingstair.marks import RolloutKey
+from lacewingstair.marks import RolloutKey, TakeBack
 from lacewingstair.platform.log import TICKET_STREAM
 from lacewingstair.rollouts import SETTLE_SECONDS
 from lacewingstair.standins.full_mesh import BAD_SERVICE, GOOD_SERVICE, FullMesh, FullVm
@@ -291,6 +292,42 @@
     return decorate
 
 
+@in_world()
+async def test_a_bad_version_gets_few_calls_and_none_soon_after_its_faults_show(
+    world, mesh
+):
+    await asyncio.sleep(START + 60.0)
+    found = [(at, vm) for at, vm, mark in mesh.decisions if isinstance(mark, TakeBack)]
+    taken_at, decider = min(found, key=lambda entry: entry[0])
+    zone = decider.place.availability_zone
+    calls = [call for call in mesh.calls if call.service == BAD_SERVICE]
+    bad = [call for call in calls if call.version == "v2"]
+    assert bad and len(bad) < 0.02 * len(calls)
+    assert all(c.at <= taken_at + 1.0 for c in bad if c.availability_zone == zone)
+    assert all(c.at <= taken_at + 3.0 for c in bad)
+    assert all(vm.marks.is_taken_back(BAD) for vm in mesh)
+    good = [call for call in mesh.calls if call.service == GOOD_SERVICE]
+    assert any(call.version == "v2" for call in good)
+
+
+# With delays between reads of up to 10 s it took 6 s with seed 28.
+@pytest.mark.parametrize("seed", [0, 1, 28])
+def test_a_ticket_of_an_outage_is_in_force_soon_after_the_log_answers_again(seed):
+    async def main():
+        world = World(seed)
+        await world.start()
+        await asyncio.sleep(10.0)
+        world.mesh.set_log_down(True)
+        await asyncio.sleep(60.0)
+        await world.publish(0)
+        world.mesh.set_log_down(False)
+        await world.in_force_everywhere()
+        await world.mesh.stop()
+        world.monitors.check()
+
+    run_virtual(main())
+
+
 class OneBackendServer:
     """Calls to a VM that end at one backend server in memory."""
 
