--- a/src/lacewingstair/platform/tail.py
+++ b/src/lacewingstair/platform/tail.py
@@ -21,6 +21,10 @@
 POLL_JITTER = 0.25
 MIN_POLL_SECONDS = 1.0
 RETRY_BASE_SECONDS = 0.5
+# Part of the cap that is random. Full jitter of the same mean would leave up to twice
+# the time between two reads, and a ticket is in force within 5 s after an outage.
+RETRY_CAP_JITTER = 0.1
+MAX_ATTEMPT = 10
 # How often a VM looks whether another one has closed its gap.
 GAP_RETRY_SECONDS = 10.0
 
@@ -175,13 +179,16 @@
         )
 
     async def _back_off(self) -> None:
-        delay = full_jitter(
-            self._rng,
-            self._attempt,
-            RETRY_BASE_SECONDS,
-            self._options.retry_cap_seconds,
-        )
-        self._attempt += 1
+        cap_seconds = self._options.retry_cap_seconds
+        if RETRY_BASE_SECONDS * 2**self._attempt < cap_seconds:
+            delay = full_jitter(
+                self._rng, self._attempt, RETRY_BASE_SECONDS, cap_seconds
+            )
+        else:
+            jitter = self._rng.uniform(1.0 - RETRY_CAP_JITTER, 1.0)
+            delay = cap_seconds * jitter
+        # Bounded, since the exponent grows for as long as the outage lasts.
+        self._attempt = min(self._attempt + 1, MAX_ATTEMPT)
         await self._clock.sleep(delay)
 
 
--- a/src/lacewingstair/settings.py
+++ b/src/lacewingstair/settings.py
@@ -296,10 +296,10 @@
     retry_cap_seconds: float = _seconds(
         "platform",
         "retry_cap_seconds",
-        10.0,
+        4.4,
         0.1,
         600,
-        "largest upper bound of the delay between attempts while the log is down",
+        "longest delay between attempts while the log is down",
     )
     log_retention_seconds: float = _seconds(
         "platform",
--- a/src/lacewingstair/standins/mesh_cluster.py
+++ b/src/lacewingstair/standins/mesh_cluster.py
@@ -186,13 +186,13 @@
         Whether receivers decode the bytes of frames.
     eager_trees : int
         Trees on which news is pushed.
+    log_region : str
+        Region that reads the log for all; empty if each reads it.
 
     Attributes
     ----------
     vm_class : type
         What `make_vm` returns.
-    log_region : str
-        Region that reads the log for all; empty if each reads it.
     """
 
     vm_class: type[ClusterVm] = ClusterVm
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -137,6 +137,10 @@
     ),
     "[operator] address": ("10.0.0.1:4", lambda d: interface(d, 2)[0]),
     "[platform] log_url": ("http://10.0.0.9:7", lambda d: d.log._url),
+    "[platform] log_region": (
+        "kostanay",
+        lambda d: d.node._log_region_link._log_region,
+    ),
     "[platform] log_poll_seconds": (7.0, tail("poll_seconds")),
     "[platform] log_timeout_seconds": (7.0, lambda d: d.log._timeout.seconds),
     "[platform] retry_cap_seconds": (
