Bound the bytes of evidence of many rollouts

Change: after a report, as many steps are passed over as keep its counters within 12 for each step of 0.5 s. Reports of one or two rollouts go at every step as before.

Conclusion: the bound holds at the cost of later sums.

--- a/src/lacewingstair/evidence_totals.py
+++ b/src/lacewingstair/evidence_totals.py
@@ -17,6 +17,11 @@
 from lacewingstair.marks import RolloutKey
 from lacewingstair.rollout_view import RolloutView
 
+# A counter takes about 18 B in a report. The root of a zone hears 8 children and 8
+# other zones and sends to 5 links; at this pace that is 9 kB/s of the 13 kB/s that a VM
+# may use for control, however many rollouts are active.
+COUNTERS_PER_STEP = 12
+
 
 @attrs.frozen
 class ZoneGrowth:
@@ -58,6 +63,7 @@
         self._growth = Growth()
         self._zone_growth = Growth()
         self._last_sent: dict[bool, tuple[object, ...] | None] = {}
+        self._steps_to_wait = 0
         transport.on_evidence(self._on_evidence)
         transport.on_child_lost(self._growth.forget)
 
@@ -86,6 +92,9 @@
     ) -> None:
         """Send the totals of the active rollouts if they have changed.
 
+        Called at each step; steps after a long report are passed over, so that its
+        bytes stay within the pace of `COUNTERS_PER_STEP`.
+
         Parameters
         ----------
         active : collection of RolloutKey
@@ -96,6 +105,9 @@
         if not active:
             self._last_sent.clear()
             return
+        if self._steps_to_wait > 0:
+            self._steps_to_wait -= 1
+            return
         is_root = self._transport.is_zone_root()
         # Earlier stages change no more; the one before the present is kept for calls
         # that end late.
@@ -108,6 +120,7 @@
         if self._last_sent.get(is_root) == held:
             return
         self._last_sent = {is_root: held}
+        self._steps_to_wait = (len(held) - 1) // COUNTERS_PER_STEP
         self._sequence += 1
         source = self._vm_id
         if is_root:
--- /dev/null
+++ b/tests/test_evidence_pace.py
@@ -0,0 +1,52 @@
+import pytest
+
+from lacewingstair.evidence import Place, Tally
+from lacewingstair.evidence_totals import COUNTERS_PER_STEP, EvidenceTotals
+from lacewingstair.marks import RolloutKey
+
+
+class EveryRolloutKnown:
+    availability_zone = "zone-1"
+
+    def is_known(self, key):
+        return True
+
+
+class RecordingTransport:
+    def __init__(self):
+        self.reports = []
+
+    def on_evidence(self, listener):
+        pass
+
+    def on_child_lost(self, listener):
+        pass
+
+    def is_zone_root(self):
+        return False
+
+    def send_evidence(self, report):
+        self.reports.append(report)
+
+
+@pytest.mark.parametrize("rollouts", [1, 2, 10, 50])
+def test_counters_sent_stay_within_their_pace_and_none_is_lost(rollouts):
+    """Guards against evidence that exceeds the control bytes of a zone's root."""
+    transport = RecordingTransport()
+    totals = EvidenceTotals("vm-1", EveryRolloutKnown(), transport, 0)
+    keys = [RolloutKey(f"move-{i}", i + 1) for i in range(rollouts)]
+    places = [Place(key, "read", version, 0) for key in keys for version in "ab"]
+    steps = 120
+    for _ in range(steps):
+        for place in places:
+            totals.add(place, Tally(calls=1))
+        totals.send(keys, {})
+    sent = sum(len(report.counters) for report in transport.reports)
+    assert sent <= (steps + len(places)) * COUNTERS_PER_STEP
+    if len(places) <= COUNTERS_PER_STEP:
+        assert len(transport.reports) == steps
+    for _ in range(len(places)):
+        totals.send(keys, {})
+    last = transport.reports[-1]
+    assert {counter.calls for counter in last.counters} == {steps}
+    assert len(last.counters) == len(places)
