Share the strict cattrs hooks of the three decoders

Cause: state_codec.py, vm/messages.py and platform/records.py each had their own copy of the hook that accepts one exact type, two of them also the hook for tuples of fields, and two the one for numbers. A fix to one copy would have missed the others.

Change: strict_structuring.py holds the hooks and a converter between attrs classes and tuples. What differs stays where it is: floats (exact in the state, any number in messages and records), enumerations and base64.

Looked at and left apart, since only constructor and docstring lines are alike: balancing.py and limits.py, vm/evidence_relay.py and vm/reachability.py, vm/failure_detector.py and vm/membership.py.

Conclusion: one place decides what untrusted values are accepted.

--- a/src/lacewingstair/platform/records.py
+++ b/src/lacewingstair/platform/records.py
@@ -16,6 +16,7 @@
 from lacewingstair.errors import InvariantError, SystemRecordError
 from lacewingstair.marks import TakeBack
 from lacewingstair.registry import Registry
+from lacewingstair.strict_structuring import shown, strict, structure_float
 
 record_types: Registry[type] = Registry("system record")
 _kinds_by_type: dict[type, str] = {}
@@ -114,31 +115,16 @@
         return self.writer, self.sequence
 
 
-def _strict(kind: type) -> Callable[[Any, Any], Any]:
-    def structure(value: Any, _: Any) -> Any:
-        if type(value) is not kind:
-            raise ValueError(f"{value!r:.80} is not of type {kind.__name__}")
-        return value
-
-    return structure
-
-
-def _structure_float(value: Any, _: Any) -> float:
-    if type(value) not in (int, float):
-        raise ValueError(f"{value!r:.80} is not a number")
-    return float(value)
-
-
 def _structure_bytes(value: Any, _: Any) -> bytes:
     if type(value) is not str:
-        raise ValueError(f"{value!r:.80} is not base64 text")
+        raise ValueError(f"{shown(value)} is not base64 text")
     return base64.b64decode(value, validate=True)
 
 
 _converter = cattrs.Converter(detailed_validation=False)
 for _kind in (int, str):
-    _converter.register_structure_hook(_kind, _strict(_kind))
-_converter.register_structure_hook(float, _structure_float)
+    _converter.register_structure_hook(_kind, strict(_kind))
+_converter.register_structure_hook(float, structure_float)
 _converter.register_structure_hook(bytes, _structure_bytes)
 _converter.register_unstructure_hook(
     bytes, lambda data: base64.b64encode(data).decode("ascii")
--- a/src/lacewingstair/state_codec.py
+++ b/src/lacewingstair/state_codec.py
@@ -5,8 +5,7 @@
 since neither a peer nor a record of the log is trusted to be well formed.
 """
 
-from collections.abc import Callable, Mapping
-from typing import Any
+from collections.abc import Mapping
 
 import attrs
 import cattrs
@@ -23,6 +22,7 @@
 )
 from lacewingstair.errors import StateCodecError
 from lacewingstair.routes import RouteTable
+from lacewingstair.strict_structuring import tuple_converter
 from lacewingstair.tickets import Rollout, Route, Service
 
 STATE_FORMAT = 1
@@ -60,37 +60,7 @@
 _FORM_FIELDS = tuple(field.name for field in attrs.fields(_StateForm))
 
 
-def _strict(kind: type) -> Callable[[Any, Any], Any]:
-    def structure(value: Any, _: Any) -> Any:
-        if type(value) is not kind:
-            raise ValueError(f"{value!r:.80} is not of type {kind.__name__}")
-        return value
-
-    return structure
-
-
-def _from_tuple(cls: type) -> Callable[[Any, Any], Any]:
-    # cattrs accepts a tuple of another length and fills in defaults.
-    fields = attrs.fields(cls)
-    hooks = [
-        (_converter.get_structure_hook(field.type), field.type) for field in fields
-    ]
-
-    def structure(value: Any, _: Any) -> Any:
-        if type(value) is not tuple or len(value) != len(hooks):
-            raise ValueError(f"{value!r:.80} is not {len(hooks)} {cls.__name__} fields")
-        parts = zip(value, hooks, strict=True)
-        return cls(*(hook(part, target) for part, (hook, target) in parts))
-
-    return structure
-
-
-_converter = cattrs.Converter(
-    unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE, detailed_validation=False
-)
-for _kind in (int, float, str, bytes, bool):
-    _converter.register_structure_hook(_kind, _strict(_kind))
-_converter.register_structure_hook_factory(attrs.has, _from_tuple)
+_converter = tuple_converter(int, float, str, bytes, bool)
 
 
 def encode_state(state: MeshState) -> bytes:
--- a/src/lacewingstair/vm/messages.py
+++ b/src/lacewingstair/vm/messages.py
@@ -5,10 +5,10 @@
 """
 
 from collections.abc import Callable, Iterable
+from enum import IntEnum
 from typing import Any
 
 import attrs
-import cattrs
 import msgpack
 from result import Err, Ok, Result
 
@@ -17,15 +17,20 @@
 from lacewingstair.errors import FrameError, InvariantError
 from lacewingstair.evidence import EvidenceReport
 from lacewingstair.marks import StageMark, TakeBack
+from lacewingstair.strict_structuring import (
+    StructureHook,
+    shown,
+    structure_float,
+    tuple_converter,
+)
 
 PROTOCOL_VERSION = 3
-MAX_TEXT_IN_ERROR = 80
 
 _types_by_code: dict[int, type] = {}
 _codes_by_type: dict[type, int] = {}
 
 
-def message(code: int):
+def message(code: int) -> Callable[[type], type]:
     """Return a decorator that registers a message type under its wire code."""
 
     def register(cls: type) -> type:
@@ -225,62 +230,23 @@
     next_offset: int
 
 
-def _strict(kind: type) -> Callable[[Any, Any], Any]:
-    def structure(value: Any, _: Any) -> Any:
-        if type(value) is not kind:
-            shown = f"{value!r:.{MAX_TEXT_IN_ERROR}}"
-            raise ValueError(f"{shown} is not of type {kind.__name__}")
-        return value
-
-    return structure
-
-
-def _structure_float(value: Any, _: Any) -> float:
-    if type(value) not in (int, float):
-        raise ValueError(f"{value!r:.{MAX_TEXT_IN_ERROR}} is not a number")
-    return float(value)
-
-
-def _from_number(cls: type) -> Callable[[Any, Any], Any]:
+def _from_number(cls: type[IntEnum]) -> StructureHook:
     members_by_number = {int(member): member for member in cls}
 
     def structure(value: Any, _: Any) -> Any:
         member = members_by_number.get(value) if type(value) is int else None
         if member is None:
-            shown = f"{value!r:.{MAX_TEXT_IN_ERROR}}"
-            raise ValueError(f"{shown} is not a {cls.__name__}")
+            raise ValueError(f"{shown(value)} is not a {cls.__name__}")
         return member
 
     return structure
 
 
-def _from_tuple(cls: type) -> Callable[[Any, Any], Any]:
-    # cattrs accepts a tuple of another length and fills in defaults.
-    fields = attrs.fields(cls)
-    hooks = [
-        (_converter.get_structure_hook(field.type), field.type) for field in fields
-    ]
-
-    def structure(value: Any, _: Any) -> Any:
-        if type(value) is not tuple or len(value) != len(hooks):
-            shown = f"{value!r:.{MAX_TEXT_IN_ERROR}}"
-            raise ValueError(f"{shown} is not {len(hooks)} {cls.__name__} fields")
-        parts = zip(value, hooks, strict=True)
-        return cls(*(hook(part, target) for part, (hook, target) in parts))
-
-    return structure
-
-
-_converter = cattrs.Converter(
-    unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE, detailed_validation=False
-)
-for _kind in (int, str, bytes, bool):
-    _converter.register_structure_hook(_kind, _strict(_kind))
-_converter.register_structure_hook(float, _structure_float)
+_converter = tuple_converter(int, str, bytes, bool)
+_converter.register_structure_hook(float, structure_float)
 for _kind in (EndpointState, VmStatus):
     # Without a hook of their own they would be taken for int.
     _converter.register_structure_hook(_kind, _from_number(_kind))
-_converter.register_structure_hook_factory(attrs.has, _from_tuple)
 
 _DECODE_ERRORS = (
     ValueError,
