Use standard terms in names, comments and docstrings

Cause: some names and comments were figurative ("news", "nobody", "convict", "greet", "welcome", "beside", LinkKeeper), and some private data classes and constants had no meaning or unit.

Docstrings state what fields and constants are, with units. Log events and texts of verdicts are unchanged. The tests only follow the new name BadnessTest.

--- a/src/lacewingstair/acceptance.py
+++ b/src/lacewingstair/acceptance.py
@@ -36,7 +36,7 @@
 
 
 class Verdict(enum.Enum):
-    """What became of one record of the log."""
+    """How one record of the log was decided."""
 
     ACCEPTED = "accepted"
     DUPLICATE = "duplicate"
@@ -61,7 +61,7 @@
 
 @attrs.frozen
 class Decision:
-    """What became of one record, and why.
+    """How one record of the log was decided, with the faults found.
 
     Parameters
     ----------
@@ -128,7 +128,7 @@
 
 
 def fold(state: MeshState, record: TicketRecord) -> tuple[MeshState, Decision]:
-    """Return the state after one more record, and what became of the record.
+    """Return the state after one more record, and its decision.
 
     A record below `state.next_offset` leaves the state as it is and counts as a
     duplicate.
--- a/src/lacewingstair/backend_server/pool.py
+++ b/src/lacewingstair/backend_server/pool.py
@@ -85,7 +85,7 @@
         connection.abort()
 
     def discard(self, address: str, connection: UpstreamConnection) -> None:
-        """Close a connection at once, so that a late answer reaches nobody."""
+        """Close a connection at once, so that a late answer reaches no caller."""
         connection.force_close()
         self.release(address, connection)
 
--- a/src/lacewingstair/balancing.py
+++ b/src/lacewingstair/balancing.py
@@ -14,6 +14,7 @@
 from lacewingstair.limits import ConcurrencyLimit
 from lacewingstair.runtime import Clock
 
+# Weight of the newest call in the moving averages (EWMA).
 LATENCY_WEIGHT = 0.1
 FAILURE_WEIGHT = 0.05
 INITIAL_LATENCY_SECONDS = 0.005
@@ -94,7 +95,15 @@
 
 
 class Group:
-    """The ready upstreams of one version of a service, by tier."""
+    """The ready upstreams of one version of a service, by tier.
+
+    Attributes
+    ----------
+    tiers : list of list of Upstream
+        Upstreams by tier, the nearest first.
+    ejected : int
+        Upstreams that are ejected.
+    """
 
     def __init__(self) -> None:
         self.tiers: list[list[Upstream]] = [[] for _ in range(TIERS)]
--- a/src/lacewingstair/limits.py
+++ b/src/lacewingstair/limits.py
@@ -1,4 +1,4 @@
-"""Limits that keep a short service useful: concurrency, admission and retries."""
+"""Limits on the load of a service: concurrency, admission and retries."""
 
 import random
 from collections import Counter
@@ -17,9 +17,10 @@
 RETRY_BURST_SECONDS = 10.0
 
 ADMIT_MIN = 0.02
-# What is admitted beyond what was served, to find out whether capacity has returned.
+# Factor by which admission exceeds what was served, to detect returned capacity.
 ADMIT_PROBE = 1.02
-# Added to it for each interval in a row without a refusal, so that recovery is fast.
+# Added to `ADMIT_PROBE` for each interval in a row without a refusal, so that recovery
+# is fast.
 ADMIT_PROBE_STEP = 0.02
 ADMIT_SMOOTHING = 0.5
 DEMAND_HALF_LIFE_SECONDS = 5.0
@@ -33,7 +34,7 @@
 
     The limit rises with answers and falls when the upstream refuses a call or lets one
     time out, at most once in a window of as many outcomes as the limit: the refusals of
-    one burst are one piece of news. Latency does not lower it, since the service times
+    one burst count once. Latency does not lower it, since the service times
     of one upstream differ too much from call to call.
 
     Parameters
@@ -98,7 +99,17 @@
 
 @attrs.frozen
 class _Share:
-    """What part of the calls of one worth is admitted."""
+    """Admission of the calls of one worth.
+
+    Parameters
+    ----------
+    admitted : float
+        Part of these calls that is admitted, 0 to 1.
+    level : float
+        Calls that each customer may have admitted, in the unit of the demand.
+    demand_by_customer : dict
+        Recent calls of each customer, decaying.
+    """
 
     admitted: float
     level: float
--- a/src/lacewingstair/marks.py
+++ b/src/lacewingstair/marks.py
@@ -61,7 +61,7 @@
     key : RolloutKey
         The rollout.
     reason : str
-        What convicted the version, for the report.
+        What the version does worse, for the report.
     evidence : str
         Figures behind the verdict, for the report.
     at : float
@@ -103,7 +103,7 @@
         return {place: mark.stage for place, mark in self.marks_by_place.items()}
 
     def merge_stage(self, mark: StageMark) -> bool:
-        """Keep the higher stage; return whether the mark was news."""
+        """Keep the higher stage; return whether it changed."""
         place = (mark.key, mark.availability_zone, mark.route)
         held = self.marks_by_place.get(place)
         if mark.stage < 0 or not self._is_live(mark.key) or not _is_valid(mark.at):
@@ -115,7 +115,7 @@
         return True
 
     def merge_take_back(self, mark: TakeBack) -> bool:
-        """Keep the earliest take-back of a rollout; return whether it was news."""
+        """Keep the earliest take-back of a rollout; return whether it changed."""
         if not self._is_live(mark.key) or not _is_valid(mark.at):
             return False
         held = self.take_backs_by_key.get(mark.key)
--- a/src/lacewingstair/operator/report.py
+++ b/src/lacewingstair/operator/report.py
@@ -175,9 +175,9 @@
     if not held:
         reason = f"waits for endpoints of {rollout.to_version}"
         return attrs.evolve(entry, reason=reason)
-    whole_from = schedule.whole_from(rollout)
-    if is_done(routes, held) and now >= whole_from:
-        since = _time(max(whole_from, *(mark.at for mark in held)))
+    all_calls_from = schedule.all_calls_from(rollout)
+    if is_done(routes, held) and now >= all_calls_from:
+        since = _time(max(all_calls_from, *(mark.at for mark in held)))
         return attrs.evolve(entry, state=MoveState.DONE, since=since)
     since = _time(min(mark.at for mark in held))
     return attrs.evolve(entry, state=MoveState.IN_PROGRESS, since=since)
@@ -208,8 +208,10 @@
 
 def _waits_for(rollout: Rollout, mark: StageMark, now: float) -> str:
     if mark.stage >= schedule.FINAL_STAGE:
-        whole_from = schedule.whole_from(rollout)
-        return "" if now >= whole_from else f"the last calls, {_time(whole_from)}"
+        all_calls_from = schedule.all_calls_from(rollout)
+        return (
+            "" if now >= all_calls_from else f"the last calls, {_time(all_calls_from)}"
+        )
     step = schedule.next_step(rollout, mark.stage, mark.at, now)
     if step is schedule.Step.NOT_YET:
         due = schedule.next_due(rollout, mark.stage, mark.at)
--- a/src/lacewingstair/overlay.py
+++ b/src/lacewingstair/overlay.py
@@ -1,8 +1,8 @@
 """Overlay: neighbours, relays and log readers, worked out from the directory.
 
-Every VM derives its own links from its own directory; nobody is elected. The order of
-the VMs is kept sorted and changes only with the set of live VMs, so that a change costs
-two hashes and two insertions and a heartbeat costs nothing.
+Every VM derives its own links from its own directory; there is no election. The order
+of the VMs is kept sorted and changes only with the set of live VMs, so that a change
+costs two hashes and two insertions and a heartbeat costs nothing.
 """
 
 import bisect
@@ -32,8 +32,8 @@
     vm_ids : tuple of str
         VMs to try in turn; a link between zones has the zone's relays.
     is_eager : bool
-        Whether news is sent at once. A lazy link carries heartbeats and pulls when the
-        digests still differ after one interval.
+        Whether updates are sent at once. A lazy link carries heartbeats and pulls when
+        the digests still differ after one interval.
     """
 
     key: str
@@ -103,7 +103,7 @@
     own : VmRecord
         The VM.
     eager_trees : int
-        Number of trees on whose links news is pushed; the others are lazy.
+        Number of trees on whose links updates are pushed; the others are lazy.
 
     Attributes
     ----------
--- a/src/lacewingstair/platform/status.py
+++ b/src/lacewingstair/platform/status.py
@@ -1,4 +1,4 @@
-"""Status of the way to the log, for the operator's status page."""
+"""Status of the connection to the log, for the operator's status page."""
 
 import attrs
 from result import Err, Result
--- a/src/lacewingstair/platform/system_view.py
+++ b/src/lacewingstair/platform/system_view.py
@@ -1,4 +1,4 @@
-"""What the system stream says: lease, checkpoints and take-back marks.
+"""State that the system stream defines: lease, checkpoints and take-back marks.
 
 The view is a deterministic fold of the stream's records and of their log times. Nothing
 here reads a clock, so that readers of the same records agree on who holds the lease.
--- a/src/lacewingstair/probes.py
+++ b/src/lacewingstair/probes.py
@@ -15,7 +15,7 @@
 PROBE_NEW_CALLS = 20
 PROBE_OLD_CALLS = 100
 PROBE_AGE_SECONDS = 10.0
-# Fewer recent calls of the old version than this say less than its last ones.
+# With fewer recent calls of the old version, its last calls of any age are used.
 PROBE_MIN_OLD_CALLS = 10
 # A probe lasts this long after its cause, so that it does not end with the first few
 # old calls that it brings.
--- a/src/lacewingstair/rollout_view.py
+++ b/src/lacewingstair/rollout_view.py
@@ -1,4 +1,4 @@
-"""What the configuration and the marks in force say about rollouts in one zone."""
+"""Rollouts of the configuration with their marks in one availability zone."""
 
 from lacewingstair import schedule
 from lacewingstair.acceptance import MeshState
--- a/src/lacewingstair/rollouts.py
+++ b/src/lacewingstair/rollouts.py
@@ -121,7 +121,7 @@
         self._plans.record(outcome)
 
     def _current(self, service: str) -> str:
-        # The service may have gone with a ticket that came during the call.
+        # A ticket accepted during the call may have removed the service.
         held = self._store.state.services.get(service)
         return "" if held is None else held.current
 
--- a/src/lacewingstair/schedule.py
+++ b/src/lacewingstair/schedule.py
@@ -8,7 +8,7 @@
 FINAL_STAGE = len(STAGE_SHARES) - 1
 EARLIEST_PARTS = (0.0, 0.2, 0.4, 0.6, 0.8)
 # A stage without enough calls for a verdict is left at these parts of the window, so
-# that a version that nothing speaks against is moved before `end_by`.
+# that a version that is not suspicious is moved before `end_by`.
 LATEST_PARTS = (0.0, 0.25, 0.5, 0.7, 0.88)
 # A suspicious version stays in a stage at most until these parts of the window, from
 # which it can still climb through the stages that are left.
@@ -28,7 +28,7 @@
 
 
 class Step(enum.Enum):
-    """What the schedule says about the next stage."""
+    """Whether the schedule allows the next stage."""
 
     NOT_YET = "not yet"
     IF_CLEARED = "if cleared"
@@ -40,7 +40,7 @@
     return rollout.end_by - rollout.start
 
 
-def whole_from(rollout: Rollout) -> float:
+def all_calls_from(rollout: Rollout) -> float:
     """Return the time from which the final stage sends all calls to the new version."""
     return rollout.start + CONTROL_PART * window(rollout)
 
@@ -54,7 +54,7 @@
     """
     if now < rollout.start:
         return 0.0
-    if stage >= FINAL_STAGE and now >= whole_from(rollout):
+    if stage >= FINAL_STAGE and now >= all_calls_from(rollout):
         return 1.0
     share = _share_of_stage(rollout, stage)
     before = _share_of_stage(rollout, stage - 1) if stage > 0 else 0.0
@@ -65,7 +65,7 @@
 
 def full_share(rollout: Rollout, stage: int, now: float) -> float:
     """Return the share that a stage climbs to, from 0 to 1."""
-    if stage >= FINAL_STAGE and now >= whole_from(rollout):
+    if stage >= FINAL_STAGE and now >= all_calls_from(rollout):
         return 1.0
     return _share_of_stage(rollout, stage)
 
--- a/src/lacewingstair/sequential_tests.py
+++ b/src/lacewingstair/sequential_tests.py
@@ -3,9 +3,9 @@
 Each test compares the ratio of bad calls of the old and the new version in the same
 block of calls. The factor of a block has an expected value of at most one whenever the
 null hypothesis holds in that block, whatever the common ratio is, so overload that hits
-both versions alike convicts nobody. The capital that a product of such factors builds
-up exceeds ``1 / alpha`` with a probability of at most ``alpha``, however often it is
-looked at (Ville's inequality).
+both versions alike makes neither look worse. The capital that a product of such factors
+builds up exceeds ``1 / alpha`` with a probability of at most ``alpha``, however often
+it is looked at (Ville's inequality).
 """
 
 import math
@@ -17,6 +17,7 @@
 NEWTON_STEPS = 40
 # An error of 1e-7 raises the expected factor of a block of 100,000 calls to 1.005.
 PROJECTION_TOLERANCE = 1e-12
+# Calls that the estimate of the old version's ratio weighs; older ones fade out.
 FORGETTING_CALLS = 2000.0
 
 
@@ -152,7 +153,7 @@
 
 
 @attrs.define
-class Conviction:
+class BadnessTest:
     """Capital that grows while the new version is worse than allowed.
 
     The starting capital of one is invested in parts over the life of the rollout, so
--- a/src/lacewingstair/standins/memory_network.py
+++ b/src/lacewingstair/standins/memory_network.py
@@ -313,7 +313,7 @@
         self.bytes_received = 0
 
     async def connect(self, address: str) -> Result[MessageStream, ConnectError]:
-        """Open a stream; an address that nobody listens on refuses."""
+        """Open a stream; an address without a listener refuses."""
         target = self._network.find(address)
         place = target.place if target is not None else self.place
         if self._network.is_cut(self.place, place):
--- a/src/lacewingstair/standins/mesh_cluster.py
+++ b/src/lacewingstair/standins/mesh_cluster.py
@@ -184,7 +184,7 @@
     decodes : bool
         Whether receivers decode the bytes of frames.
     eager_trees : int
-        Trees on which news is pushed.
+        Trees on which updates are pushed.
 
     Attributes
     ----------
--- a/src/lacewingstair/trials.py
+++ b/src/lacewingstair/trials.py
@@ -168,5 +168,5 @@
     def _phase(self, key: RolloutKey, trial: Trial, route: str, wall: float) -> int:
         """Return the stage, or one more when a route has moved and is monitored."""
         stage = self._view.stage(key, route)
-        is_over = wall >= schedule.whole_from(trial.rollout)
+        is_over = wall >= schedule.all_calls_from(trial.rollout)
         return stage + (is_over and stage == schedule.FINAL_STAGE)
--- a/src/lacewingstair/verdicts.py
+++ b/src/lacewingstair/verdicts.py
@@ -13,9 +13,9 @@
 
 from lacewingstair.evidence import Place, Tally
 from lacewingstair.sequential_tests import (
+    BadnessTest,
     Block,
     Clearance,
-    Conviction,
     OldRatio,
     badness_factors,
     soundness_factor,
@@ -122,7 +122,7 @@
 
 @attrs.frozen
 class Verdict:
-    """Conviction of the new version."""
+    """Finding that the new version is bad, with the figures behind it."""
 
     reason: str
     evidence: str
@@ -130,6 +130,8 @@
 
 @attrs.define
 class _Pending:
+    """Calls of a block that is not closed yet; `since` is in monotonic seconds."""
+
     since: float
     old: Tally = attrs.field(factory=Tally)
     new: Tally = attrs.field(factory=Tally)
@@ -159,7 +161,7 @@
     routes : tuple of str
         Routes of its service.
     error_rate : float
-        Probability with which this scope may convict a good version.
+        Probability with which this scope may find a good version to be bad.
     life_seconds : float
         Time from start to the end of monitoring.
     """
@@ -178,11 +180,11 @@
             (name, s): -math.log(error_rate * s.weight / (len(routes) if name else 1))
             for name, s in self._tests()
         }
-        self._convictions = {
-            (name, s): Conviction(len(s.bets(rollout))) for name, s in self._tests()
+        self._badness_tests = {
+            (name, s): BadnessTest(len(s.bets(rollout))) for name, s in self._tests()
         }
         self._ratios = {(name, s): OldRatio(s.prior) for name, s in self._tests()}
-        self._figures = {test: _Figures() for test in self._convictions}
+        self._figures = {test: _Figures() for test in self._badness_tests}
         self._pending: dict[tuple[str, str, int], _Pending] = {}
         self._clearances: dict[tuple[str, int, Statistic], Clearance] = {}
         self._stages_seen: set[tuple[str, int]] = set()
@@ -196,13 +198,13 @@
             self._stages_seen.add((scope, stage))
             for statistic in STATISTICS:
                 part = PART_AT_START if is_first else PART_PER_STAGE
-                self._convictions[scope, statistic].invest(part)
+                self._badness_tests[scope, statistic].invest(part)
 
     def pass_time(self, seconds: float) -> None:
         """Put capital at risk for the time passed."""
         part = PART_OVER_TIME * seconds / self._life_seconds
-        for conviction in self._convictions.values():
-            conviction.invest(part)
+        for badness_test in self._badness_tests.values():
+            badness_test.invest(part)
 
     def add(self, source: str, place: Place, tally: Tally, now: float) -> None:
         """Take the growth of one counter.
@@ -262,11 +264,11 @@
                 self._take(route, stage, statistic, block)
 
     def verdict(self) -> Verdict | None:
-        """Return the conviction with the most capital, or None."""
-        test = max(self._convictions, key=self._excess)
+        """Return the verdict of the test furthest above its threshold, or None."""
+        test = max(self._badness_tests, key=self._excess)
         if self._excess(test) < 0:
             return None
-        capital = self._convictions[test].log_capital
+        capital = self._badness_tests[test].log_capital
         scope, statistic = test
         where = f"on route {scope}" if scope != ALL_ROUTES else "over all routes"
         block = self._figures[test].block
@@ -276,13 +278,13 @@
         return Verdict(reason, evidence)
 
     def _excess(self, test: tuple[str, Statistic]) -> float:
-        return self._convictions[test].log_capital - self._log_thresholds[test]
+        return self._badness_tests[test].log_capital - self._log_thresholds[test]
 
     @property
     def is_suspicious(self) -> bool:
-        """Whether something speaks against the version without convicting it."""
+        """Whether a test has much capital, though perhaps not enough for a verdict."""
         return any(
-            c.log_capital > SUSPICIOUS_LOG_CAPITAL for c in self._convictions.values()
+            b.log_capital > SUSPICIOUS_LOG_CAPITAL for b in self._badness_tests.values()
         )
 
     def is_cleared(self, route: str, stage: int) -> bool:
@@ -317,7 +319,7 @@
         margin = statistic.margin(rollout)
         factors = badness_factors(block, ratio.value, margin, bets)
         for scope in (route, ALL_ROUTES):
-            self._convictions[scope, statistic].add(factors)
+            self._badness_tests[scope, statistic].add(factors)
             self._figures[scope, statistic].block += block
         factor = soundness_factor(block, ratio.value, statistic.bad_increase(rollout))
         self._clearance(route, stage, statistic).add(factor)
--- a/src/lacewingstair/vm/dissemination.py
+++ b/src/lacewingstair/vm/dissemination.py
@@ -116,6 +116,8 @@
 
 @attrs.frozen
 class _Pending:
+    """A record to pass on to all push targets but its source."""
+
     record: VmRecord
     source: Peer | None
 
--- a/src/lacewingstair/vm/evidence_relay.py
+++ b/src/lacewingstair/vm/evidence_relay.py
@@ -1,4 +1,4 @@
-"""Carrying evidence up the first tree and between the roots of zones."""
+"""Transport of evidence up the first tree and between the roots of zones."""
 
 from collections.abc import Callable
 
@@ -13,11 +13,13 @@
 
 # A new root of a zone counts its reports from the start again, so an older sequence is
 # accepted after this time.
-SEQUENCE_LAPSE_SECONDS = 3.0
+SEQUENCE_EXPIRY_SECONDS = 3.0
 
 
 @attrs.frozen
 class _Seen:
+    """Last report of a zone: its number and its arrival in monotonic seconds."""
+
     sequence: int
     at: float
 
@@ -86,8 +88,8 @@
     def _pass_on(self, report: EvidenceReport, source: Peer | None) -> None:
         body = messages.Evidence(report)
         for peer in self._peers:
-            is_beside = peer.availability_zone != self._own.availability_zone
-            if is_beside and self._peers.is_push_target(peer, source):
+            is_other_zone = peer.availability_zone != self._own.availability_zone
+            if is_other_zone and self._peers.is_push_target(peer, source):
                 peer.stream.send(body)
         is_from_zone = source is None or (
             source.availability_zone == self._own.availability_zone
@@ -106,8 +108,8 @@
         now = self._clock.monotonic()
         seen = self._seen_by_zone.get(report.source)
         if seen is not None and report.sequence <= seen.sequence:
-            is_lapsed = now - seen.at > SEQUENCE_LAPSE_SECONDS
-            if not is_lapsed:
+            is_expired = now - seen.at > SEQUENCE_EXPIRY_SECONDS
+            if not is_expired:
                 return False
         self._seen_by_zone[report.source] = _Seen(report.sequence, now)
         return True
--- a/src/lacewingstair/vm/failure_detector.py
+++ b/src/lacewingstair/vm/failure_detector.py
@@ -1,7 +1,7 @@
 """Suspicion and death of VMs of the own availability zone.
 
 A suspected VM that does not refute by a higher incarnation is declared dead. VMs of
-other zones are never suspected, so that a partition between zones declares nobody dead.
+other zones are never suspected, so that a partition between zones declares no VM dead.
 """
 
 from collections.abc import Callable
@@ -22,6 +22,8 @@
 
 @attrs.frozen
 class _Deadline:
+    """When a VM is declared dead, in monotonic seconds, if it does not refute."""
+
     incarnation: int
     at: float
 
@@ -68,7 +70,7 @@
         self._set_deadline(record, SUSPICION_SECONDS)
 
     def tick(self) -> None:
-        """Declare dead whose time is up and drop tombstones that have expired."""
+        """Declare VMs dead at their deadlines and drop expired tombstones."""
         now = self._clock.monotonic()
         for vm_id, deadline in list(self._deadlines_by_vm_id.items()):
             if deadline.at <= now:
--- a/src/lacewingstair/vm/links.py
+++ b/src/lacewingstair/vm/links.py
@@ -54,7 +54,7 @@
     targets : tuple of Target
         VMs to try in turn.
     is_eager : bool
-        Whether news is pushed over it.
+        Whether updates are pushed over it.
     """
 
     key: str
@@ -94,7 +94,7 @@
         ...
 
 
-class LinkKeeper:
+class LinkManager:
     """Keeps the wanted connections open and accepts those of other VMs.
 
     Parameters
@@ -203,12 +203,12 @@
             return False
         stream = connected.ok_value
         try:
-            greeted = await self._greet(stream, True, is_eager)
-            if isinstance(greeted, Err):
-                if greeted.err_value is _NoPeer.SILENT:
+            handshake = await self._handshake(stream, True, is_eager)
+            if isinstance(handshake, Err):
+                if handshake.err_value is _NoPeer.SILENT:
                     self._listener.on_unreachable(target.vm_id)
                 return False
-            peer = greeted.ok_value
+            peer = handshake.ok_value
             if target.vm_id not in ("", peer.vm_id):
                 # Another VM has taken over the address.
                 self._listener.on_unreachable(target.vm_id)
@@ -226,20 +226,20 @@
         self._accepted += 1
         self._is_full = self._is_full and self._accepted > self._max_accepted // 2
         try:
-            greeted = await self._greet(stream, False, True)
-            if isinstance(greeted, Ok):
-                await self._serve(greeted.ok_value)
+            handshake = await self._handshake(stream, False, True)
+            if isinstance(handshake, Ok):
+                await self._serve(handshake.ok_value)
         finally:
             self._accepted -= 1
             stream.close()
 
     def _report_full(self) -> None:
-        # One line for a rush of connections, not one for each of them.
+        # One line for many connections at once, not one for each of them.
         if not self._is_full:
             self._is_full = True
             events.warning("connections_refused", limit=self._max_accepted)
 
-    async def _greet(
+    async def _handshake(
         self, stream: MessageStream, is_opened_here: bool, is_eager: bool
     ) -> Result[Peer, "_NoPeer"]:
         own = self._own()
@@ -263,7 +263,7 @@
             _log_end("", received.err_value)
             return Err(_NoPeer.SILENT)
         hello = received.ok_value
-        if not self._is_welcome(hello):
+        if not self._is_accepted(hello):
             return Err(_NoPeer.REFUSED)
         peer = Peer(
             vm_id=hello.vm_id,
@@ -276,7 +276,7 @@
         )
         return Ok(peer)
 
-    def _is_welcome(self, hello: Any) -> bool:
+    def _is_accepted(self, hello: Any) -> bool:
         if isinstance(hello, messages.Full):
             events.debug("peer_full")
             self._listener.on_refused(hello.addresses)
--- a/src/lacewingstair/vm/membership.py
+++ b/src/lacewingstair/vm/membership.py
@@ -15,7 +15,7 @@
 
 
 class Membership:
-    """Owns the record of this VM and refutes what others wrongly say of it.
+    """Owns the record of this VM and refutes records of it that are wrong.
 
     Parameters
     ----------
@@ -51,7 +51,7 @@
         self._announce(self.own)
 
     def accept(self, record: VmRecord) -> bool:
-        """Merge a record received from a peer; return whether it was news."""
+        """Merge a record received from a peer; return whether it was newer."""
         if record.incarnation > MAX_INCARNATION:
             events.warning("record_refused", vm=record.vm_id, reason="incarnation")
             return False
@@ -77,7 +77,7 @@
         is_other_process = record.address != self.own.address
         if is_other_process and record.incarnation > self.own.incarnation:
             # The process that started later keeps the id; refuting it would make the
-            # two raise their incarnations against each other for ever.
+            # two raise their incarnations against each other without end.
             if record.status is not VmStatus.DEAD:
                 self.report_conflict(record.address)
             return self._directory.merge(record)
--- a/src/lacewingstair/vm/messages.py
+++ b/src/lacewingstair/vm/messages.py
@@ -120,7 +120,7 @@
 @message(7)
 @attrs.frozen
 class DirectoryDelta:
-    """Records of VMs that may be news to the peer."""
+    """Records of VMs that the peer may lack."""
 
     records: tuple[VmRecord, ...]
 
@@ -147,7 +147,7 @@
 @message(10)
 @attrs.frozen
 class MarksDelta:
-    """Marks that may be news to the peer."""
+    """Marks that the peer may lack."""
 
     stages: tuple[StageMark, ...] = ()
     take_backs: tuple[TakeBack, ...] = ()
--- a/src/lacewingstair/vm/neighbours.py
+++ b/src/lacewingstair/vm/neighbours.py
@@ -5,16 +5,18 @@
 from lacewingstair.runtime import Clock
 from lacewingstair.vm import messages
 from lacewingstair.vm.discovery import Discovery
-from lacewingstair.vm.links import Dial, LinkKeeper, Target
+from lacewingstair.vm.links import Dial, LinkManager, Target
 from lacewingstair.vm.peers import Peer, PeerTable
 from lacewingstair.vm.reachability import Reachability
 
+# This VM connects to a child that has not connected for this long.
 CHILD_GRACE_SECONDS = 3.0
+# Ticks in a row for which a connection is unwanted before it is closed.
 UNWANTED_TICKS = 3
 
 
 class Neighbours:
-    """Opens the links of the overlay, calls on missing children, closes the rest.
+    """Opens the links of the overlay and those to missing children, closes others.
 
     Parameters
     ----------
@@ -24,12 +26,12 @@
         Gives parents, children and relays.
     peers : PeerTable
         Open links.
-    links : LinkKeeper
+    links : LinkManager
         Opens connections.
     discovery : Discovery
         Gives contacts.
     reachability : Reachability
-        Tells which zones are lost.
+        Gives the zones that are lost.
     clock : Clock
         Time.
     """
@@ -39,7 +41,7 @@
         directory: Directory,
         overlay: Overlay,
         peers: PeerTable,
-        links: LinkKeeper,
+        links: LinkManager,
         discovery: Discovery,
         reachability: Reachability,
         clock: Clock,
--- a/src/lacewingstair/vm/node.py
+++ b/src/lacewingstair/vm/node.py
@@ -24,7 +24,7 @@
 )
 from lacewingstair.vm.evidence_relay import EvidenceRelay
 from lacewingstair.vm.failure_detector import FailureDetector
-from lacewingstair.vm.links import MAX_ACCEPTED_CONNECTIONS, LinkKeeper
+from lacewingstair.vm.links import MAX_ACCEPTED_CONNECTIONS, LinkManager
 from lacewingstair.vm.membership import Membership
 from lacewingstair.vm.neighbours import Neighbours
 from lacewingstair.vm.peers import Peer, PeerTable
@@ -39,7 +39,8 @@
 SILENCE_SECONDS = 3.0
 # A longer time between two heartbeats of this VM means that it was itself paused.
 PAUSE_SECONDS = 2.5
-# A VM that hears nobody is more likely cut off than the only one alive.
+# A VM that receives nothing from any peer is more likely cut off than the only live
+# one. It suspects no VM until this time has passed.
 ISOLATION_SECONDS = 30.0
 
 
@@ -61,7 +62,7 @@
     clock, rng
         Time and randomness.
     eager_trees : int
-        Trees of the zone on which news is pushed.
+        Trees of the zone on which updates are pushed.
 
     Attributes
     ----------
@@ -113,7 +114,7 @@
         self._discovery = Discovery(
             own, contacts, directory, self._detector.dead_addresses, clock, rng
         )
-        self._links = LinkKeeper(
+        self._links = LinkManager(
             mesh,
             lambda: self.own,
             transport,
@@ -230,7 +231,7 @@
         records = [self.own]
         held = self._directory.get(peer.vm_id)
         if held is not None and held.status is not VmStatus.ALIVE:
-            # The peer answers and can refute what is said of it.
+            # The peer is live and can refute the status in this record.
             records.append(held)
         peer.stream.send(messages.DirectoryDelta(tuple(records)))
         peer.send_heartbeat(self.repair.heartbeat())
--- a/src/lacewingstair/vm/peers.py
+++ b/src/lacewingstair/vm/peers.py
@@ -1,4 +1,4 @@
-"""Open connections to other VMs and the rule of who gets news at once."""
+"""Open connections to other VMs and the rule of which of them get updates at once."""
 
 from collections.abc import Iterator
 from typing import Any
@@ -9,6 +9,8 @@
 from lacewingstair.vm.messages import Heartbeat, Unchanged
 from lacewingstair.vm.transport import MessageStream
 
+# A connection that has been silent for this much longer than a new one to the same VM
+# is replaced by it.
 FRESH_SECONDS = 1.5
 _UNCHANGED = Unchanged()
 
@@ -28,7 +30,7 @@
     is_opened_here : bool
         Whether this VM opened the connection.
     is_eager : bool
-        Whether news is pushed.
+        Whether updates are pushed.
     sent_heartbeat, received_heartbeat : Heartbeat or None
         Last heartbeat in each direction.
     state_lag, directory_lag, marks_lag : int
@@ -105,16 +107,16 @@
         return True
 
     def push(self, body: Any, source: Peer | None) -> None:
-        """Send news to the peers that get it from this VM at once."""
+        """Send an update to the peers that get it from this VM at once."""
         for peer in self:
             if self.is_push_target(peer, source):
                 peer.stream.send(body)
 
     def is_push_target(self, peer: Peer, source: Peer | None) -> bool:
-        """Return whether news from `source`, or of this VM, is pushed to `peer`.
+        """Return whether updates from `source`, or of this VM, go to `peer` at once.
 
-        The zones of a region, and the regions, are each linked pair by pair. News from
-        one of them reaches the others directly, so that it crosses each link once.
+        The zones of a region, and the regions, are each linked pair by pair. An update
+        from one of them reaches the others directly, so that it crosses each link once.
         """
         if peer is source or not peer.is_eager:
             return False
@@ -124,8 +126,8 @@
         if source.region != own.region:
             return peer.region == own.region
         if source.availability_zone != own.availability_zone:
-            is_beside = peer.availability_zone != own.availability_zone
-            return not (is_beside and peer.region == own.region)
+            is_other_zone = peer.availability_zone != own.availability_zone
+            return not (is_other_zone and peer.region == own.region)
         return True
 
     def _keeps(self, held: Peer, peer: Peer) -> bool:
--- a/src/lacewingstair/vm/snapshot_client.py
+++ b/src/lacewingstair/vm/snapshot_client.py
@@ -23,6 +23,8 @@
 
 @attrs.define(eq=False)
 class _Fetch:
+    """A snapshot being received; `give_up_at` is in monotonic seconds."""
+
     peer: Peer
     give_up_at: float
     assembler: SnapshotAssembler = attrs.field(factory=SnapshotAssembler)
--- a/src/lacewingstair/vm/snapshot_server.py
+++ b/src/lacewingstair/vm/snapshot_server.py
@@ -16,13 +16,15 @@
 
 SNAPSHOT_SLOTS = 4
 RETRY_AFTER_MS = 500
-# What changes while a snapshot is reused reaches the receiver as news or is repaired
+# What changes while a snapshot is reused reaches the receiver as updates or is repaired
 # by digests.
 REUSE_SECONDS = 2.0
 
 
 @attrs.frozen
 class _Built:
+    """An encoded snapshot, built at `at` in monotonic seconds; -1: without state."""
+
     next_offset: int
     with_directory: bool
     at: float
--- a/tests/test_sequential_tests.py
+++ b/tests/test_sequential_tests.py
@@ -5,8 +5,8 @@
 from hypothesis import strategies as st
 
 from lacewingstair.sequential_tests import (
+    BadnessTest,
     Block,
-    Conviction,
     badness_factors,
     log_factor,
     project,
@@ -70,11 +70,11 @@
 
 @given(st.lists(st.floats(-0.1, 0.5), max_size=50))
 def test_no_more_than_the_starting_capital_is_put_at_risk(parts):
-    conviction = Conviction(bets=3)
+    badness_test = BadnessTest(bets=3)
     for part in parts:
-        conviction.invest(part)
-    assert conviction.invested <= 1.0
-    assert conviction.log_capital <= 1e-9
+        badness_test.invest(part)
+    assert badness_test.invested <= 1.0
+    assert badness_test.log_capital <= 1e-9
 
 
 def test_a_factor_is_the_likelihood_ratio_of_the_bet():
@@ -95,14 +95,14 @@
 
 def test_capital_put_at_risk_late_is_not_spent_by_earlier_good_calls():
     # Guards against faults that start late being masked by a long good time.
-    early = Conviction(bets=1)
+    early = BadnessTest(bets=1)
     early.invest(1.0)
-    spread = Conviction(bets=1)
+    spread = BadnessTest(bets=1)
     for _ in range(500):
-        for conviction in (early, spread):
-            conviction.add([-0.1])
+        for badness_test in (early, spread):
+            badness_test.add([-0.1])
         spread.invest(0.002)
     for _ in range(10):
-        for conviction in (early, spread):
-            conviction.add([2.0])
+        for badness_test in (early, spread):
+            badness_test.add([2.0])
     assert spread.log_capital > math.log(1e4) > early.log_capital
