Annotate the functions that had no types

Change: types for parameters and results in daemon, process, http_server, guards, commands, system_stream, memory_log and the parser of settings.

--- a/src/lacewingstair/caller/guards.py
+++ b/src/lacewingstair/caller/guards.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 from aiohttp.http import HttpVersion11
+from multidict import CIMultiDictProxy
 from result import Err, Ok, Result
 
 from lacewingstair.caller import headers
@@ -38,7 +39,7 @@
     return None
 
 
-def _transfer_encoding(fields) -> Refusal | None:
+def _transfer_encoding(fields: CIMultiDictProxy[str]) -> Refusal | None:
     if "Content-Length" in fields:
         return Refusal(400, "both Transfer-Encoding and Content-Length")
     values = fields.getall("Transfer-Encoding")
--- a/src/lacewingstair/cli/commands.py
+++ b/src/lacewingstair/cli/commands.py
@@ -144,7 +144,12 @@
         """
 
         async def run(
-            url: str, is_waiting: bool, as_json: bool, limit, pause: float, number: int
+            url: str,
+            is_waiting: bool,
+            as_json: bool,
+            limit: float,
+            pause: float,
+            number: int,
         ) -> ExitCode:
             client = OperatorClient(url)
             query = ReportQuery(moves, number)
@@ -262,7 +267,9 @@
             failure_status: Status of all answers; 0 for success.
         """
 
-        async def run(address, url, slot_count, milliseconds, status) -> ExitCode:
+        async def run(
+            address: str, url: str, slot_count: int, milliseconds: int, status: int
+        ) -> ExitCode:
             endpoint = Endpoint(service, version, address, slots=slot_count)
             return await standins.run_backend_server(
                 endpoint, url, milliseconds / 1000, status
--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from typing import Any
 
 import attrs
@@ -206,7 +206,7 @@
             live_vms=len(self.directory.live()),
         )
 
-    def _interfaces(self):
+    def _interfaces(self) -> Iterator[tuple[str, web.AppRunner | web.ServerRunner]]:
         settings = self.settings
         header_bytes = settings.calls.max_header_bytes
         drain_seconds = settings.stop.drain_seconds
--- a/src/lacewingstair/http_server.py
+++ b/src/lacewingstair/http_server.py
@@ -1,9 +1,12 @@
 """HTTP servers of the daemon: limits on requests, listening and draining."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from aiohttp import web
+from aiohttp import StreamReader, web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http import RawRequestMessage
 from result import Err, Ok, Result
 
 from lacewingstair.errors import ListenError
@@ -41,7 +44,13 @@
         def keep_alive(self) -> bool:
             return not is_leaving() and super().keep_alive
 
-    def make_request(message, payload, protocol, writer, task) -> web.BaseRequest:
+    def make_request(
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: web.RequestHandler,
+        writer: AbstractStreamWriter,
+        task: asyncio.Task[None],
+    ) -> web.BaseRequest:
         return Request(message, payload, protocol, writer, task, server._loop)
 
     server = web.Server(
--- a/src/lacewingstair/platform/system_stream.py
+++ b/src/lacewingstair/platform/system_stream.py
@@ -5,7 +5,7 @@
 from lacewingstair import events
 from lacewingstair.errors import LogUnavailable, OffsetExpired
 from lacewingstair.platform.log import SYSTEM_STREAM, LogClient
-from lacewingstair.platform.system_view import SystemView
+from lacewingstair.platform.system_view import StoredCheckpoint, SystemView
 from lacewingstair.runtime import Clock
 
 # Chunks of a checkpoint take about 90 KB each, so that an answer stays below 3 MB.
@@ -67,6 +67,6 @@
             self.checkpoint_seen_at = now
         return Ok(None)
 
-    def _newest_checkpoint(self):
+    def _newest_checkpoint(self) -> StoredCheckpoint | None:
         checkpoints = self.view.checkpoints
         return checkpoints[-1] if checkpoints else None
--- a/src/lacewingstair/process.py
+++ b/src/lacewingstair/process.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import sys
+from typing import Any
 
 import aiomisc
 import uvloop
@@ -34,7 +35,7 @@
     __required__ = ("settings",)
     settings: Settings
 
-    def __init__(self, **options) -> None:
+    def __init__(self, **options: Any) -> None:
         super().__init__(**options)
         self.exit_code = EXIT_OK
         self._daemon: Daemon | None = None
--- a/src/lacewingstair/settings.py
+++ b/src/lacewingstair/settings.py
@@ -533,7 +533,9 @@
                 self.faults.append(Fault(setting.place, reason))
         return values
 
-    def _parse(self, values, name: str, setting: Setting, text: str) -> None:
+    def _parse(
+        self, values: dict[str, Any], name: str, setting: Setting, text: str
+    ) -> None:
         try:
             values[name] = setting.kind.parse(text)
         except ValueError:
--- a/src/lacewingstair/standins/memory_log.py
+++ b/src/lacewingstair/standins/memory_log.py
@@ -65,7 +65,9 @@
         records = tuple(stream.records[index : index + limit])
         return Ok(LogBatch(stream.first_offset, stream.next_offset, records))
 
-    async def wait_for_append(self, name: str, from_offset: int, seconds: float):
+    async def wait_for_append(
+        self, name: str, from_offset: int, seconds: float
+    ) -> None:
         """Return when the stream has a record at an offset, or after a time."""
         stream = self.stream(name)
         if from_offset != stream.next_offset or seconds <= 0:
