--- a/src/lacewingstair/standins/mesh_cluster.py
+++ b/src/lacewingstair/standins/mesh_cluster.py
@@ -185,7 +185,7 @@
     decodes : bool
         Whether receivers decode the bytes of frames.
     eager_trees : int
-        Trees on which news is pushed.
+        Trees on which updates are pushed.
     log_region : str
         Region that reads the log for all; empty if each reads it.
 
--- a/src/lacewingstair/vm/membership.py
+++ b/src/lacewingstair/vm/membership.py
@@ -18,7 +18,7 @@
 
 
 class Membership:
-    """Owns the record of this VM and refutes what others wrongly say of it.
+    """Owns the record of this VM and refutes records of it that are wrong.
 
     Parameters
     ----------
@@ -54,7 +54,7 @@
         self._announce(self.own)
 
     def accept(self, record: VmRecord) -> bool:
-        """Merge a record received from a peer; return whether it was news."""
+        """Merge a record received from a peer; return whether it was newer."""
         if record.incarnation > MAX_INCARNATION:
             events.warning("record_refused", vm=record.vm_id, reason="incarnation")
             return False
@@ -88,7 +88,7 @@
         is_later = is_other_process and record.incarnation > self.own.incarnation
         if is_later and record.status is not VmStatus.DEAD:
             # The process that started later keeps the id; refuting it would make the
-            # two raise their incarnations against each other for ever.
+            # two raise their incarnations against each other without end.
             self.report_conflict(record.address)
             return self._directory.merge(record)
         events.info("refuted", vm=record.vm_id, status=record.status.name.lower())
--- a/src/lacewingstair/vm/node.py
+++ b/src/lacewingstair/vm/node.py
@@ -25,7 +25,7 @@
 from lacewingstair.vm.evidence_relay import EvidenceRelay
 from lacewingstair.vm.failure_detector import FailureDetector
 from lacewingstair.vm.id_conflict import IdReclaimer
-from lacewingstair.vm.links import MAX_ACCEPTED_CONNECTIONS, LinkKeeper
+from lacewingstair.vm.links import MAX_ACCEPTED_CONNECTIONS, LinkManager
 from lacewingstair.vm.log_region_link import LogRegionLink
 from lacewingstair.vm.membership import Membership
 from lacewingstair.vm.neighbours import Neighbours
@@ -39,7 +39,8 @@
 from lacewingstair.vm.traffic import LinkTraffic
 from lacewingstair.vm.transport import Listener, Transport
 
-# A VM that hears nobody is more likely cut off than the only one alive.
+# A VM that receives nothing from any peer is more likely cut off than the only live
+# one. It suspects no VM until this time has passed.
 ISOLATION_SECONDS = 30.0
 DEFAULT_OPTIONS = NodeOptions()
 
@@ -62,7 +63,7 @@
     clock, rng
         Time and randomness.
     eager_trees : int
-        Trees of the zone on which news is pushed.
+        Trees of the zone on which updates are pushed.
     options : NodeOptions, optional
         Intervals and bounds.
     log_region : str
@@ -137,7 +138,7 @@
             own, contacts, directory, self._detector.dead_addresses, clock, rng
         )
         self.traffic = LinkTraffic(own)
-        self._links = LinkKeeper(
+        self._links = LinkManager(
             mesh,
             lambda: self.own,
             transport,
@@ -264,7 +265,7 @@
         records = [self.own]
         held = self._directory.get(peer.vm_id)
         if held is not None and held.status is not VmStatus.ALIVE:
-            # The peer answers and can refute what is said of it.
+            # The peer is live and can refute the status in this record.
             records.append(held)
         peer.stream.send(messages.DirectoryDelta(tuple(records)))
         peer.send_heartbeat(self.repair.heartbeat())
