Call children of suspected VMs at once, so a zone's dead are found in one round

Cause: after a whole zone restarted, its old VMs were found dead one layer of the trees after the other. A VM is missed by its parents; when these are dead as well it was missed only after they had been declared dead (5 s) and its new parent had waited 3 s for it. Suspicions came in three waves, at 0.1, 3.8 and 8.8 to 10.1 s (90 VMs).

Change: a VM calls at once the children of suspected VMs below it, when all parents of such a child are suspected. The first VM of a tree that is not suspected does so for a suspected root. A VM with a parent that is not suspected gets no further call, so the death of a single VM causes no connection.

What is left is the detection itself: 3 s for a child to be missed, 5 s of suspicion, the restart.

Tests: test_a_zone_that_restarts_whole_finds_all_its_dead_in_one_round fails on the code before; test_every_vm_below_suspected_ones_is_watched_by_one_that_is_not fails when suspected children are not followed down; test_a_vm_with_a_parent_that_is_not_suspected_ gets_no_further_watcher fails without the condition on parents.

--- a/bench/distribution_faults.py
+++ b/bench/distribution_faults.py
@@ -15,6 +15,7 @@
 STEP_SECONDS = 0.1
 HOUR_SECONDS = 3600.0
 CHURN_SECONDS = 10.0
+RESTART_SECONDS = 40.0
 TICKET_EVERY = 6
 REPLACE_EVERY = 30
 
@@ -32,6 +33,7 @@
         place = cluster.places[1]
         before = Traffic.of(cluster)
         reads = cluster.log.reads
+        connects = cluster.network.connects
         refused = sum(vm.node.snapshot_server.refused for vm in cluster)
         refused -= sum(
             vm.node.snapshot_server.refused
@@ -49,6 +51,10 @@
         )
         settled = await cluster.until(cluster.is_settled, 600.0, STEP_SECONDS)
         sent = Traffic.of(cluster).since(before)
+        reads = cluster.log.reads - reads
+        # The same time for every run, so that connections tried can be compared.
+        taken = serving + joined + settled
+        await cluster.clock.sleep(max(0.0, RESTART_SECONDS - taken))
         servers = [vm.node.snapshot_server for vm in cluster]
         rows.append(
             {
@@ -62,7 +68,8 @@
                 "most at once": max(s.most_at_once for s in servers),
                 "snapshot kB": sent.everywhere["SnapshotChunk"] / 1e3,
                 "kB between regions": sent.far.total() / 1e3,
-                "log reads": cluster.log.reads - reads,
+                "connections tried": cluster.network.connects - connects,
+                "log reads": reads,
                 "log records": cluster.log.records_read - records_read,
             }
         )
--- a/src/lacewingstair/overlay.py
+++ b/src/lacewingstair/overlay.py
@@ -7,7 +7,7 @@
 
 import bisect
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -173,13 +173,45 @@
 
     def parents(self) -> list[str | None]:
         """Return the parent in each tree, None for the root."""
-        return [self._parent(order) for order in self._trees()]
+        return [_parent(order, self._own.vm_id) for order in self._trees()]
 
     def children(self, tree: int) -> list[str]:
         """Return the children in one tree."""
+        return _children(self._trees()[tree], self._own.vm_id)
+
+    def unwatched(self, tree: int, is_suspect: Callable[[str], bool]) -> list[str]:
+        """Return the VMs that this VM watches in place of suspected ones.
+
+        A VM that fails is noticed by its parents. When they have failed as well, the
+        nearest VM above them that is not suspected takes their part, or the first VM of
+        the tree when the root has failed.
+
+        Parameters
+        ----------
+        tree : int
+            The tree whose order is followed.
+        is_suspect : callable
+            Whether the VM with an id is suspected.
+        """
         order = self._trees()[tree]
-        first = order.position(self._own.vm_id) * TREE_ARITY + 1
-        return order.between(first, first + TREE_ARITY)
+        if not len(order):
+            return []
+        own = self._own.vm_id
+        waiting = [v for v in _children(order, own) if is_suspect(v)]
+        if is_suspect(order.at(0)) and own == _first_unsuspected(order, is_suspect):
+            waiting.append(order.at(0))
+        found: list[str] = []
+        while waiting:
+            for vm_id in _children(order, waiting.pop()):
+                if is_suspect(vm_id):
+                    waiting.append(vm_id)
+                elif vm_id != own and all(map(is_suspect, self._parents_of(vm_id))):
+                    found.append(vm_id)
+        return found
+
+    def _parents_of(self, vm_id: str) -> list[str]:
+        parents = (_parent(order, vm_id) for order in self._trees())
+        return [parent for parent in parents if parent is not None]
 
     def relay_rank(self) -> int | None:
         """Return 0 for the zone's first relay, 1 for the second, else None."""
@@ -216,12 +248,6 @@
         first = self._orders_by_zone.get(self._own.availability_zone)
         return (first or _Order(TREE_SALTS[0]), self._second_order)
 
-    def _parent(self, order: _Order) -> str | None:
-        position = order.position(self._own.vm_id)
-        if position == 0 or not len(order):
-            return None
-        return order.at((position - 1) // TREE_ARITY)
-
     def _is_eager(self, tree: int, parent: str) -> bool:
         # The parent in a lazy tree can be a child in an eager one; the two VMs share
         # one connection and have to agree on its mode.
@@ -314,6 +340,23 @@
             del self._regions_by_zone[zone]
 
 
+def _parent(order: _Order, vm_id: str) -> str | None:
+    position = order.position(vm_id)
+    if position == 0 or not len(order):
+        return None
+    return order.at((position - 1) // TREE_ARITY)
+
+
+def _children(order: _Order, vm_id: str) -> list[str]:
+    first = order.position(vm_id) * TREE_ARITY + 1
+    return order.between(first, first + TREE_ARITY)
+
+
+def _first_unsuspected(order: _Order, is_suspect: Callable[[str], bool]) -> str | None:
+    ids = (order.at(position) for position in range(len(order)))
+    return next((vm_id for vm_id in ids if not is_suspect(vm_id)), None)
+
+
 def _link(kind: str, targets: list[str], is_eager: bool) -> Link:
     # A new first target makes another link, so that it replaces the old one.
     return Link(f"{kind} by {targets[0]}", tuple(targets), is_eager)
--- a/src/lacewingstair/standins/memory_network.py
+++ b/src/lacewingstair/standins/memory_network.py
@@ -85,6 +85,8 @@
         Bytes of frames sent, by the name of the message type.
     far_frames_by_type, far_bytes_by_type : Counter
         The frames sent between regions, and their bytes.
+    connects : int
+        Connections tried, answered or not.
     """
 
     def __init__(
@@ -102,6 +104,7 @@
         self.bytes_by_type: Counter[str] = Counter()
         self.far_frames_by_type: Counter[str] = Counter()
         self.far_bytes_by_type: Counter[str] = Counter()
+        self.connects = 0
         self._transports_by_address: dict[str, MemoryTransport] = {}
         self._streams: set[MemoryStream] = set()
         self._cut_pairs: set[frozenset[str]] = set()
@@ -314,6 +317,7 @@
 
     async def connect(self, address: str) -> Result[MessageStream, ConnectError]:
         """Open a stream; an address that nobody listens on refuses."""
+        self._network.connects += 1
         target = self._network.find(address)
         place = target.place if target is not None else self.place
         if self._network.is_cut(self.place, place):
--- a/src/lacewingstair/vm/neighbours.py
+++ b/src/lacewingstair/vm/neighbours.py
@@ -1,6 +1,6 @@
 """Which connections this VM wants, worked out once a heartbeat."""
 
-from lacewingstair.directory import Directory
+from lacewingstair.directory import Directory, VmStatus
 from lacewingstair.overlay import TREE_SALTS, Overlay
 from lacewingstair.runtime import Clock
 from lacewingstair.vm import messages
@@ -93,9 +93,18 @@
                 missing_since[vm_id] = since
                 if now - since >= CHILD_GRACE_SECONDS:
                     dials.append(self._child_dial(vm_id, tree))
+            dials.extend(
+                self._child_dial(vm_id, tree)
+                for vm_id in self._overlay.unwatched(tree, self._is_suspect)
+                if self._peers.get(vm_id) is None and vm_id not in missing_since
+            )
         self._missing_since = missing_since
         return dials
 
+    def _is_suspect(self, vm_id: str) -> bool:
+        record = self._directory.get(vm_id)
+        return record is not None and record.status is VmStatus.SUSPECT
+
     def _child_dial(self, vm_id: str, tree: int) -> Dial:
         # A child that never connects would otherwise not be suspected by anyone.
         address = self._directory.get(vm_id).address
--- a/tests/test_overlay.py
+++ b/tests/test_overlay.py
@@ -90,6 +90,41 @@
         assert min(map(len, linked.values())) >= 2
 
 
+@given(st.sets(st.integers(0, 99), min_size=1, max_size=20))
+def test_every_vm_below_suspected_ones_is_watched_by_one_that_is_not(survivors):
+    """Guards against failures of a group that are found one layer at a time."""
+    # Enough for three layers below the root.
+    records = [record(i) for i in range(100)]
+    suspects = {r.vm_id for i, r in enumerate(records) if i not in survivors}
+    directory = directory_of(*records)
+    watched = set()
+    for own in records:
+        if own.vm_id not in suspects:
+            overlay = Overlay(directory, own)
+            for tree in range(len(TREE_SALTS)):
+                watched.update(overlay.children(tree))
+                extra = overlay.unwatched(tree, suspects.__contains__)
+                assert suspects.isdisjoint(extra)
+                watched.update(extra)
+    # The first of a tree that is not suspected has nobody above it, and watches itself.
+    live = [r for r in records if r.vm_id not in suspects]
+    roots = {ranked(live, salt)[0].vm_id for salt in TREE_SALTS}
+    assert watched >= {r.vm_id for r in live} - roots
+
+
+def test_a_vm_with_a_parent_that_is_not_suspected_gets_no_further_watcher():
+    """Guards against needless connections after the death of a single VM."""
+    records = [record(i) for i in range(40)]
+    directory = directory_of(*records)
+    for suspect in records:
+        for own in records:
+            overlay = Overlay(directory, own)
+            for tree in range(len(TREE_SALTS)):
+                for vm_id in overlay.unwatched(tree, suspect.vm_id.__eq__):
+                    parents = Overlay(directory, directory.get(vm_id)).parents()
+                    assert set(parents) <= {suspect.vm_id, None}
+
+
 def test_both_ends_of_a_link_agree_on_its_mode():
     # The parent in the lazy tree can be a child in the eager one.
     records = [record(i) for i in range(6)]
--- a/tests/vm/test_node.py
+++ b/tests/vm/test_node.py
@@ -308,6 +308,19 @@
     assert counted["TicketDelta"] == tickets
 
 
+@in_mesh(vms_per_zone=30, decodes=False)
+async def test_a_zone_that_restarts_whole_finds_all_its_dead_in_one_round(cluster):
+    """Guards against dead VMs that are noticed only after their parents are dead."""
+    zone = cluster.in_zone("r1z1")
+    for vm in zone:
+        await cluster.crash(vm.vm_id)
+    new = [await cluster.add(vm.place, 100 + i) for i, vm in enumerate(zone)]
+    # 3 s until a child is missed, 5 s of suspicion, and the restart itself.
+    await asyncio.sleep(13)
+    dead = {vm.vm_id for vm in zone}
+    assert all(statuses(new[0])[vm_id] is VmStatus.DEAD for vm_id in dead)
+
+
 @in_mesh(vms_per_zone=20, decodes=False)
 async def test_repair_sends_only_the_records_that_differ(cluster):
     await asyncio.sleep(30)
