--- a/bench/distribution.py
+++ b/bench/distribution.py
@@ -23,9 +23,14 @@
 ZONES = 9
 REGIONS = 4
 IDLE_SECONDS = 30.0
+IDLE_FAR_SECONDS = 600.0
+HOUR_SECONDS = 3600.0
 SETTLE_SECONDS = 300.0
 LIMIT_SECONDS = 60.0
 STEP_SECONDS = 0.005
+TICKETS = 20
+# The log stands in the first zone.
+LOG_REGION = "r0"
 ROUTES_PER_TICKET = 15
 TICKET_TYPES = ("TicketDelta", "StateRequest", "RecordsExpired", "SnapshotChunk")
 DIRECTORY_TYPES = (
@@ -92,6 +97,14 @@
     return sent / IDLE_SECONDS / len(cluster.vms_by_id)
 
 
+async def idle_far_hour(cluster: Cluster) -> float:
+    """Return the bytes between regions, polls included, of an hour without changes."""
+    before = Traffic.of(cluster)
+    await cluster.clock.sleep(IDLE_FAR_SECONDS)
+    sent = Traffic.of(cluster).since(before)
+    return (sent.far.total() + sent.polled_far) * HOUR_SECONDS / IDLE_FAR_SECONDS
+
+
 async def measure_ticket(cluster: Cluster, number: int) -> dict[str, Any]:
     """Publish a ticket; return how long and how many bytes it takes."""
     before = Traffic.of(cluster)
@@ -166,6 +179,34 @@
     save_rows("distribution", rows)
 
 
+@benchmarks.register("distribution-log-region")
+def distribution_log_region(vms_per_zone: tuple[int, ...] = (3, 10, 30)) -> None:
+    """Compare a log read by one region with one read by every region."""
+    rows: list[dict[str, Any]] = []
+
+    async def measure(size: int, log_region: str) -> None:
+        cluster = await settled_cluster(size, log_region=log_region)
+        row = {"vms": len(cluster.vms_by_id), "log region": log_region or "not set"}
+        row["idle kB/h between regions"] = await idle_far_hour(cluster) / 1e3
+        # Tickets at different moments between two heartbeats.
+        tickets = []
+        for number in range(1, TICKETS + 1):
+            await cluster.clock.sleep(cluster.rng.uniform(0.0, 2.0))
+            tickets.append(await measure_ticket(cluster, number))
+        for key in tickets[0]:
+            row[key] = sum(ticket[key] for ticket in tickets) / TICKETS
+        row["slowest ticket s"] = max(ticket["ticket s"] for ticket in tickets)
+        row |= await measure_endpoint(cluster, "v2")
+        rows.append(row)
+        await cluster.stop()
+
+    for size in vms_per_zone:
+        for log_region in ("", LOG_REGION):
+            run_virtual(measure(size, log_region))
+    print_table(rows)
+    save_rows("distribution-log-region", rows)
+
+
 @benchmarks.register("distribution-trees")
 def distribution_trees(vms_per_zone: int = 90) -> None:
     """Compare one eager tree with two, with and without the loss of inner VMs."""
--- a/bench/distribution_faults.py
+++ b/bench/distribution_faults.py
@@ -1,10 +1,15 @@
 """Distribution when zones restart, regions are cut and zones are lost."""
 
 import random
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
-from bench.distribution import SETTLE_SECONDS, Traffic, settled_cluster
+from bench.distribution import (
+    LOG_REGION,
+    SETTLE_SECONDS,
+    Traffic,
+    settled_cluster,
+)
 from bench.registry import benchmarks
 from bench.results import print_table, save_rows
 from lacewingstair.directory import Endpoint
@@ -162,6 +167,83 @@
     save_rows("distribution-zone-loss", rows)
 
 
+@benchmarks.register("distribution-gateway-loss")
+def distribution_gateway_loss(vms_per_zone: int = 10, runs: int = 10) -> None:
+    """Lose VMs that hold links between regions, or links, just before a ticket."""
+    rows: list[dict[str, Any]] = []
+
+    async def measure(log_region: str, fault: "_Fault", seed: int) -> float:
+        cluster = await settled_cluster(vms_per_zone, seed, log_region=log_region)
+        await cluster.clock.sleep(cluster.rng.uniform(0.0, 1.0))
+        await fault(cluster)
+        running = [vm for vm in cluster if vm.transport.running.is_set()]
+        cluster.publish(1)
+        seconds = await cluster.until(
+            lambda: all(vm.is_converged(1) for vm in running), 60.0, 0.01
+        )
+        await cluster.stop()
+        return seconds
+
+    for name, fault in _FAULTS.items():
+        for log_region in ("", LOG_REGION):
+            taken = sorted(
+                run_virtual(measure(log_region, fault, seed)) for seed in range(runs)
+            )
+            rows.append(
+                {
+                    "fault": name,
+                    "log region": log_region or "not set",
+                    "runs": runs,
+                    "median s": taken[runs // 2],
+                    "slowest s": taken[-1],
+                }
+            )
+    print_table(rows)
+    save_rows("distribution-gateway-loss", rows)
+
+
+_Fault = Callable[[Cluster], Awaitable[None]]
+
+
+def _loss(region: str, indexes: tuple[int, ...], is_frozen: bool) -> _Fault:
+    async def lose(cluster: Cluster) -> None:
+        vm = next(vm for vm in cluster if vm.place.region == region)
+        gateways = vm.node.overlay.gateways()
+        for index in indexes:
+            if is_frozen:
+                cluster.vms_by_id[gateways[index]].transport.running.clear()
+            else:
+                await cluster.crash(gateways[index])
+
+    return lose
+
+
+async def _cut_region(cluster: Cluster) -> None:
+    others = [p.availability_zone for p in cluster.places if p.region != "r1"]
+    cluster.network.cut(cluster.zones_of("r1"), others)
+
+
+async def _lose_log_region(cluster: Cluster) -> None:
+    for vm in list(cluster):
+        if vm.place.region == LOG_REGION:
+            await cluster.crash(vm.vm_id)
+
+
+_FAULTS: dict[str, _Fault] = {
+    "none": _loss(LOG_REGION, (), False),
+    "sending hub dies": _loss(LOG_REGION, (0,), False),
+    "sending hub freezes": _loss(LOG_REGION, (0,), True),
+    "second reader dies": _loss(LOG_REGION, (1,), False),
+    "second reader freezes": _loss(LOG_REGION, (1,), True),
+    "both readers die": _loss(LOG_REGION, (0, 1), False),
+    "both readers freeze": _loss(LOG_REGION, (0, 1), True),
+    "receiving hub dies": _loss("r1", (0,), False),
+    "receiving hub freezes": _loss("r1", (0,), True),
+    "region cut off from the others": _cut_region,
+    "VMs of the log's region lost": _lose_log_region,
+}
+
+
 def _gateway(cluster: Cluster, region: str) -> Place:
     (vm,) = [
         vm
--- a/tests/vm/test_log_region_link.py
+++ b/tests/vm/test_log_region_link.py
@@ -249,3 +249,25 @@
         await cluster.until(lambda: cluster.has_ticket(1), 1.2)
 
     run_mesh(scenario)
+
+
+@pytest.mark.parametrize("regions_with_setting", [{"r0"}, {"r1"}, {"r1", "r2"}])
+def test_tickets_reach_all_regions_while_only_some_have_the_setting(
+    regions_with_setting,
+):
+    """Guards against a change of the setting VM by VM that holds up tickets."""
+
+    async def main():
+        cluster = Cluster(zones(5, 3), 4)
+        for place in cluster.places:
+            is_set = place.region in regions_with_setting
+            cluster.log_region = LOG_REGION if is_set else ""
+            for index in range(4):
+                await cluster.add(place, index)
+        await cluster.until(cluster.is_settled, 120)
+        await asyncio.sleep(30)
+        cluster.publish(1)
+        await cluster.until(lambda: cluster.has_ticket(1), 5)
+        await cluster.stop()
+
+    run_virtual(main())
