--- a/bench/distribution_faults.py
+++ b/bench/distribution_faults.py
@@ -1,10 +1,15 @@
 """Distribution when zones restart, regions are cut and zones are lost."""
 
 import random
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
-from bench.distribution import SETTLE_SECONDS, Traffic, settled_cluster
+from bench.distribution import (
+    LOG_REGION,
+    SETTLE_SECONDS,
+    Traffic,
+    settled_cluster,
+)
 from bench.registry import benchmarks
 from bench.results import print_table, save_rows
 from lacewingstair.directory import Endpoint
@@ -15,6 +20,7 @@
 STEP_SECONDS = 0.1
 HOUR_SECONDS = 3600.0
 CHURN_SECONDS = 10.0
+RESTART_SECONDS = 40.0
 TICKET_EVERY = 6
 REPLACE_EVERY = 30
 
@@ -32,6 +38,7 @@
         place = cluster.places[1]
         before = Traffic.of(cluster)
         reads = cluster.log.reads
+        connects = cluster.network.connects
         refused = sum(vm.node.snapshot_server.refused for vm in cluster)
         refused -= sum(
             vm.node.snapshot_server.refused
@@ -49,6 +56,10 @@
         )
         settled = await cluster.until(cluster.is_settled, 600.0, STEP_SECONDS)
         sent = Traffic.of(cluster).since(before)
+        reads = cluster.log.reads - reads
+        # The same time for every run, so that connections tried can be compared.
+        taken = serving + joined + settled
+        await cluster.clock.sleep(max(0.0, RESTART_SECONDS - taken))
         servers = [vm.node.snapshot_server for vm in cluster]
         rows.append(
             {
@@ -62,7 +73,8 @@
                 "most at once": max(s.most_at_once for s in servers),
                 "snapshot kB": sent.everywhere["SnapshotChunk"] / 1e3,
                 "kB between regions": sent.far.total() / 1e3,
-                "log reads": cluster.log.reads - reads,
+                "connections tried": cluster.network.connects - connects,
+                "log reads": reads,
                 "log records": cluster.log.records_read - records_read,
             }
         )
@@ -155,6 +167,83 @@
     save_rows("distribution-zone-loss", rows)
 
 
+@benchmarks.register("distribution-gateway-loss")
+def distribution_gateway_loss(vms_per_zone: int = 10, runs: int = 10) -> None:
+    """Lose VMs that hold links between regions, or links, just before a ticket."""
+    rows: list[dict[str, Any]] = []
+
+    async def measure(log_region: str, fault: "_Fault", seed: int) -> float:
+        cluster = await settled_cluster(vms_per_zone, seed, log_region=log_region)
+        await cluster.clock.sleep(cluster.rng.uniform(0.0, 1.0))
+        await fault(cluster)
+        running = [vm for vm in cluster if vm.transport.running.is_set()]
+        cluster.publish(1)
+        seconds = await cluster.until(
+            lambda: all(vm.is_converged(1) for vm in running), 60.0, 0.01
+        )
+        await cluster.stop()
+        return seconds
+
+    for name, fault in _FAULTS.items():
+        for log_region in ("", LOG_REGION):
+            taken = sorted(
+                run_virtual(measure(log_region, fault, seed)) for seed in range(runs)
+            )
+            rows.append(
+                {
+                    "fault": name,
+                    "log region": log_region or "not set",
+                    "runs": runs,
+                    "median s": taken[runs // 2],
+                    "slowest s": taken[-1],
+                }
+            )
+    print_table(rows)
+    save_rows("distribution-gateway-loss", rows)
+
+
+_Fault = Callable[[Cluster], Awaitable[None]]
+
+
+def _loss(region: str, indexes: tuple[int, ...], is_frozen: bool) -> _Fault:
+    async def lose(cluster: Cluster) -> None:
+        vm = next(vm for vm in cluster if vm.place.region == region)
+        gateways = vm.node.overlay.gateways()
+        for index in indexes:
+            if is_frozen:
+                cluster.vms_by_id[gateways[index]].transport.running.clear()
+            else:
+                await cluster.crash(gateways[index])
+
+    return lose
+
+
+async def _cut_region(cluster: Cluster) -> None:
+    others = [p.availability_zone for p in cluster.places if p.region != "r1"]
+    cluster.network.cut(cluster.zones_of("r1"), others)
+
+
+async def _lose_log_region(cluster: Cluster) -> None:
+    for vm in list(cluster):
+        if vm.place.region == LOG_REGION:
+            await cluster.crash(vm.vm_id)
+
+
+_FAULTS: dict[str, _Fault] = {
+    "none": _loss(LOG_REGION, (), False),
+    "sending hub dies": _loss(LOG_REGION, (0,), False),
+    "sending hub freezes": _loss(LOG_REGION, (0,), True),
+    "second reader dies": _loss(LOG_REGION, (1,), False),
+    "second reader freezes": _loss(LOG_REGION, (1,), True),
+    "both readers die": _loss(LOG_REGION, (0, 1), False),
+    "both readers freeze": _loss(LOG_REGION, (0, 1), True),
+    "receiving hub dies": _loss("r1", (0,), False),
+    "receiving hub freezes": _loss("r1", (0,), True),
+    "region cut off from the others": _cut_region,
+    "VMs of the log's region lost": _lose_log_region,
+}
+
+
 def _gateway(cluster: Cluster, region: str) -> Place:
     (vm,) = [
         vm
--- a/src/lacewingstair/vm/messages.py
+++ b/src/lacewingstair/vm/messages.py
@@ -25,7 +25,6 @@
 )
 
 PROTOCOL_VERSION = 4
-MAX_TEXT_IN_ERROR = 80
 
 _types_by_code: dict[int, type] = {}
 _codes_by_type: dict[type, int] = {}
