--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 from loguru import logger
 
+from lacewingstair.acceptance import MeshState
 from lacewingstair.backend_server.pool import ConnectionPool
 from lacewingstair.caller.headers import OUTCOME, OUTCOME_NOT_RUN
 from lacewingstair.caller.server import CallServer
@@ -23,6 +24,7 @@
 from lacewingstair.standins.memory_server import MemoryServer
 from lacewingstair.standins.mesh_cluster import zones
 from lacewingstair.standins.virtual_time import run_virtual
+from lacewingstair.store import StateStore
 
 GOOD = RolloutKey(GOOD_SERVICE, 1)
 BAD = RolloutKey(BAD_SERVICE, 1)
@@ -481,3 +483,18 @@
         return addresses == {older.node.own.address} and mesh.is_settled()
 
     await mesh.until(has_id_again, SETTLED_SECONDS)
+
+
+def test_a_store_takes_over_no_older_state_and_no_lower_number():
+    # Guards against late snapshots and old checkpoints.
+    store = StateStore()
+    held = MeshState(next_offset=9, number=4)
+    assert store.adopt(held)
+    for older in (
+        MeshState(next_offset=8, number=4),
+        MeshState(next_offset=9, number=3),
+        MeshState(next_offset=10, number=3),
+    ):
+        assert not store.adopt(older)
+        assert not store.settle(older)
+    assert store.state is held
