Report no gap from a VM that no longer reads the log

Cause: a reader that found a gap and then lost its role kept 'has_gap', so that /health warned for as long as the process ran.

Change: the status of a gap and of lost data is dropped with the role; the present readers report it.

Figures: the new test fails before and passes after; 79 tests of the platform pass.

Conclusion: a warning in /health is now always one of a VM that reads.

--- a/src/lacewingstair/platform/reader.py
+++ b/src/lacewingstair/platform/reader.py
@@ -131,6 +131,9 @@
                 upkeep.cancel()
         finally:
             self.status.is_reader = False
+            # What this VM no longer reads is the present readers' to report.
+            self.status.has_gap = False
+            self.status.has_lost_data = False
 
     async def _poll_while_reader(self) -> None:
         if self._store.state.is_empty and await self._read_system():
--- a/tests/platform/test_reader.py
+++ b/tests/platform/test_reader.py
@@ -218,6 +218,25 @@
     assert vm.store.state.number == 3
 
 
+@with_readers()
+async def test_a_vm_that_no_longer_reads_reports_no_gap(readers, events):
+    """Guards against a health warning that nothing takes back."""
+    roles = [True]
+    vm = readers.start_vm(is_reader=lambda: roles[-1])
+    readers.publish(first_ticket())
+    await readers.clock.sleep(60.0)
+    vm.faults.is_down = True
+    readers.publish(ticket(2))
+    readers.log.expire(TICKET_STREAM, 2)
+    vm.faults.is_down = False
+    await readers.clock.sleep(600.0)
+    assert vm.reader.status.has_gap
+    roles.append(False)
+    await readers.clock.sleep(60.0)
+    assert not vm.reader.status.has_gap
+    assert events.count("log_gap") == 1
+
+
 @with_readers()
 async def test_a_log_that_lost_data_is_an_error_and_nothing_goes_back(readers, events):
     vm = readers.start_vm()
