--- a/bench/results.py
+++ b/bench/results.py
@@ -28,13 +28,20 @@
 
 def print_table(rows: Sequence[dict[str, Any]]) -> None:
     """Print rows as a Markdown table with one column per key of the first row."""
-    if not rows:
-        return
+    if rows:
+        print(format_table(rows))
+
+
+def format_table(rows: Sequence[dict[str, Any]]) -> str:
+    """Return rows, at least one, as a Markdown table."""
     keys = list(rows[0])
-    print("| " + " | ".join(keys) + " |")
-    print("| " + " | ".join("---" for _ in keys) + " |")
+    lines = [
+        "| " + " | ".join(keys) + " |",
+        "| " + " | ".join("---" for _ in keys) + " |",
+    ]
     for row in rows:
-        print("| " + " | ".join(_cell(row.get(key)) for key in keys) + " |")
+        lines.append("| " + " | ".join(_cell(row.get(key)) for key in keys) + " |")
+    return "\n".join(lines)
 
 
 def add_ratios(
