Raise InvariantError in place of asserts, and share the pairs of the specifications

Cause: the read-through found three asserts in the dispatch of calls, which 'python -O' drops and whose message shows nothing, and one function written in three specifications. One of the asserts stood before a call that copes with its case.

Change: an attempt gives its open connection or raises InvariantError with the address; spec/pairs.py holds the shared function.

Conclusion: no behaviour changes.

--- a/spec/lease.py
+++ b/spec/lease.py
@@ -10,6 +10,8 @@
 import attrs
 from minicheck import Protocol
 
+from spec.pairs import set_item
+
 MAX_RECORDS = 6
 MAX_TIME = 4
 LEASE_TTL = 2
@@ -90,7 +92,7 @@
     folded = attrs.evolve(
         folded,
         unfenced=folded.unfenced or not is_fenced,
-        chunks=_set(folded.chunks, vm, count % CHUNKS),
+        chunks=set_item(folded.chunks, vm, count % CHUNKS),
     )
     offset = STATE_OFFSETS[vm]
     is_older = offset <= folded.checkpoint
@@ -163,13 +165,9 @@
     return [(f"append_again_{vm}", _with_writer((time, folded, writers), vm, found))]
 
 
-def _set(pair: tuple, index: int, value: object) -> tuple:
-    return (*pair[:index], value, *pair[index + 1 :])
-
-
 def _with_writer(state: tuple, vm: int, writer: Writer) -> tuple:
     time, folded, writers = state
-    return (time, folded, _set(writers, vm, writer))
+    return (time, folded, set_item(writers, vm, writer))
 
 
 INVARIANTS = {
--- a/spec/rollout.py
+++ b/spec/rollout.py
@@ -9,6 +9,8 @@
 import attrs
 from minicheck import Protocol
 
+from spec.pairs import set_item
+
 STAGES = 2
 VMS = (0, 1)
 BAD, GOOD = 1, 2
@@ -59,17 +61,13 @@
 INITIAL = ((Vm(), Vm()), 1, (False, False), False, False)
 
 
-def _set(pair: tuple, index: int, value: object) -> tuple:
-    return (*pair[:index], value, *pair[index + 1 :])
-
-
 def _with_vm(state: tuple, index: int, vm: Vm) -> tuple:
     vms, published, recorded, rose, joined_unaware = state
     held = vms[index]
     number = held.number
     knew = number > 0 and vm.number == number and held.taken[number - 1]
     rose = rose or (knew and vm.share > 0)
-    return (_set(vms, index, vm), published, recorded, rose, joined_unaware)
+    return (set_item(vms, index, vm), published, recorded, rose, joined_unaware)
 
 
 def transitions(variant: Variant):
@@ -102,11 +100,11 @@
     steps = []
     place = vm.number - 1
     if vm.stages[place] < STAGES:
-        stages = _set(vm.stages, place, vm.stages[place] + 1)
+        stages = set_item(vm.stages, place, vm.stages[place] + 1)
         raised = attrs.evolve(vm, stages=stages)
         steps.append((f"publish_stage_{index}", _with_vm(state, index, raised)))
     if vm.number == BAD:
-        taken = attrs.evolve(vm, taken=_set(vm.taken, place, True))
+        taken = attrs.evolve(vm, taken=set_item(vm.taken, place, True))
         steps.append((f"publish_take_back_{index}", _with_vm(state, index, taken)))
     return steps
 
--- a/spec/tickets.py
+++ b/spec/tickets.py
@@ -11,6 +11,8 @@
 import attrs
 from minicheck import Protocol
 
+from spec.pairs import set_item
+
 MAX_RECORDS = 3
 VMS = (0, 1)
 
@@ -99,16 +101,12 @@
     return tuple(values[field] for field in FIELDS)
 
 
-def _set(pair: tuple, index: int, value: object) -> tuple:
-    return (*pair[:index], value, *pair[index + 1 :])
-
-
 def _with_config(state: tuple, vm: int, config: Config) -> tuple:
     values = dict(zip(FIELDS, state, strict=True))
     held = values["configs"][vm]
     return _replace(
         state,
-        configs=_set(values["configs"], vm, config),
+        configs=set_item(values["configs"], vm, config),
         highest=max(values["highest"], config.offset),
         went_back=values["went_back"] or config.number < held.number,
     )
@@ -152,8 +150,8 @@
     ]
     for vm in VMS:
         # A replaced VM keeps nothing, so an earlier process sets no bound for it.
-        configs = _set(state[3], vm, Config())
-        half = _set(state[4], vm, None)
+        configs = set_item(state[3], vm, Config())
+        half = set_item(state[4], vm, None)
         steps.append((f"restart_{vm}", _replace(state, configs=configs, half=half)))
     return steps
 
@@ -203,7 +201,7 @@
             config = fold(config, log[offset], offset, variant)
     if variant.applies_in_two_steps and not held.has_route and config.has_route:
         half = attrs.evolve(config, has_service=held.has_service)
-        waiting = _replace(state, half=_set(state[4], vm, config))
+        waiting = _replace(state, half=set_item(state[4], vm, config))
         return _with_config(waiting, vm, half)
     return _with_config(state, vm, config)
 
@@ -212,7 +210,7 @@
     rest = state[4][vm]
     if rest is None:
         return []
-    finished = _replace(state, half=_set(state[4], vm, None))
+    finished = _replace(state, half=set_item(state[4], vm, None))
     return [(f"finish_{vm}", _with_config(finished, vm, rest))]
 
 
--- a/src/lacewingstair/caller/dispatch.py
+++ b/src/lacewingstair/caller/dispatch.py
@@ -19,7 +19,7 @@
 from lacewingstair.caller.body import Body, BodyTooLarge
 from lacewingstair.caller.options import DEFAULT_OPTIONS, CallOptions
 from lacewingstair.caller.refusals import Refusal
-from lacewingstair.errors import ConnectionsBusy
+from lacewingstair.errors import ConnectionsBusy, InvariantError
 from lacewingstair.events import DecisionLog
 from lacewingstair.limits import Admission, RetryBudget
 from lacewingstair.outcomes import CallOutcome, CallResult, OutcomeSink, VersionChooser
@@ -94,6 +94,12 @@
     idle_seconds: float = 0.0
     is_settled: bool = False
 
+    def open_connection(self) -> UpstreamConnection:
+        """Return the connection, which an attempt has from its sending to its end."""
+        if self.connection is None:
+            raise InvariantError(f"attempt at {self.upstream.address!r} is not open")
+        return self.connection
+
 
 @attrs.frozen
 class Answer:
@@ -273,14 +279,13 @@
         attempt = answer.attempt
         self._stop_writer(attempt)
         self._settle_answer(answer)
-        assert attempt.connection is not None
-        self._pool.release(attempt.upstream.address, attempt.connection)
+        connection = attempt.open_connection()
+        self._pool.release(attempt.upstream.address, connection)
 
     def abandon(self, answer: Answer) -> None:
         """End an answer whose body is not needed; its connection is closed."""
         self._stop_writer(answer.attempt)
         self._settle_answer(answer)
-        assert answer.attempt.connection is not None
         self._discard(answer.attempt)
 
     def truncated(self, answer: Answer) -> None:
@@ -405,8 +410,7 @@
         return Failure(str(error), False, status=503)
 
     def _broken(self, attempt: Attempt, reason: str, is_timeout: bool) -> Failure:
-        connection = attempt.connection
-        assert connection is not None
+        connection = attempt.open_connection()
         is_sent = connection.has_written
         is_silent = not connection.has_received
         is_stale = (
