Move the client of the ticket log out of platform/

The folder platform/ is to hold only the translation between the users' platform and the product. What stood there reads and writes the product's own ticket log and takes decisions (leases, checkpoints, the view of the system's stream), so it moves, unchanged, to ticket_log/.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -23,9 +23,9 @@
 from bench.registry import benchmarks
 from bench.results import print_table, save_rows
 from lacewingstair.events import parse_event
-from lacewingstair.platform.log import TICKET_STREAM
 from lacewingstair.runtime import SystemClock
 from lacewingstair.standins.log_service import LogService
+from lacewingstair.ticket_log.log import TICKET_STREAM
 
 BASE_PORT = 21000
 PORTS_PER_VM = 4
--- a/src/lacewingstair/cli/publish.py
+++ b/src/lacewingstair/cli/publish.py
@@ -10,9 +10,9 @@
 from lacewingstair.cli.output import refusal_text
 from lacewingstair.cli.pending import fail
 from lacewingstair.errors import TicketError
-from lacewingstair.platform.log import LogClient
-from lacewingstair.platform.publish import PublishedTicket, publish_ticket
 from lacewingstair.runtime import Clock
+from lacewingstair.ticket_log.log import LogClient
+from lacewingstair.ticket_log.publish import PublishedTicket, publish_ticket
 
 LOOK_SECONDS = 0.5
 
--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -23,13 +23,13 @@
 from lacewingstair.operator.observe import observe
 from lacewingstair.operator.report import build_report
 from lacewingstair.outcomes import OutcomeSinks
-from lacewingstair.platform.http_log import HttpLogClient
-from lacewingstair.platform.options import LogOptions
-from lacewingstair.platform.reader import LogReader
 from lacewingstair.rollouts import RolloutController
 from lacewingstair.runtime import Clock
 from lacewingstair.settings import Settings
 from lacewingstair.store import StateStore
+from lacewingstair.ticket_log.http_log import HttpLogClient
+from lacewingstair.ticket_log.options import LogOptions
+from lacewingstair.ticket_log.reader import LogReader
 from lacewingstair.vm.node import VmNode
 from lacewingstair.vm.options import NodeOptions
 from lacewingstair.vm.transport import TcpTransport
--- a/src/lacewingstair/operator/health.py
+++ b/src/lacewingstair/operator/health.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lacewingstair.platform.status import LogStatus
+from lacewingstair.ticket_log.status import LogStatus
 
 
 @attrs.frozen
--- a/src/lacewingstair/operator/observe.py
+++ b/src/lacewingstair/operator/observe.py
@@ -13,9 +13,9 @@
     follow_labelled,
 )
 from lacewingstair.operator.health import Health
-from lacewingstair.platform.http_log import HttpLogClient
-from lacewingstair.platform.status import LogStatus
 from lacewingstair.store import StateStore
+from lacewingstair.ticket_log.http_log import HttpLogClient
+from lacewingstair.ticket_log.status import LogStatus
 from lacewingstair.vm.traffic import LinkTraffic
 
 _STATUS_NAMES = tuple(status.name.lower() for status in VmStatus)
--- a/src/lacewingstair/standins/full_mesh.py
+++ b/src/lacewingstair/standins/full_mesh.py
@@ -16,13 +16,13 @@
 from lacewingstair.directory import Endpoint, VmRecord
 from lacewingstair.marks import StageMark, TakeBack
 from lacewingstair.outcomes import CallOutcome, CallResult
-from lacewingstair.platform.log import TICKET_STREAM
-from lacewingstair.platform.options import LogOptions
-from lacewingstair.platform.reader import LogReader
 from lacewingstair.rollouts import PAUSE_SECONDS, STEP_SECONDS, RolloutController
 from lacewingstair.standins.memory_log import LogFaults, LogStreams, MemoryLogClient
 from lacewingstair.standins.mesh_cluster import MESH, Cluster, ClusterVm
 from lacewingstair.standins.rollout_mesh import rollout_document
+from lacewingstair.ticket_log.log import TICKET_STREAM
+from lacewingstair.ticket_log.options import LogOptions
+from lacewingstair.ticket_log.reader import LogReader
 
 CALL_SECONDS = 0.1
 CALL_LATENCY_SECONDS = 0.02
--- a/src/lacewingstair/standins/local_mesh.py
+++ b/src/lacewingstair/standins/local_mesh.py
@@ -16,11 +16,11 @@
 from lacewingstair.directory import Endpoint, EndpointState
 from lacewingstair.errors import ListenError
 from lacewingstair.http_server import listen
-from lacewingstair.platform.log import TICKET_STREAM
 from lacewingstair.runtime import Clock
 from lacewingstair.standins.backend_server import BackendServer
 from lacewingstair.standins.local import LOOPBACK, free_ports, local_settings
 from lacewingstair.standins.log_service import LogService
+from lacewingstair.ticket_log.log import TICKET_STREAM
 
 PORTS_PER_VM = 4
 
--- a/src/lacewingstair/standins/log_readers.py
+++ b/src/lacewingstair/standins/log_readers.py
@@ -8,13 +8,13 @@
 import attrs
 
 from lacewingstair.marks import Marks
-from lacewingstair.platform.log import SYSTEM_STREAM, TICKET_STREAM
-from lacewingstair.platform.options import LogOptions
-from lacewingstair.platform.reader import DEFAULT_OPTIONS, LogReader
-from lacewingstair.platform.records import decode_record
 from lacewingstair.runtime import Clock
 from lacewingstair.standins.memory_log import LogFaults, LogStreams, MemoryLogClient
 from lacewingstair.store import StateStore
+from lacewingstair.ticket_log.log import SYSTEM_STREAM, TICKET_STREAM
+from lacewingstair.ticket_log.options import LogOptions
+from lacewingstair.ticket_log.reader import DEFAULT_OPTIONS, LogReader
+from lacewingstair.ticket_log.records import decode_record
 
 
 def _always() -> bool:
--- a/src/lacewingstair/standins/log_service.py
+++ b/src/lacewingstair/standins/log_service.py
@@ -3,9 +3,9 @@
 from aiohttp import web
 from result import Err
 
-from lacewingstair.platform.log import LogBatch
 from lacewingstair.runtime import Clock
 from lacewingstair.standins.memory_log import MAX_VALUE_BYTES, LogStreams
+from lacewingstair.ticket_log.log import LogBatch
 
 MAX_READ_LIMIT = 1000
 MAX_WAIT_SECONDS = 60.0
--- a/src/lacewingstair/standins/memory_log.py
+++ b/src/lacewingstair/standins/memory_log.py
@@ -6,8 +6,8 @@
 from result import Err, Ok, Result
 
 from lacewingstair.errors import LogRefused, LogUnavailable, OffsetExpired
-from lacewingstair.platform.log import LogBatch, LogRecord
 from lacewingstair.runtime import Clock
+from lacewingstair.ticket_log.log import LogBatch, LogRecord
 
 MEMORY_URL = "memory"
 MAX_VALUE_BYTES = 4 << 20
--- a/src/lacewingstair/platform/append.py
+++ b/src/lacewingstair/ticket_log/append.py
@@ -7,8 +7,8 @@
 from result import Err, Ok, Result
 
 from lacewingstair.errors import LogRefused, LogUnavailable, OffsetExpired
-from lacewingstair.platform.log import LogClient, LogRecord
 from lacewingstair.runtime import Clock, full_jitter
+from lacewingstair.ticket_log.log import LogClient, LogRecord
 
 READ_LIMIT = 32
 RETRY_BASE_SECONDS = 0.5
--- a/src/lacewingstair/platform/checkpoint.py
+++ b/src/lacewingstair/ticket_log/checkpoint.py
@@ -10,8 +10,8 @@
 from lacewingstair.acceptance import MeshState
 from lacewingstair.errors import StateCodecError
 from lacewingstair.marks import Marks, RolloutKey, TakeBack
-from lacewingstair.platform.records import CheckpointChunk
 from lacewingstair.state_codec import decode_state, encode_state
+from lacewingstair.ticket_log.records import CheckpointChunk
 
 CHECKPOINT_FORMAT = 1
 CHUNK_BYTES = 64 << 10
--- a/src/lacewingstair/platform/checkpointer.py
+++ b/src/lacewingstair/ticket_log/checkpointer.py
@@ -6,19 +6,19 @@
 
 from lacewingstair import events
 from lacewingstair.marks import Marks
-from lacewingstair.platform.checkpoint import (
+from lacewingstair.runtime import Clock
+from lacewingstair.store import StateStore
+from lacewingstair.ticket_log.checkpoint import (
     Checkpoint,
     encode_checkpoint,
     lasting_take_backs,
     split_checkpoint,
 )
-from lacewingstair.platform.options import LogOptions
-from lacewingstair.platform.records import Lease
-from lacewingstair.platform.system_stream import SystemStream
-from lacewingstair.platform.system_view import StoredCheckpoint
-from lacewingstair.platform.writer import SystemWriter
-from lacewingstair.runtime import Clock
-from lacewingstair.store import StateStore
+from lacewingstair.ticket_log.options import LogOptions
+from lacewingstair.ticket_log.records import Lease
+from lacewingstair.ticket_log.system_stream import SystemStream
+from lacewingstair.ticket_log.system_view import StoredCheckpoint
+from lacewingstair.ticket_log.writer import SystemWriter
 
 CHECKPOINT_SHARE_OF_RETENTION = 0.25
 # Bounds the appends of a VM whose wall clock is wrong by more than the retention.
--- a/src/lacewingstair/platform/http_log.py
+++ b/src/lacewingstair/ticket_log/http_log.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from lacewingstair.errors import LogRefused, LogUnavailable, OffsetExpired
-from lacewingstair.platform.log import LogBatch, LogRecord
+from lacewingstair.ticket_log.log import LogBatch, LogRecord
 
 REQUEST_TIMEOUT_SECONDS = 5.0
 # A log that answers slowly is still usable; a silent connection is found out by the
--- a/src/lacewingstair/platform/publish.py
+++ b/src/lacewingstair/ticket_log/publish.py
@@ -6,9 +6,9 @@
 from result import Err, Ok, Result
 
 from lacewingstair.errors import PublishError, TicketError
-from lacewingstair.platform.append import READ_LIMIT, Appender
-from lacewingstair.platform.log import TICKET_STREAM, LogClient
 from lacewingstair.runtime import Clock
+from lacewingstair.ticket_log.append import READ_LIMIT, Appender
+from lacewingstair.ticket_log.log import TICKET_STREAM, LogClient
 from lacewingstair.tickets import Ticket, parse_ticket
 
 PUBLISH_TIMEOUT_SECONDS = 60.0
--- a/src/lacewingstair/platform/reader.py
+++ b/src/lacewingstair/ticket_log/reader.py
@@ -13,17 +13,17 @@
 from lacewingstair import events
 from lacewingstair.acceptance import TicketRecord
 from lacewingstair.marks import Marks, RolloutKey, TakeBack
-from lacewingstair.platform.checkpoint import decode_checkpoint, lasting_take_backs
-from lacewingstair.platform.checkpointer import Checkpointer
-from lacewingstair.platform.log import LogClient
-from lacewingstair.platform.options import LogOptions
-from lacewingstair.platform.records import TakeBackRecord
-from lacewingstair.platform.status import LogStatus, ObservedLog
-from lacewingstair.platform.system_stream import SystemStream
-from lacewingstair.platform.tail import LogTail
-from lacewingstair.platform.writer import SystemWriter
 from lacewingstair.runtime import Clock
 from lacewingstair.store import StateStore
+from lacewingstair.ticket_log.checkpoint import decode_checkpoint, lasting_take_backs
+from lacewingstair.ticket_log.checkpointer import Checkpointer
+from lacewingstair.ticket_log.log import LogClient
+from lacewingstair.ticket_log.options import LogOptions
+from lacewingstair.ticket_log.records import TakeBackRecord
+from lacewingstair.ticket_log.status import LogStatus, ObservedLog
+from lacewingstair.ticket_log.system_stream import SystemStream
+from lacewingstair.ticket_log.tail import LogTail
+from lacewingstair.ticket_log.writer import SystemWriter
 
 ROLE_CHECK_SECONDS = 2.0
 # Readers look for marks to write at random moments of this interval, so that the first
--- a/src/lacewingstair/platform/status.py
+++ b/src/lacewingstair/ticket_log/status.py
@@ -5,7 +5,7 @@
 
 from lacewingstair import events
 from lacewingstair.errors import LogRefused, LogUnavailable, OffsetExpired
-from lacewingstair.platform.log import LogBatch, LogClient
+from lacewingstair.ticket_log.log import LogBatch, LogClient
 
 
 @attrs.define
--- a/src/lacewingstair/platform/system_stream.py
+++ b/src/lacewingstair/ticket_log/system_stream.py
@@ -4,9 +4,9 @@
 
 from lacewingstair import events
 from lacewingstair.errors import LogUnavailable, OffsetExpired
-from lacewingstair.platform.log import SYSTEM_STREAM, LogClient
-from lacewingstair.platform.system_view import StoredCheckpoint, SystemView
 from lacewingstair.runtime import Clock
+from lacewingstair.ticket_log.log import SYSTEM_STREAM, LogClient
+from lacewingstair.ticket_log.system_view import StoredCheckpoint, SystemView
 
 # Chunks of a checkpoint take about 90 KB each, so that an answer stays below 3 MB.
 READ_LIMIT = 32
--- a/src/lacewingstair/platform/system_view.py
+++ b/src/lacewingstair/ticket_log/system_view.py
@@ -11,9 +11,9 @@
 
 from lacewingstair import events
 from lacewingstair.marks import Marks
-from lacewingstair.platform.checkpoint import ChunkAssembly
-from lacewingstair.platform.log import LogRecord
-from lacewingstair.platform.records import (
+from lacewingstair.ticket_log.checkpoint import ChunkAssembly
+from lacewingstair.ticket_log.log import LogRecord
+from lacewingstair.ticket_log.records import (
     CheckpointChunk,
     Envelope,
     Lease,
--- a/src/lacewingstair/platform/tail.py
+++ b/src/lacewingstair/ticket_log/tail.py
@@ -8,13 +8,13 @@
 from lacewingstair import events
 from lacewingstair.acceptance import TicketRecord
 from lacewingstair.errors import LogUnavailable, OffsetExpired
-from lacewingstair.platform.checkpoint import decode_checkpoint
-from lacewingstair.platform.log import TICKET_STREAM, LogBatch, LogClient, LogRecord
-from lacewingstair.platform.options import LogOptions
-from lacewingstair.platform.status import LogStatus
-from lacewingstair.platform.system_stream import SystemStream
 from lacewingstair.runtime import Clock, full_jitter
 from lacewingstair.store import StateStore
+from lacewingstair.ticket_log.checkpoint import decode_checkpoint
+from lacewingstair.ticket_log.log import TICKET_STREAM, LogBatch, LogClient, LogRecord
+from lacewingstair.ticket_log.options import LogOptions
+from lacewingstair.ticket_log.status import LogStatus
+from lacewingstair.ticket_log.system_stream import SystemStream
 from lacewingstair.tickets import MAX_TICKET_BYTES
 
 READ_LIMIT = 128
--- a/src/lacewingstair/platform/writer.py
+++ b/src/lacewingstair/ticket_log/writer.py
@@ -6,10 +6,10 @@
 
 from result import Result
 
-from lacewingstair.platform.append import Appender, AppendFailed
-from lacewingstair.platform.log import SYSTEM_STREAM, LogClient
-from lacewingstair.platform.records import Envelope, decode_record, encode_record
 from lacewingstair.runtime import Clock
+from lacewingstair.ticket_log.append import Appender, AppendFailed
+from lacewingstair.ticket_log.log import SYSTEM_STREAM, LogClient
+from lacewingstair.ticket_log.records import Envelope, decode_record, encode_record
 
 
 class SystemWriter:
--- a/tests/cli/test_publish.py
+++ b/tests/cli/test_publish.py
@@ -5,9 +5,9 @@
 
 from lacewingstair.cli.exit_codes import ExitCode
 from lacewingstair.cli.publish import publish_file
-from lacewingstair.platform.log import TICKET_STREAM
 from lacewingstair.standins.memory_log import LogFaults, LogStreams, MemoryLogClient
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
+from lacewingstair.ticket_log.log import TICKET_STREAM
 from tests.cli.test_report import DOWN, Vm, report
 
 BEHIND = report()
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -7,9 +7,9 @@
 from lacewingstair import process
 from lacewingstair.caller.options import CallOptions
 from lacewingstair.daemon import build
-from lacewingstair.platform.options import LogOptions
 from lacewingstair.settings import all_settings, parse_settings
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
+from lacewingstair.ticket_log.options import LogOptions
 from lacewingstair.vm import transport
 from lacewingstair.vm.options import NodeOptions
 
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -18,13 +18,13 @@
 from lacewingstair.caller.server import CallServer
 from lacewingstair.directory import VmStatus
 from lacewingstair.marks import RolloutKey, TakeBack
-from lacewingstair.platform.log import TICKET_STREAM
 from lacewingstair.rollouts import SETTLE_SECONDS
 from lacewingstair.standins.full_mesh import BAD_SERVICE, GOOD_SERVICE, FullMesh, FullVm
 from lacewingstair.standins.memory_server import MemoryServer
 from lacewingstair.standins.mesh_cluster import zones
 from lacewingstair.standins.virtual_time import run_virtual
 from lacewingstair.store import StateStore
+from lacewingstair.ticket_log.log import TICKET_STREAM
 
 GOOD = RolloutKey(GOOD_SERVICE, 1)
 BAD = RolloutKey(BAD_SERVICE, 1)
--- a/tests/platform/test_append.py
+++ b/tests/ticket_log/test_append.py
@@ -4,9 +4,6 @@
 import pytest
 
 from lacewingstair.errors import LogRefused, PublishError, TicketError
-from lacewingstair.platform.append import Appender
-from lacewingstair.platform.log import TICKET_STREAM
-from lacewingstair.platform.publish import PublishedTicket, publish_ticket
 from lacewingstair.standins.memory_log import (
     MAX_VALUE_BYTES,
     LogFaults,
@@ -14,6 +11,9 @@
     MemoryLogClient,
 )
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
+from lacewingstair.ticket_log.append import Appender
+from lacewingstair.ticket_log.log import TICKET_STREAM
+from lacewingstair.ticket_log.publish import PublishedTicket, publish_ticket
 from tests.ticket_texts import ticket
 
 
--- a/tests/platform/test_http_log.py
+++ b/tests/ticket_log/test_http_log.py
@@ -6,13 +6,13 @@
 from aiohttp import web
 
 from lacewingstair.errors import LogRefused, LogUnavailable, OffsetExpired
-from lacewingstair.platform import http_log
-from lacewingstair.platform.http_log import HttpLogClient
-from lacewingstair.platform.log import TICKET_STREAM
-from lacewingstair.platform.publish import publish_ticket
 from lacewingstair.runtime import SystemClock
 from lacewingstair.standins.log_service import LogService
 from lacewingstair.standins.memory_log import MAX_VALUE_BYTES
+from lacewingstair.ticket_log import http_log
+from lacewingstair.ticket_log.http_log import HttpLogClient
+from lacewingstair.ticket_log.log import TICKET_STREAM
+from lacewingstair.ticket_log.publish import publish_ticket
 from tests.ticket_texts import ticket
 
 
--- a/tests/platform/test_reader.py
+++ b/tests/ticket_log/test_reader.py
@@ -6,13 +6,13 @@
 
 from lacewingstair.events import parse_event
 from lacewingstair.marks import RolloutKey, TakeBack
-from lacewingstair.platform import checkpointer
-from lacewingstair.platform.log import SYSTEM_STREAM, TICKET_STREAM
-from lacewingstair.platform.options import LogOptions
-from lacewingstair.platform.records import CheckpointChunk, Lease, TakeBackRecord
 from lacewingstair.standins.log_readers import LogReaders
 from lacewingstair.standins.memory_log import LogFaults
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
+from lacewingstair.ticket_log import checkpointer
+from lacewingstair.ticket_log.log import SYSTEM_STREAM, TICKET_STREAM
+from lacewingstair.ticket_log.options import LogOptions
+from lacewingstair.ticket_log.records import CheckpointChunk, Lease, TakeBackRecord
 from lacewingstair.tickets import MAX_TICKET_BYTES
 from tests.ticket_texts import first_ticket, ticket
 
--- a/tests/platform/test_system_view.py
+++ b/tests/ticket_log/test_system_view.py
@@ -4,16 +4,16 @@
 from hypothesis import strategies as st
 
 from lacewingstair.marks import RolloutKey, TakeBack
-from lacewingstair.platform.checkpoint import CHUNK_BYTES, split_checkpoint
-from lacewingstair.platform.log import LogRecord
-from lacewingstair.platform.records import (
+from lacewingstair.ticket_log.checkpoint import CHUNK_BYTES, split_checkpoint
+from lacewingstair.ticket_log.log import LogRecord
+from lacewingstair.ticket_log.records import (
     Envelope,
     Lease,
     TakeBackRecord,
     decode_record,
     encode_record,
 )
-from lacewingstair.platform.system_view import MAX_LEASE_MS, SystemView
+from lacewingstair.ticket_log.system_view import MAX_LEASE_MS, SystemView
 
 TTL_MS = 60_000
 MARK = TakeBack(RolloutKey("move", 1), "errors", "9 of 10 calls", 12.5, "vm-1")
