Take an answer that ends with a reset for broken

The connection now notes an end with an error before the parser sees it.

Ruled out: spoiled lengths and chunks (the parser reports these) and second answers (a test covers both).

--- a/src/lacewingstair/backend_server/connection.py
+++ b/src/lacewingstair/backend_server/connection.py
@@ -39,6 +39,9 @@
         Whether a byte of the present call was given to the transport.
     is_idle : bool
         Whether no call uses it; anything received then closes it.
+    was_reset : bool
+        Whether the connection ended with an error. An answer without a length, which
+        ends with its connection, is not whole then.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         self.has_written = False
         self.has_received = False
         self.is_idle = True
+        self.was_reset = False
         self._poll: select.poll | None = None
 
     def connection_made(self, transport: Any) -> None:
@@ -69,6 +73,11 @@
         if option is not None:
             sock.setsockopt(socket.IPPROTO_TCP, option, UNACKNOWLEDGED_TIMEOUT_MS)
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Note an end that is not a clean one, before the answer's body ends with it."""
+        self.was_reset = exc is not None
+        super().connection_lost(exc)
+
     def is_reusable(self) -> bool:
         """Return whether an idle connection can take another call.
 
--- a/src/lacewingstair/backend_server/gate.py
+++ b/src/lacewingstair/backend_server/gate.py
@@ -337,6 +337,8 @@
                 size += len(chunk)
                 if size > MAX_ANSWER_BYTES:
                     return _Unusable(f"the answer has over {size} bytes", True)
+            if connection.was_reset:
+                return _Unusable("the connection was reset within the answer", True)
             found = message.headers.get(headers.REQUEST_ID)
             is_not_run = headers.is_not_run(message.code, message.headers)
             if found == call.request_id or (found is None and is_not_run):
--- a/tests/backend_server/test_gate.py
+++ b/tests/backend_server/test_gate.py
@@ -67,7 +67,9 @@
     with_gate(check)
 
 
-@pytest.mark.parametrize("behaviour", ["truncate", "reset", "unsigned"])
+@pytest.mark.parametrize(
+    "behaviour", ["truncate", "reset", "unframed reset", "unsigned"]
+)
 def test_an_answer_that_is_not_whole_may_have_run(behaviour):
     """Guards against a truncated answer that looks complete."""
 
--- a/tests/platform/upstream_standin.py
+++ b/tests/platform/upstream_standin.py
@@ -1,6 +1,8 @@
 """Stand-in for a backend server of the platform, as its published protocol says."""
 
 import asyncio
+import socket
+import struct
 
 
 class UpstreamStandIn:
@@ -14,7 +16,7 @@
         Time that a call takes.
     behaviour : str
         ``ok``, ``truncate``, ``reset``, ``extra`` (a second answer), ``late extra``
-        (the second answer comes after a while), ``unframed``, ``unsigned``, ``shed``,
+        (the second answer comes after a while), ``unframed``, ``unframed reset``, ``unsigned``, ``shed``,
         ``error`` or ``silent``.
     """
 
@@ -106,6 +108,9 @@
             case "unframed":
                 writer.write(f"HTTP/1.1 200 OK\r\n{signed}\r\n".encode() + body)
                 return False
+            case "unframed reset":
+                writer.write(f"HTTP/1.1 200 OK\r\n{signed}\r\n".encode() + body[:4])
+                asyncio.get_running_loop().call_later(0.05, _reset, writer)
             case "unsigned":
                 field = f"Request-Id: {request_id}\r\n"
                 writer.write(_head(200, field, len(body)) + body)
@@ -116,5 +121,11 @@
         return True
 
 
+def _reset(writer):
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 def _head(status, fields, length):
     return f"HTTP/1.1 {status} X\r\n{fields}Content-Length: {length}\r\n\r\n".encode()
