--- a/src/lacewingstair/backend_server/connection.py
+++ b/src/lacewingstair/backend_server/connection.py
@@ -74,7 +74,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, option, UNACKNOWLEDGED_TIMEOUT_MS)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Note an end that is not a clean one, before the answer's body ends with it."""
+        """Note an end with an error before the body of an answer ends with it."""
         self.was_reset = exc is not None
         super().connection_lost(exc)
 
--- a/tests/platform/upstream_standin.py
+++ b/tests/platform/upstream_standin.py
@@ -16,8 +16,8 @@
         Time that a call takes.
     behaviour : str
         ``ok``, ``truncate``, ``reset``, ``extra`` (a second answer), ``late extra``
-        (the second answer comes after a while), ``unframed``, ``unframed reset``, ``unsigned``, ``shed``,
-        ``error`` or ``silent``.
+        (the second answer comes after a while), ``unframed``, ``unframed reset``,
+        ``unsigned``, ``shed``, ``error`` or ``silent``.
     """
 
     def __init__(self, upstream_id="i-1"):
