Test links, registration and bounded output by themselves

The test of the output found that a line which could not be written outside of a running loop was tried again without end; such lines now wait for the next one, and the last lines are written at the exit.

--- a/src/lacewingstair/events.py
+++ b/src/lacewingstair/events.py
@@ -64,7 +64,8 @@
             self._unreported += 1
             return
         self._waiting += data
-        self._schedule()
+        if not self._schedule():
+            self.flush()
 
     def flush(self) -> None:
         """Write what the descriptor takes now."""
@@ -83,15 +84,16 @@
         elif self._waiting:
             self._schedule()
 
-    def _schedule(self) -> None:
+    def _schedule(self) -> bool:
+        """Write soon; return False when no loop runs that could."""
         if self._scheduled is not None:
-            return
+            return True
         try:
             loop = asyncio.get_running_loop()
         except RuntimeError:
-            self.flush()
-            return
+            return False
         self._scheduled = loop.call_later(FLUSH_SECONDS, self.flush)
+        return True
 
 
 def configure_output(level: str) -> BoundedOutput:
--- a/src/lacewingstair/process.py
+++ b/src/lacewingstair/process.py
@@ -1,6 +1,7 @@
 """Process of the daemon: settings, signals, start, planned stop and exit code."""
 
 import asyncio
+import atexit
 import contextlib
 import random
 import signal
@@ -169,7 +170,8 @@
         sys.exit(EXIT_INVALID)
     settings = loaded.ok_value
     if settings.platform.interface == METADATA_STORE:
-        events.configure_output(settings.log_level)
+        output = events.configure_output(settings.log_level)
+        atexit.register(output.flush)
     else:
         events.configure(settings.log_level)
     sys.exit(run(settings, sys.argv[1]))
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -1,3 +1,4 @@
+import os
 import random
 
 import pytest
@@ -60,3 +61,41 @@
             decisions.call_routed(route="read")
 
     assert low <= len(log(act)) <= high
+
+
+class TestBoundedOutput:
+    def test_a_reader_that_does_not_read_delays_nothing(self):
+        """Guards against a daemon that waits for its log."""
+        reading, writing = os.pipe()
+        output = events.BoundedOutput(writing)
+        for number in range(20_000):
+            output(f"event=test number={number} padding={'x' * 50}\n")
+        assert output.dropped > 0
+        before = os.read(reading, 1 << 20)
+        assert before.startswith(b"event=test number=0 ")
+        lines = before.decode()
+        for _ in range(100):
+            output.flush()
+            os.set_blocking(reading, False)
+            try:
+                lines += os.read(reading, 1 << 20).decode()
+            except BlockingIOError:
+                break
+        assert f"event=lines_dropped count={output.dropped}" in lines
+        os.close(reading)
+        output("event=test after=close\n")
+        os.close(writing)
+
+    def test_lines_about_calls_are_bounded_and_counted(self, monkeypatch):
+        written = []
+        monkeypatch.setattr(
+            events, "_emit", lambda level, event, fields: written.append(fields)
+        )
+        budget = events._LineBudget(10.0)
+        monkeypatch.setattr(events, "_served_lines", budget)
+        for number in range(50):
+            events.call_line("call_placed", is_failure=False, call=str(number))
+        assert 10 <= len(written) <= 12
+        budget._tokens = 5.0
+        events.call_line("call_placed", is_failure=False, call="last")
+        assert written[-1]["left_out"] >= 38
--- /dev/null
+++ b/tests/vm/test_call_link.py
@@ -0,0 +1,166 @@
+import asyncio
+
+from result import Ok
+
+from lacewingstair.runtime import SystemClock
+from lacewingstair.vm import call_messages, call_streams
+from lacewingstair.vm.call_link import PING_AFTER_SECONDS, PONG_SECONDS, CallLink
+from lacewingstair.vm.call_messages import (
+    CallAnswer,
+    CallCancel,
+    CallFailed,
+    CallRefused,
+    Hello,
+    LoadReport,
+    RefusalReason,
+)
+from lacewingstair.vm.entries import VmEntry
+from tests.backend_server.test_gate import request
+
+LOAD = LoadReport(1, 0, 18, 100.0, 0.0, True, "v1", 3)
+
+
+def entry(vm_id="vm1", address="127.0.0.1:1"):
+    return VmEntry(vm_id, "r", "z", address, "board", 1)
+
+
+class Peer:
+    """Accepts streams and keeps what comes; answers only when it is told to."""
+
+    def __init__(self):
+        self.received = []
+        self.streams = []
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        return "{}:{}".format(*self._server.sockets[0].getsockname())
+
+    async def _accept(self, reader, writer):
+        stream = call_streams.CallStream(reader, writer)
+        self.streams.append(stream)
+        async for message in stream.messages():
+            self.received.append(message)
+
+    def stop(self):
+        self._server.close()
+        for stream in self.streams:
+            stream.abort()
+
+
+def with_link(check):
+    async def main():
+        peer = Peer()
+        address = await peer.start()
+        entries, documents = [], []
+        link = CallLink(
+            entry(address=address),
+            lambda: entry("own"),
+            SystemClock(),
+            on_entry=entries.append,
+            on_configuration=documents.append,
+            on_rollout=lambda message: None,
+            configuration_number=lambda: 1,
+        )
+        try:
+            await check(link, peer, entries)
+        finally:
+            link.close()
+            peer.stop()
+
+    asyncio.run(main())
+
+
+async def received(peer, kind, count=1):
+    async with asyncio.timeout(2):
+        while True:
+            found = [m for m in peer.received if isinstance(m, kind)]
+            if len(found) >= count:
+                return found
+            await asyncio.sleep(0.01)
+
+
+def test_answers_reach_their_calls_in_any_order():
+    async def check(link, peer, _):
+        tasks = [asyncio.create_task(link.run(request(f"c{n}"))) for n in range(3)]
+        calls = await received(peer, call_messages.CallRequest, 3)
+        for call in reversed(calls):
+            body = call.request_id.encode()
+            answer = CallAnswer(call.call_id, 200, "", b"", body, LOAD)
+            peer.streams[0].send(answer)
+        outcomes = await asyncio.gather(*tasks)
+        assert [outcome.body for outcome in outcomes] == [b"c0", b"c1", b"c2"]
+        assert link.load == LOAD and link.unreported == 0
+
+    with_link(check)
+
+
+def test_a_call_on_a_stream_that_breaks_may_have_run():
+    """Guards against a call that is said not to have run."""
+
+    async def check(link, peer, _):
+        task = asyncio.create_task(link.run(request()))
+        await received(peer, call_messages.CallRequest)
+        peer.streams[0].abort()
+        assert isinstance(await task, CallFailed)
+        assert not link.is_connected and link.failed_at is not None
+
+    with_link(check)
+
+
+def test_a_call_to_a_vm_that_cannot_be_reached_was_not_sent():
+    async def check(link, peer, _):
+        peer.stop()
+        outcome = await link.run(request())
+        assert isinstance(outcome, CallRefused)
+        assert outcome.reason is RefusalReason.UNREACHABLE
+
+    with_link(check)
+
+
+def test_a_peer_that_goes_silent_with_a_call_is_given_up_soon():
+    """Guards against connections that go silent without a reset, and frozen VMs."""
+
+    async def check(link, peer, _):
+        async with asyncio.timeout(PING_AFTER_SECONDS * 3 + PONG_SECONDS + 0.5):
+            outcome = await link.run(request(remaining_ms=10_000.0))
+        assert isinstance(outcome, CallFailed)
+        assert "no message for" in outcome.reason
+
+    with_link(check)
+
+
+def test_a_caller_that_leaves_is_passed_on():
+    async def check(link, peer, _):
+        task = asyncio.create_task(link.run(request()))
+        (call,) = await received(peer, call_messages.CallRequest)
+        task.cancel()
+        assert await received(peer, CallCancel) == [CallCancel(call.call_id)]
+        assert link.in_flight == 0
+
+    with_link(check)
+
+
+def test_the_greeting_tells_who_both_are():
+    async def check(link, peer, entries):
+        link.open()
+        assert (await received(peer, Hello))[0].entry == entry("own")
+        peer.streams[0].send(Hello(entry("vm1", "10.0.0.1:1"), 5))
+        await asyncio.sleep(0.05)
+        assert entries == [entry("vm1", "10.0.0.1:1")]
+
+    with_link(check)
+
+
+def test_each_message_is_decoded_as_it_was_encoded():
+    import msgpack
+
+    for message in (
+        Hello(entry(), 3),
+        request(),
+        CallRefused(1, RefusalReason.FULL, 5.0, False, LOAD),
+        CallAnswer(1, 200, "OK", b"A: b\r\n", b"\x00", LOAD),
+    ):
+        array = msgpack.unpackb(call_messages.encode(message))
+        assert call_messages.decode(array) == Ok(message)
+    for array in (None, [], [99], [1], [4, 1, 77, 0, 0, []], [2, 1]):
+        assert call_messages.decode(array).is_err()
--- /dev/null
+++ b/tests/vm/test_registration.py
@@ -0,0 +1,92 @@
+import asyncio
+import random
+
+import attrs
+from result import Err, Ok
+
+from lacewingstair.errors import StoreUnavailable
+from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
+from lacewingstair.vm.entries import MeshView, UpstreamState, VmEntry, decode_entry
+from lacewingstair.vm.registration import Registration
+
+ENTRY = VmEntry("vm1", "r", "z", "10.0.0.1:1", "board", incarnation=100)
+
+
+class Store:
+    def __init__(self):
+        self.written = []
+        self.is_down = False
+
+    async def write(self, vm_id, value):
+        if self.is_down:
+            return Err(StoreUnavailable("write", "down"))
+        self.written.append(decode_entry(value).unwrap())
+        return Ok(len(self.written) - 1)
+
+
+def with_registration(check):
+    async def main():
+        store, clock = Store(), VirtualClock()
+        view = MeshView("vm1")
+        registration = Registration(ENTRY, view, store.write, clock, random.Random(1))
+        task = asyncio.create_task(registration.run())
+        await check(registration, store, clock, view)
+        task.cancel()
+
+    run_virtual(main())
+
+
+def test_each_change_is_written_once():
+    async def check(registration, store, clock, view):
+        registration.change(state=UpstreamState.READY, version="v1")
+        registration.change(state=UpstreamState.READY)
+        await clock.sleep(1)
+        assert [entry.sequence for entry in store.written] == [1]
+        assert view.get("vm1") == store.written[0]
+
+    with_registration(check)
+
+
+def test_a_change_during_an_outage_is_written_within_two_seconds_of_its_end():
+    """Guards against entries that stay away after an outage of the store."""
+
+    async def check(registration, store, clock, _):
+        store.is_down = True
+        registration.change(state=UpstreamState.READY)
+        await clock.sleep(60)
+        store.is_down = False
+        await clock.sleep(2)
+        assert len(store.written) == 1
+
+    with_registration(check)
+
+
+def test_an_entry_of_an_earlier_process_does_not_outlast_this_one():
+    """Guards against a clock that went back before the start."""
+
+    async def check(registration, store, clock, view):
+        registration.change(state=UpstreamState.READY)
+        earlier = attrs.evolve(ENTRY, incarnation=900, is_leaving=True)
+        registration.seen(earlier)
+        await clock.sleep(1)
+        assert store.written[-1].incarnation == 901
+        assert store.written[-1].takes_calls
+        assert view.get("vm1") == store.written[-1]
+
+    with_registration(check)
+
+
+def test_an_old_write_that_takes_effect_late_is_overwritten():
+    async def check(registration, store, clock, _):
+        registration.change(state=UpstreamState.READY)
+        await clock.sleep(1)
+        registration.seen(ENTRY)
+        await clock.sleep(1)
+        assert [entry.state for entry in store.written] == [UpstreamState.READY] * 2
+
+    with_registration(check)
+
+
+def test_entries_that_cannot_be_read_are_errors():
+    for data in (b"", b"\xc1", b"\x01", b"\x92\x01\xa1a"):
+        assert isinstance(decode_entry(data), Err)
