--- a/src/lacewingstair/staged_rollouts/coordinator.py
+++ b/src/lacewingstair/staged_rollouts/coordinator.py
@@ -159,7 +159,10 @@
         rollout = self._rollouts_by_service.get(service)
         if rollout is None:
             return None
-        rollout.credit += share_of_new(rollout.stage)
+        share = share_of_new(rollout.stage)
+        if share >= 1.0:
+            return True
+        rollout.credit += share
         if rollout.credit < 1.0:
             return False
         rollout.credit -= 1.0
--- /dev/null
+++ b/tests/caller/test_forwarding.py
@@ -0,0 +1,213 @@
+import random
+
+import attrs
+import pytest
+
+from lacewingstair.caller.forwarding import ForwardCall, Forwarder, NotServed
+from lacewingstair.configuration import CallRoute, SplitPart
+from lacewingstair.staged_rollouts.policy import Order, Stage
+from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
+from lacewingstair.vm.call_messages import (
+    CallAnswer,
+    CallFailed,
+    CallRefused,
+    LoadReport,
+    RefusalReason,
+)
+from lacewingstair.vm.entries import MeshView, UpstreamState, VmEntry
+from tests.staged_rollouts.test_coordinator import Mesh
+
+LOAD = LoadReport(0, 0, 18, 100.0, 0.0, True, "v1", 1)
+ROUTE = CallRoute(("a",), "/a/", (SplitPart("board", 1.0),), max_attempts=2)
+IDEMPOTENT = attrs.evolve(ROUTE, allows_repeat=True)
+
+
+def entry(vm_id, zone="z", version="v1"):
+    return VmEntry(
+        vm_id,
+        "r",
+        zone,
+        f"{vm_id}:1",
+        "board",
+        1,
+        1,
+        f"i-{vm_id}",
+        version,
+        18,
+        UpstreamState.READY,
+    )
+
+
+class Link:
+    """Link with scripted outcomes; the last one stays."""
+
+    in_flight = 0
+    unreported = 0
+    load_at = 0.0
+    is_connected = True
+
+    def __init__(self, vm_id, *outcomes, version="v1"):
+        self.vm_id = vm_id
+        self.outcomes = list(outcomes)
+        self.calls = []
+        self.load = attrs.evolve(LOAD, version=version)
+
+    def is_usable(self, now):
+        return True
+
+    async def run(self, call):
+        self.calls.append(call)
+        return self.outcomes.pop(0) if len(self.outcomes) > 1 else self.outcomes[0]
+
+
+class Links(dict):
+    pass
+
+
+class ClosedGate:
+    is_open = False
+    is_stopping = False
+
+
+def answer(status=200, body=b"ok"):
+    return CallAnswer(1, status, "", b"Response-Signature: s\r\n", body, LOAD)
+
+
+def refused(reason=RefusalReason.FULL, retry_after_ms=80.0, was_sent=False):
+    return CallRefused(1, reason, retry_after_ms, was_sent, LOAD)
+
+
+def failed(is_timeout=False):
+    return CallFailed(1, "reset", is_timeout, LOAD)
+
+
+def rollouts_at(stage):
+    coordinator = Mesh("a").by_vm_id["a"]
+    if stage is not None:
+        coordinator.take_order(Order("board", "v2", 16.0, 1))
+        coordinator._advance(coordinator.get("board"), stage, "test")
+    return coordinator
+
+
+def forward(*links, route=ROUTE, calls=1, stage=None):
+    """Return the outcomes of calls that are forwarded one after the other."""
+
+    async def main():
+        clock = VirtualClock()
+        view = MeshView("own")
+        view.merge(attrs.evolve(entry("own"), service="other"))
+        for link in links:
+            view.merge(entry(link.vm_id, version=link.load.version))
+        forwarder = Forwarder(
+            lambda: view.get("own"),
+            view,
+            Links({link.vm_id: link for link in links}),
+            ClosedGate(),
+            rollouts_at(stage),
+            clock,
+            random.Random(1),
+        )
+        found = []
+        for number in range(calls):
+            now = clock.monotonic()
+            call = ForwardCall(
+                f"q{number}",
+                "r",
+                route,
+                "board",
+                "GET",
+                "/a/",
+                b"",
+                b"",
+                now + 0.6,
+                now + 1.2,
+            )
+            found.append(await forwarder.forward(call))
+        return found if calls > 1 else found[0]
+
+    return run_virtual(main())
+
+
+def sent(*links):
+    return sum(len(link.calls) for link in links)
+
+
+def test_a_refused_call_is_offered_to_another_gate():
+    full, free = Link("a", refused()), Link("b", answer())
+    for _ in range(4):
+        assert forward(full, free).status == 200
+    assert len(free.calls) == 4
+
+
+def test_a_call_refused_by_all_is_not_run_and_says_when_to_come_back():
+    links = [Link(vm_id, refused()) for vm_id in "abcdef"]
+    outcome = forward(*links)
+    assert isinstance(outcome, NotServed)
+    assert outcome.is_not_run and outcome.retry_after_ms == 80.0
+    assert sent(*links) == 4
+
+
+@pytest.mark.parametrize("outcome", [failed(), failed(is_timeout=True)])
+def test_a_call_that_must_not_run_twice_is_not_sent_again(outcome):
+    """Guards against a delivery that is confirmed twice."""
+    links = [Link("a", outcome), Link("b", outcome)]
+    found = forward(*links)
+    assert isinstance(found, NotServed) and not found.is_not_run
+    assert sent(*links) == 1
+
+
+def test_a_refusal_after_a_failure_does_not_say_not_run():
+    """Guards against a call that is said not to have run although it may have."""
+    links = [Link("a", failed(), refused()), Link("b", failed(), refused())]
+    route = attrs.evolve(IDEMPOTENT, max_attempts=3)
+    found = forward(*links, route=route)
+    assert isinstance(found, NotServed) and not found.is_not_run
+
+
+def test_an_idempotent_call_is_sent_to_as_many_upstreams_as_its_route_allows():
+    links = [Link(vm_id, failed()) for vm_id in "abcd"]
+    forward(*links, route=IDEMPOTENT)
+    assert sent(*links) <= 2
+
+
+def test_a_failure_of_an_upstream_is_passed_on_as_it_is():
+    link = Link("a", answer(500, b"fault"))
+    found = forward(link, route=ROUTE)
+    assert (found.status, found.body) == (500, b"fault")
+
+
+def test_repeats_stay_within_their_budget_when_everything_fails():
+    """Guards against repeats that multiply an outage."""
+    links = [Link(vm_id, answer(500)) for vm_id in "abcd"]
+    forward(*links, route=IDEMPOTENT, calls=300)
+    assert 300 < sent(*links) <= 300 * 1.1 + 2
+
+
+class TestVersions:
+    def test_a_version_on_trial_gets_its_share_alone(self):
+        old, new = Link("a", answer()), Link("b", answer(), version="v2")
+        forward(old, new, calls=500, stage=Stage.TRIAL)
+        assert 15 <= len(new.calls) <= 25
+
+    def test_calls_do_not_move_to_a_version_on_trial_when_the_old_one_is_full(self):
+        """Guards against a bad version that gets an overload."""
+        old, new = Link("a", refused()), Link("b", answer(), version="v2")
+        forward(old, new, calls=200, stage=Stage.TRIAL)
+        assert len(new.calls) <= 10
+
+    def test_what_the_new_version_fails_is_repeated_on_the_old_one(self):
+        old, new = Link("a", answer()), Link("b", answer(500), version="v2")
+        found = forward(old, new, calls=100, stage=Stage.TRIAL, route=IDEMPOTENT)
+        assert [outcome.status for outcome in found] == [200] * 100
+        assert new.calls
+
+    def test_a_version_that_was_taken_back_gets_nothing(self):
+        new = Link("b", answer(), version="v2")
+        outcome = forward(new, stage=Stage.ROLLED_BACK)
+        assert isinstance(outcome, NotServed) and outcome.is_not_run
+        assert new.calls == []
+
+    def test_after_the_shift_the_old_version_serves_what_the_new_one_refuses(self):
+        old, new = Link("a", answer()), Link("b", refused(), version="v2")
+        assert forward(old, new, stage=Stage.SHIFTED).status == 200
+        assert len(new.calls) == 1
