Drop the entry of a VM that stops as planned

The others learn of the stop on their links; the write that told it drops the key instead, so no call to the store is added. An entry that a late write drops while its VM lives is written again.

--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -24,7 +24,7 @@
 from lacewingstair.caller.forwarding import Forwarder
 from lacewingstair.caller.ingress import Ingress
 from lacewingstair.configuration import ConfigurationStore
-from lacewingstair.errors import Fault, ListenError, SettingsError
+from lacewingstair.errors import ListenError, SettingsError
 from lacewingstair.http_server import application_runner, listen
 from lacewingstair.keyed_tail import KeyedTail
 from lacewingstair.operator.sidecar_api import SidecarApi
@@ -301,7 +301,7 @@
         terms = services.get(self.gate.service)
         return DEFAULT_CONNECTIONS if terms is None else terms.max_connections
 
-    async def _write_entry(self, vm_id: str, value: bytes):
+    async def _write_entry(self, vm_id: str, value: bytes | None):
         return await self.store.append(platform_store.MESH_TOPIC, vm_id, value)
 
     def _live_vm_ids(self) -> list[str]:
@@ -397,7 +397,7 @@
     def _take_entries(self, records) -> None:
         for record in records:
             if record.value is None:
-                self.view.remove(record.key)
+                self._drop_entry(record.key)
                 continue
             decoded = decode_entry(record.value)
             if isinstance(decoded, Err) or decoded.ok_value.vm_id != record.key:
@@ -409,10 +409,11 @@
             else:
                 self.view.merge(entry)
 
-
-def check(settings: Settings) -> Result[None, Fault]:
-    """Return a fault of the settings that only this platform's terms show."""
-    return parse_bounds(settings.platform.bounds).map(lambda _: None)
+    def _drop_entry(self, vm_id: str) -> None:
+        if vm_id == self.settings.vm_id:
+            self.registration.missing()
+        else:
+            self.view.remove(vm_id)
 
 
 def _own_entry(settings: Settings, clock: Clock) -> VmEntry:
--- a/src/lacewingstair/vm/call_links.py
+++ b/src/lacewingstair/vm/call_links.py
@@ -66,6 +66,7 @@
         while True:
             await self._clock.sleep(MAINTAIN_SECONDS * self._rng.uniform(0.5, 1.0))
             now = self._clock.monotonic()
+            self._forget_gone()
             for link in self:
                 if not link.entry.is_leaving and link.is_usable(now):
                     link.open()
@@ -75,6 +76,13 @@
         for link in self:
             link.close()
 
+    def _forget_gone(self) -> None:
+        """Close links to VMs that are known no more, once their calls have ended."""
+        for vm_id, link in list(self._links_by_vm_id.items()):
+            if self._view.get(vm_id) is None and not link.in_flight:
+                link.close()
+                del self._links_by_vm_id[vm_id]
+
     def _entry_changed(self, entry: VmEntry) -> None:
         own = self._own_entry()
         if entry.vm_id == own.vm_id:
--- a/src/lacewingstair/vm/registration.py
+++ b/src/lacewingstair/vm/registration.py
@@ -16,7 +16,9 @@
 # An entry is back in the store within 2 s of its return.
 RETRY_CAP_SECONDS = 1.2
 
-Write = Callable[[str, bytes], Awaitable[Result[int, StoreUnavailable | StoreConflict]]]
+Write = Callable[
+    [str, bytes | None], Awaitable[Result[int, StoreUnavailable | StoreConflict]]
+]
 
 
 class Registration:
@@ -29,7 +31,7 @@
     view : MeshView
         Gets the entry as well.
     write : callable
-        Writes the entry under the VM's id.
+        Writes the entry under the VM's id; None drops it.
     clock, rng
         Time and randomness.
     """
@@ -74,13 +76,21 @@
         elif entry.order < own.order:
             self._changed.set()
 
+    def missing(self) -> None:
+        """Take that the store no longer has the entry; a late write can drop it."""
+        if not self.entry.is_leaving:
+            self._changed.set()
+
     async def run(self) -> None:
         """Write the entry whenever it has changed, until cancelled."""
         failures = 0
         while True:
             await self._changed.wait()
             self._changed.clear()
-            written = await self._write(self.entry.vm_id, encode_entry(self.entry))
+            entry = self.entry
+            # The others learn of a planned stop on their links; the store forgets it.
+            value = None if entry.is_leaving else encode_entry(entry)
+            written = await self._write(entry.vm_id, value)
             if isinstance(written, Err):
                 delay = full_jitter(
                     self._rng, failures, RETRY_BASE_SECONDS, RETRY_CAP_SECONDS
@@ -91,7 +101,7 @@
                 await self._clock.sleep(delay)
                 continue
             failures = 0
-            events.info("entry_written", offset=written.ok_value, **_shown(self.entry))
+            events.info("entry_written", offset=written.ok_value, **_shown(entry))
 
     def _replace(self, entry: VmEntry) -> None:
         self.entry = entry
--- a/tests/vm/test_registration.py
+++ b/tests/vm/test_registration.py
@@ -20,7 +20,7 @@
     async def write(self, vm_id, value):
         if self.is_down:
             return Err(StoreUnavailable("write", "down"))
-        self.written.append(decode_entry(value).unwrap())
+        self.written.append(None if value is None else decode_entry(value).unwrap())
         return Ok(len(self.written) - 1)
 
 
@@ -87,6 +87,33 @@
     with_registration(check)
 
 
+def test_a_planned_stop_drops_the_entry():
+    """Guards against a store that fills with VMs that are gone."""
+
+    async def check(registration, store, clock, view):
+        registration.change(state=UpstreamState.READY)
+        await clock.sleep(1)
+        registration.change(is_leaving=True)
+        await clock.sleep(1)
+        assert store.written[-1] is None
+        registration.missing()
+        await clock.sleep(1)
+        assert len(store.written) == 2
+
+    with_registration(check)
+
+
+def test_an_entry_that_was_dropped_while_the_vm_lives_is_back_within_two_seconds():
+    async def check(registration, store, clock, _):
+        registration.change(state=UpstreamState.READY)
+        await clock.sleep(1)
+        registration.missing()
+        await clock.sleep(2)
+        assert len(store.written) == 2
+
+    with_registration(check)
+
+
 def test_entries_that_cannot_be_read_are_errors():
     for data in (b"", b"\xc1", b"\x01", b"\x92\x01\xa1a"):
         assert isinstance(decode_entry(data), Err)
