--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -58,8 +58,8 @@
 CONFIGURATION_WAIT_SECONDS = 20.0
 MESH_WAIT_SECONDS = 25.0
 # Versions and entries in quick succession are read together.
-CONFIGURATION_BATCH_SECONDS = 0.4
-MESH_BATCH_SECONDS = 0.8
+CONFIGURATION_BATCH_SECONDS = 0.8
+MESH_BATCH_SECONDS = 1.5
 SWEEP_SECONDS = 1.0
 # The platform sends no callers after two missed checks, one each second.
 LEAVING_SECONDS = 2.2
