--- a/bench/calls_idle.py
+++ b/bench/calls_idle.py
@@ -13,8 +13,9 @@
 from lacewingstair.backend_server.pool import ConnectionPool
 from lacewingstair.balancing import EndpointIndex
 from lacewingstair.caller import dispatch
+from lacewingstair.caller.attempts import Call
 from lacewingstair.caller.body import Body
-from lacewingstair.caller.dispatch import Call, Dispatcher
+from lacewingstair.caller.dispatch import Dispatcher
 from lacewingstair.caller.options import DEFAULT_OPTIONS, CallOptions
 from lacewingstair.directory import Directory, Endpoint, VmRecord
 from lacewingstair.outcomes import CallOutcome
--- a/src/lacewingstair/caller/relay.py
+++ b/src/lacewingstair/caller/relay.py
@@ -8,7 +8,7 @@
 from aiohttp.http import HttpVersion11
 
 from lacewingstair.caller import headers
-from lacewingstair.caller.dispatch import Answer
+from lacewingstair.caller.attempts import Answer
 from lacewingstair.caller.raw_answer import WholeAnswer
 
 _DROPPED = frozenset(name.encode() for name in headers.HOP_BY_HOP)
--- a/src/lacewingstair/caller/server.py
+++ b/src/lacewingstair/caller/server.py
@@ -13,8 +13,9 @@
 from lacewingstair.backend_server.pool import ConnectionPool
 from lacewingstair.balancing import EndpointIndex
 from lacewingstair.caller import guards, headers
+from lacewingstair.caller.attempts import Answer, Call
 from lacewingstair.caller.body import REPLAY_BYTES, Body, read_start
-from lacewingstair.caller.dispatch import Answer, Call, Dispatcher
+from lacewingstair.caller.dispatch import Dispatcher
 from lacewingstair.caller.options import DEFAULT_OPTIONS, CallOptions
 from lacewingstair.caller.refusals import Refusal
 from lacewingstair.caller.relay import whole_answer
--- a/src/lacewingstair/settings_page.py
+++ b/src/lacewingstair/settings_page.py
@@ -3,7 +3,8 @@
 import textwrap
 from typing import Any
 
-from lacewingstair.settings import Setting, all_settings
+from lacewingstair.settings import all_settings
+from lacewingstair.settings_fields import Setting
 
 _HEADER = """\
 # Settings
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,8 +6,9 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from lacewingstair.settings import LinkSettings, all_settings, parse_settings
+from lacewingstair.settings import LinkSettings, all_settings
 from lacewingstair.settings_page import example_file, settings_page
+from lacewingstair.settings_reader import parse_settings
 
 ROOT = Path(__file__).parent.parent
 
