Open the gate at the start by a health check, and notice a VM at another's address

Cause: a process that restarts beside a running backend server waited up to a heartbeat (1.5 s) for its report, so its slots were idle after each kill and planned restart. The health check opens the gate at once while no rollout of the service is known (it does not tell the version); a backend server that leaves is not healthy.

A machine that is gone can come back at its address as another VM. The greeting on a link now removes the entry of the old one; before, calls were sent there and refused (they did not run).

--- a/src/lacewingstair/backend_server/register.py
+++ b/src/lacewingstair/backend_server/register.py
@@ -14,6 +14,8 @@
 
 # Ids of earlier runs that are remembered, so that their late reports do not count.
 MAX_REMEMBERED_RUNS = 16
+# Sequence of what a health check told; each report is newer.
+RESTORED_SEQUENCE = -1
 
 
 @attrs.frozen
@@ -87,6 +89,28 @@
         """Whether any report has been taken since the start."""
         return self._newest is not None or bool(self._gone_runs)
 
+    def restore(self, upstream_id: str, slots: int, now: float) -> bool:
+        """Take a backend server that says it is healthy before its first report.
+
+        Returns
+        -------
+        bool
+            Whether it counts; it does not once anything has been reported.
+        """
+        if self.is_reported:
+            return False
+        self._newest = UpstreamReport(
+            upstream_id,
+            self._service,
+            self._address,
+            "",
+            slots,
+            UpstreamState.READY,
+            RESTORED_SEQUENCE,
+        )
+        self._reported_at = now
+        return True
+
     def report(self, report: UpstreamReport, now: float) -> Verdict:
         """Take a report; now is in monotonic seconds."""
         if report.service != self._service or report.address != self._address:
@@ -96,7 +120,8 @@
         held = self._newest
         if held is not None and not _is_newer(report, held):
             return Verdict.STALE
-        if held is not None and held.run != report.run:
+        is_restored = held is not None and held.sequence == RESTORED_SEQUENCE
+        if held is not None and held.run != report.run and not is_restored:
             self._remember_gone(held.run)
         self._newest = report
         self._reported_at = now
@@ -131,6 +156,8 @@
 
 
 def _is_newer(report: UpstreamReport, held: UpstreamReport) -> bool:
+    if held.sequence == RESTORED_SEQUENCE:
+        return True
     if report.run == held.run:
         return report.sequence > held.sequence
     if report.born_ms and held.born_ms:
--- a/src/lacewingstair/http_server.py
+++ b/src/lacewingstair/http_server.py
@@ -21,6 +21,8 @@
 LINGER_SECONDS = 1.0
 
 MAX_CONNECTIONS = 4096
+# Connections that wait to be accepted; all callers of a VM may come back at once.
+BACKLOG = 1024
 # The call did not run: nothing of it was read.
 _FULL_ANSWER = (
     b"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n"
@@ -125,7 +127,7 @@
     await runner.setup()
     host, port = split_address(address)
     try:
-        await web.TCPSite(runner, host, port).start()
+        await web.TCPSite(runner, host, port, backlog=BACKLOG).start()
     except OSError as error:
         return Err(ListenError(address, error.strerror or str(error)))
     return Ok(None)
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -36,6 +36,7 @@
     CONFIGURATION_KEY,
     decode_configuration,
 )
+from lacewingstair.platform.health import ask_health
 from lacewingstair.platform.readiness import readiness_application
 from lacewingstair.platform.rollout_reports import RolloutReports
 from lacewingstair.runtime import Clock
@@ -62,6 +63,7 @@
 CONFIGURATION_BATCH_SECONDS = 0.8
 MESH_BATCH_SECONDS = 1.5
 SWEEP_SECONDS = 1.0
+RESTORE_SECONDS = 0.05
 # The platform sends no callers after two missed checks, one each second.
 LEAVING_SECONDS = 2.2
 # Left between the end of a planned stop and the platform's kill.
@@ -184,7 +186,7 @@
                 return served
         runs = [tail.run() for tail in self.tails]
         runs += [self.registration.run(), self.links.run(), self._sweep()]
-        runs.append(self.rollouts.run())
+        runs += [self.rollouts.run(), self._restore_upstream()]
         self._tasks.extend(asyncio.create_task(run) for run in runs)
         settings = self.settings
         events.info(
@@ -305,6 +307,34 @@
     async def _write_entry(self, vm_id: str, value: bytes | None):
         return await self.store.append(platform_store.MESH_TOPIC, vm_id, value)
 
+    async def _restore_upstream(self) -> None:
+        """Open the gate after a restart without waiting for the next report.
+
+        A health check does not tell the version. So it only counts while no rollout of
+        the service is known; a backend server that leaves is not healthy.
+        """
+        while self.configurations.current.is_empty:
+            await self.clock.sleep(RESTORE_SECONDS)
+        service = self.gate.service
+        terms = self.configurations.current.services_by_name.get(service)
+        if terms is None or self.register.is_reported:
+            return
+        asked = await ask_health(
+            self.settings.backend_servers.own_address, terms.health_path
+        )
+        is_restored = (
+            isinstance(asked, Ok)
+            and asked.ok_value.slots > 0
+            and self.rollouts.get(service) is None
+            and self.register.restore(
+                asked.ok_value.upstream_id,
+                asked.ok_value.slots,
+                self.clock.monotonic(),
+            )
+        )
+        events.info("upstream_asked", outcome=str(asked), is_restored=is_restored)
+        self._apply_register()
+
     def _live_vm_ids(self) -> list[str]:
         linked = (link.entry for link in self.links if link.is_connected)
         live = [entry.vm_id for entry in linked if not entry.is_leaving]
--- a/src/lacewingstair/vm/call_link.py
+++ b/src/lacewingstair/vm/call_link.py
@@ -65,6 +65,8 @@
         Takes entries that the peer sends.
     on_configuration : callable
         Takes a document of the peer's configuration.
+    on_greeting : callable
+        Takes the id of the VM that was expected and the entry of the one that answers.
     on_rollout : callable
         Takes what the peer says about a rollout.
     configuration_number : callable
@@ -90,9 +92,11 @@
         *,
         on_entry: Callable[[VmEntry], None],
         on_configuration: Callable[[ConfigurationDocument], None],
+        on_greeting: Callable[[str, VmEntry], None],
         on_rollout: Callable[[EvidenceChanged | MarkChanged], None],
         configuration_number: Callable[[], int],
     ) -> None:
+        self._on_greeting = on_greeting
         self._on_rollout = on_rollout
         self.entry = entry
         self._own_entry = own_entry
@@ -223,7 +227,7 @@
                 if self.failed_at is not None:
                     events.info("vm_regained", vm=self.entry.vm_id)
                 self.failed_at = None
-                self._on_entry(entry)
+                self._on_greeting(self.entry.vm_id, entry)
             case EntryChanged(entry):
                 self._on_entry(entry)
             case ConfigurationDocument():
--- a/src/lacewingstair/vm/call_links.py
+++ b/src/lacewingstair/vm/call_links.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable, Iterator
 
+from lacewingstair import events
 from lacewingstair.runtime import Clock
 from lacewingstair.vm.call_link import CallLink
 from lacewingstair.vm.call_messages import (
@@ -83,6 +84,13 @@
                 link.close()
                 del self._links_by_vm_id[vm_id]
 
+    def _greeted(self, expected_vm_id: str, entry: VmEntry) -> None:
+        """Take the entry of the VM at an address; it may not be the one expected."""
+        if entry.vm_id != expected_vm_id:
+            events.info("vm_replaced", vm=expected_vm_id, by=entry.vm_id)
+            self._view.remove(expected_vm_id)
+        self._view.merge(entry)
+
     def _entry_changed(self, entry: VmEntry) -> None:
         own = self._own_entry()
         if entry.vm_id == own.vm_id:
@@ -103,6 +111,7 @@
             self._own_entry,
             self._clock,
             on_entry=self._view.merge,
+            on_greeting=self._greeted,
             on_configuration=self._on_configuration,
             on_rollout=self._on_rollout,
             configuration_number=self._configuration_number,
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -125,3 +125,19 @@
         register.report(report(sequence=2), 1.0)
         assert register.identity(10.9).state is UpstreamState.READY
         assert register.identity(11.1).state is UpstreamState.ABSENT
+
+    def test_a_healthy_one_counts_until_anything_is_reported(self):
+        register = UpstreamRegister("board", "10.0.0.1:80", 10.0)
+        assert register.restore("i-1", 18, 0.0)
+        assert register.identity(0.1).slots == 18
+        assert register.report(report(sequence=0), 0.2) is Verdict.TAKEN
+        assert register.identity(0.2).version == "v1"
+        assert not register.restore("i-2", 9, 0.3)
+
+    def test_a_sign_off_ends_what_a_health_check_told(self):
+        """Guards against calls to one that was acknowledged as leaving."""
+        register = UpstreamRegister("board", "10.0.0.1:80", 10.0)
+        register.restore("i-1", 18, 0.0)
+        register.leave("i-1")
+        assert register.identity(0.1).state is UpstreamState.ABSENT
+        assert not register.restore("i-1", 18, 0.2)
--- a/tests/platform/upstream_standin.py
+++ b/tests/platform/upstream_standin.py
@@ -14,6 +14,8 @@
         Ids of the calls that it has run.
     seconds : float
         Time that a call takes.
+    is_healthy : bool
+        Whether the health check succeeds.
     behaviour : str
         ``ok``, ``truncate``, ``reset``, ``extra`` (a second answer), ``late extra``
         (the second answer comes after a while), ``unframed``, ``unframed reset``,
@@ -26,6 +28,7 @@
         self.heads = []
         self.seconds = 0.0
         self.behaviour = "ok"
+        self.is_healthy = True
         self.cancelled = []
         self.address = ""
         self._server = None
@@ -59,6 +62,10 @@
         lines = head.split("\r\n")
         fields = dict(line.split(": ", 1) for line in lines[1:] if line)
         body = await reader.readexactly(int(fields.get("Content-Length", 0)))
+        if lines[0].startswith("GET /health "):
+            load = f"Instance-Id: {self.upstream_id}\r\nServer-Load: 0,0,4\r\n"
+            writer.write(_head(200 if self.is_healthy else 503, load, 0))
+            return True
         self.heads.append((lines[0], fields, body))
         if fields.get("Target-Instance", self.upstream_id) != self.upstream_id:
             writer.write(_head(421, f"Instance-Id: {self.upstream_id}\r\n", 0))
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -287,3 +287,21 @@
         await until(lambda: ["q1"] in cancelled, 0.5)
 
     with_mesh(check)
+
+
+def test_a_restarted_process_opens_its_gate_before_the_next_report():
+    """Guards against a backend server that is idle after each restart."""
+
+    async def check(_, vms, session):
+        await vms[0].sidecar.close()
+        await vms[0].start()
+        await until(lambda: vms[0].sidecar.gate.is_open, 1.0)
+        vms[1].upstream.is_healthy = False
+        await vms[1].sidecar.close()
+        await vms[1].start()
+        await asyncio.sleep(0.5)
+        assert not vms[1].sidecar.gate.is_open
+        await vms[1].report(session)
+        assert vms[1].sidecar.gate.is_open
+
+    with_mesh(check)
--- a/tests/vm/test_call_link.py
+++ b/tests/vm/test_call_link.py
@@ -1,10 +1,12 @@
 import asyncio
+import random
 
 from result import Ok
 
 from lacewingstair.runtime import SystemClock
 from lacewingstair.vm import call_messages, call_streams
 from lacewingstair.vm.call_link import PING_AFTER_SECONDS, PONG_SECONDS, CallLink
+from lacewingstair.vm.call_links import CallLinks
 from lacewingstair.vm.call_messages import (
     CallAnswer,
     CallCancel,
@@ -14,7 +16,7 @@
     LoadReport,
     RefusalReason,
 )
-from lacewingstair.vm.entries import VmEntry
+from lacewingstair.vm.entries import MeshView, VmEntry
 from tests.backend_server.test_gate import request
 
 LOAD = LoadReport(1, 0, 18, 100.0, 0.0, True, "v1", 3)
@@ -57,6 +59,7 @@
             lambda: entry("own"),
             SystemClock(),
             on_entry=entries.append,
+            on_greeting=lambda vm_id, found: entries.append(found),
             on_configuration=documents.append,
             on_rollout=lambda message: None,
             configuration_number=lambda: 1,
@@ -164,3 +167,32 @@
         assert call_messages.decode(array) == Ok(message)
     for array in (None, [], [99], [1], [4, 1, 77, 0, 0, []], [2, 1]):
         assert call_messages.decode(array).is_err()
+
+
+def test_an_address_that_another_vm_has_taken_over_is_not_used_for_the_old_one():
+    """Guards against calls to a VM that is gone, whose address was given away."""
+
+    async def main():
+        peer = Peer()
+        address = await peer.start()
+        view = MeshView("own")
+        links = CallLinks(
+            lambda: entry("own"),
+            view,
+            SystemClock(),
+            random.Random(1),
+            lambda document: None,
+            lambda message: None,
+            lambda: 1,
+        )
+        view.merge(entry("old", address))
+        await received(peer, Hello)
+        peer.streams[0].send(Hello(entry("new", address), 1))
+        async with asyncio.timeout(2):
+            while view.get("new") is None:  # noqa: ASYNC110 - plain state
+                await asyncio.sleep(0.01)
+        assert view.get("old") is None
+        links.close()
+        peer.stop()
+
+    asyncio.run(main())
