Check the platform's bounds with the settings, and test orders and reports

A bound that cannot be read stopped the start with an exception in place of the field and its value; the reader of the settings now lists it with the other faults.

--- a/src/lacewingstair/settings_reader.py
+++ b/src/lacewingstair/settings_reader.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from lacewingstair.errors import Fault, SettingsError
+from lacewingstair.platform.bounds import parse_bounds
 from lacewingstair.settings import (
     METADATA_STORE,
     LinkSettings,
@@ -148,6 +149,9 @@
         if not getattr(values["backend_servers"], name):
             reason = f"missing; needed with the interface {METADATA_STORE}"
             yield Fault(lines.place("backend_server", name), reason)
+    bounds = parse_bounds(values["platform"].bounds)
+    if isinstance(bounds, Err):
+        yield Fault(lines.place("platform", "bounds"), str(bounds.err_value))
 
 
 def _order_faults(
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -225,10 +225,6 @@
     def reload(self, path: str) -> Result[None, SettingsError]:
         """Read the settings again; what cannot change while running stays."""
         loaded = load_settings(path)
-        if isinstance(loaded, Ok):
-            parsed = parse_bounds(loaded.ok_value.platform.bounds)
-            if isinstance(parsed, Err):
-                loaded = Err(SettingsError(path, (parsed.err_value,)))
         if isinstance(loaded, Err):
             events.error("settings_refused", error=loaded.err_value)
             return loaded
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -126,3 +126,15 @@
         assert setting.kind.parse(setting.example) == setting.example
     elif attrs.has(type(setting.kind)) and hasattr(setting.kind, "low"):
         assert setting.kind.parse(str(setting.default)) == setting.default
+
+
+def test_the_interface_of_a_metadata_store_has_settings_of_its_own():
+    """Guards against a start that fails later than the check of the settings."""
+    found = faults(VALID + "interface = metadata_store\nbounds = grace=6\n")
+    assert "'6' is not a number with the unit" in found.pop(
+        "line 13: [platform] bounds"
+    )
+    assert set(found) == {
+        "[backend_server] own_address",
+        "[backend_server] own_service",
+    }
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -78,6 +78,7 @@
 log_timeout_seconds = 1
 bounds = grace=3s
 """
+        self.text = text
         settings = parse_settings("test", text).unwrap()
         self.sidecar = build(settings, SystemClock(), random.Random(1))
         assert (await self.sidecar.start()).is_ok()
@@ -305,3 +306,20 @@
         assert vms[1].sidecar.gate.is_open
 
     with_mesh(check)
+
+
+def test_settings_that_cannot_be_used_change_nothing_when_they_are_reloaded(tmp_path):
+    """Guards against a running VM that a wrong file stops or changes."""
+
+    async def check(_, vms, session):
+        file = tmp_path / "vm.ini"
+        file.write_text("[vm]\nregion = two words\n")
+        before = vms[0].sidecar.bounds
+        assert vms[0].sidecar.reload(str(file)).is_err()
+        assert vms[0].sidecar.bounds == before
+        file.write_text(vms[0].text.replace("grace=3s", "grace=9s"))
+        assert vms[0].sidecar.reload(str(file)).is_ok()
+        assert vms[0].sidecar.bounds.stop_ms == 9000
+        assert (await vms[0].call(session))[0] == 200
+
+    with_mesh(check)
