Keep calls in their zone while they are comfortably in time

The time within the comfortable part of the target now weighs a tenth instead of 0.3 against the distance.

--- a/src/lacewingstair/caller/placement.py
+++ b/src/lacewingstair/caller/placement.py
@@ -35,13 +35,13 @@
 PENALTY_MS_BY_DISTANCE = {
     Distance.SAME_VM: 0.0,
     Distance.SAME_ZONE: 1.0,
-    Distance.SAME_REGION: 30.0,
+    Distance.SAME_REGION: 40.0,
     Distance.OTHER_REGION: 150.0,
 }
 LARGE_PENALTY_MS_BY_DISTANCE = {
     Distance.SAME_VM: 0.0,
     Distance.SAME_ZONE: 1.0,
-    Distance.SAME_REGION: 250.0,
+    Distance.SAME_REGION: 300.0,
     Distance.OTHER_REGION: 1500.0,
 }
 ROUND_TRIP_MS_BY_DISTANCE = {
@@ -54,7 +54,7 @@
 # An answer that comes well before its target is hardly worth less than a faster one;
 # what is expected beyond this part of the target weighs more.
 COMFORTABLE_SHARE = 0.6
-WEIGHT_OF_TIME = 0.3
+WEIGHT_OF_TIME = 0.1
 WEIGHT_BEYOND_COMFORT = 2.0
 # A VM that was slow is tried again: what is known of it halves in this time.
 FORGET_SECONDS = 1.0
--- a/tests/caller/test_placement.py
+++ b/tests/caller/test_placement.py
@@ -28,6 +28,13 @@
     )
 
 
+def test_a_call_does_not_leave_its_zone_to_gain_time_that_no_caller_needs():
+    """Guards against traffic between zones while every call is well in time."""
+    busy = candidate("near", Distance.SAME_ZONE, running=17, service_ms=300.0)
+    idle = candidate("other", Distance.SAME_REGION, service_ms=60.0)
+    assert placed(busy, idle) == "near"
+
+
 def test_a_call_goes_far_when_it_would_be_late_near():
     """Guards against a zone short of room while another region has some."""
     full = candidate("full", Distance.SAME_ZONE, running=18, waiting=60)
