Ask no VM outside of the zone that is known to be too busy

Such VMs are no longer asked; the own zone's gate is, as that takes a millisecond.

Test: test_a_far_vm_that_is_known_to_be_too_busy_is_not_asked, which failed before.

--- a/src/lacewingstair/caller/forwarding.py
+++ b/src/lacewingstair/caller/forwarding.py
@@ -100,7 +100,7 @@
     retry_after_ms: float = 0.0
     last_answer: CallAnswer | None = None
     wants_new: bool | None = None
-    last_reason: str = "no backend server is known"
+    last_reason: str = "no backend server takes the call"
     is_timeout: bool = False
 
 
@@ -217,8 +217,14 @@
         if not candidates and progress.wants_new:
             progress.wants_new = False
             candidates = list(self._candidates(call.service, progress))
-        target_ms = (call.target_at - self._clock.monotonic()) * 1000
-        chosen = place(candidates, target_ms, call.route.has_large_answers, self._rng)
+        now = self._clock.monotonic()
+        chosen = place(
+            candidates,
+            (call.target_at - now) * 1000,
+            (call.end_at - now) * 1000,
+            call.route.has_large_answers,
+            self._rng,
+        )
         if chosen is not None:
             return chosen.vm_id
         return self._choose_unlinked(call.service, progress)
--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -22,7 +22,7 @@
 
 # Time beyond the end of a call in which its answer may still arrive from the gate.
 GRACE_SECONDS = 0.2
-LEAST_RETRY_AFTER_SECONDS = 0.05
+LEAST_RETRY_AFTER_SECONDS = 0.1
 NO_CONFIGURATION_RETRY_SECONDS = 0.3
 # Calls that were refused together come back spread over this part of their delay.
 RETRY_AFTER_SPREAD = 0.5
--- a/src/lacewingstair/caller/placement.py
+++ b/src/lacewingstair/caller/placement.py
@@ -9,6 +9,8 @@
   there.
 * A sudden burst at one VM: the calls that were sent since its newest load report are
   added to it, so that a stale report does not attract all of them.
+* An overload everywhere: a VM outside of the zone that is known to be too busy is not
+  asked, so that the caller learns of the refusal at once.
 * A backend server that was slow or full: its report fades with its age, so that it is
   tried again and gets calls once it has recovered.
 """
@@ -104,6 +106,7 @@
 def place(
     candidates: Iterable[Candidate],
     target_ms: float,
+    left_ms: float,
     has_large_answer: bool,
     rng: random.Random,
 ) -> Candidate | None:
@@ -115,11 +118,14 @@
         VMs that may take the call.
     target_ms : float
         Time until its answer loses most of its worth.
+    left_ms : float
+        Time until its answer is of no use.
     has_large_answer : bool
         Whether distance is expensive.
     rng : random.Random
         Spreads calls over candidates that are alike.
     """
+    limit_ms = target_ms if target_ms > 0 else left_ms
     penalty_ms = (
         LARGE_PENALTY_MS_BY_DISTANCE if has_large_answer else PENALTY_MS_BY_DISTANCE
     )
@@ -128,6 +134,8 @@
     for candidate in candidates:
         distance = candidate.distance
         time_ms = expected_ms(candidate) + ROUND_TRIP_MS_BY_DISTANCE[distance]
+        if distance >= Distance.SAME_REGION and time_ms > limit_ms:
+            continue
         cost = penalty_ms[distance] + WEIGHT_OF_TIME * time_ms + rng.random()
         beyond_ms = time_ms - COMFORTABLE_SHARE * max(0.0, target_ms)
         cost += WEIGHT_BEYOND_COMFORT * max(0.0, beyond_ms)
--- a/tests/caller/test_placement.py
+++ b/tests/caller/test_placement.py
@@ -12,7 +12,9 @@
 
 
 def placed(*candidates, target_ms=600.0, is_large=False, seed=1):
-    return place(candidates, target_ms, is_large, random.Random(seed)).vm_id
+    rng = random.Random(seed)
+    found = place(candidates, target_ms, 1200.0, is_large, rng)
+    return None if found is None else found.vm_id
 
 
 NEAR = candidate("near", Distance.SAME_ZONE, running=10)
@@ -47,6 +49,20 @@
     assert placed(full, FAR, is_large=True) == "full"
 
 
+def test_a_far_vm_that_is_known_to_be_too_busy_is_not_asked():
+    """Guards against callers that wait for the refusal of another region."""
+    full = candidate("full", Distance.OTHER_REGION, running=18, waiting=80)
+    near = candidate("near", Distance.SAME_ZONE, running=18, waiting=80)
+    assert placed(full) is None
+    assert placed(full, near) == "near"
+    assert placed(FAR) == "far"
+
+
+def test_a_call_that_is_late_already_may_use_the_rest_of_its_time():
+    busy = candidate("busy", Distance.OTHER_REGION, running=18, waiting=80)
+    assert placed(busy, target_ms=-10.0) == "busy"
+
+
 def test_calls_since_the_newest_report_count():
     """Guards against a stale report that attracts a whole burst."""
     stale = candidate("stale", Distance.SAME_ZONE, unreported=60)
@@ -62,4 +78,4 @@
 
 
 def test_nothing_is_placed_without_candidates():
-    assert place((), 100.0, False, random.Random(1)) is None
+    assert placed() is None
