--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -15,7 +15,7 @@
 from lacewingstair.caller.server import CallServer
 from lacewingstair.directory import Directory, VmRecord, VmStatus
 from lacewingstair.errors import ListenError
-from lacewingstair.http_server import application_runner, listen
+from lacewingstair.http_server import application_runner, listen_all
 from lacewingstair.marks import Marks
 from lacewingstair.metrics import Metrics
 from lacewingstair.operator.api import OperatorApi
@@ -140,11 +140,9 @@
         listening = await self.node.listen()
         if isinstance(listening, Err):
             return listening
-        for address, runner in self._interfaces():
-            self._runners.append(runner)
-            served = await listen(runner, address)
-            if isinstance(served, Err):
-                return served
+        served = await listen_all(self._interfaces(), self._runners)
+        if isinstance(served, Err):
+            return served
         runs = (
             self.node.run(),
             self.log_reader.run(),
--- a/src/lacewingstair/http_server.py
+++ b/src/lacewingstair/http_server.py
@@ -1,7 +1,7 @@
 """HTTP servers of the daemon: limits on requests, listening and draining."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 from aiohttp import StreamReader, web
@@ -133,6 +133,27 @@
     return Ok(None)
 
 
+async def listen_all(
+    interfaces: Iterable[tuple[str, web.AppRunner | web.ServerRunner]],
+    runners: list[web.AppRunner | web.ServerRunner],
+) -> Result[None, ListenError]:
+    """Set up servers at their addresses until one cannot listen.
+
+    Parameters
+    ----------
+    interfaces : iterable
+        Addresses and their servers.
+    runners : list
+        Gets the servers that were set up, for the end.
+    """
+    for address, runner in interfaces:
+        runners.append(runner)
+        served = await listen(runner, address)
+        if isinstance(served, Err):
+            return served
+    return Ok(None)
+
+
 def _limits(max_header_bytes: int) -> dict[str, Any]:
     return {
         "access_log": None,
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -25,7 +25,7 @@
 from lacewingstair.caller.ingress import Ingress
 from lacewingstair.configuration import ConfigurationStore
 from lacewingstair.errors import ListenError, SettingsError
-from lacewingstair.http_server import application_runner, listen
+from lacewingstair.http_server import application_runner, listen_all
 from lacewingstair.keyed_tail import KeyedTail
 from lacewingstair.operator.sidecar_api import SidecarApi
 from lacewingstair.platform import rollouts as platform_rollouts
@@ -179,11 +179,9 @@
         listening = await self.call_server.listen()
         if isinstance(listening, Err):
             return listening
-        for address, runner in self._interfaces():
-            self._runners.append(runner)
-            served = await listen(runner, address)
-            if isinstance(served, Err):
-                return served
+        served = await listen_all(self._interfaces(), self._runners)
+        if isinstance(served, Err):
+            return served
         runs = [tail.run() for tail in self.tails]
         runs += [self.registration.run(), self.links.run(), self._sweep()]
         runs += [self.rollouts.run(), self._restore_upstream()]
