--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -28,14 +28,9 @@
 from lacewingstair.http_server import application_runner, listen_all
 from lacewingstair.keyed_tail import KeyedTail
 from lacewingstair.operator.sidecar_api import SidecarApi
-from lacewingstair.platform import rollouts as platform_rollouts
 from lacewingstair.platform import store as platform_store
 from lacewingstair.platform.announcements import Announcements
 from lacewingstair.platform.bounds import parse_bounds
-from lacewingstair.platform.configuration import (
-    CONFIGURATION_KEY,
-    decode_configuration,
-)
 from lacewingstair.platform.health import ask_health
 from lacewingstair.platform.readiness import readiness_application
 from lacewingstair.platform.rollout_reports import RolloutReports
@@ -44,15 +39,15 @@
 from lacewingstair.settings_reader import load_settings
 from lacewingstair.sidecar_metrics import SidecarMetrics
 from lacewingstair.staged_rollouts.coordinator import RolloutCoordinator
+from lacewingstair.store_records import StoreRecords
 from lacewingstair.vm.call_links import CallLinks
 from lacewingstair.vm.call_messages import (
-    ConfigurationDocument,
     EntryChanged,
     EvidenceChanged,
     MarkChanged,
 )
 from lacewingstair.vm.call_server import CallStreamServer
-from lacewingstair.vm.entries import MeshView, VmEntry, decode_entry
+from lacewingstair.vm.entries import MeshView, VmEntry
 from lacewingstair.vm.registration import Registration
 
 # Waits of reads; the longest for which a connection gone silent can go unnoticed is
@@ -114,7 +109,7 @@
             self.view,
             clock,
             rng,
-            self._take_document,
+            lambda document: self.records.take_document(document),
             self._take_rollout_news,
             self._configuration_number,
         )
@@ -146,13 +141,16 @@
             rng,
             self.metrics.count_call,
         )
+        self.records = StoreRecords(
+            self.configurations, self.rollouts, self.registration, self.view
+        )
         self.announcements = Announcements(self._take_report, self._take_leave)
         self.operator = SidecarApi(self.status, self.metrics.registry)
         self.tails = (
             KeyedTail(
                 self.store,
                 platform_store.OPERATOR_TOPIC,
-                self._take_operator_records,
+                self.records.take_operator_records,
                 clock,
                 rng,
                 CONFIGURATION_WAIT_SECONDS,
@@ -161,7 +159,7 @@
             KeyedTail(
                 self.store,
                 platform_store.MESH_TOPIC,
-                self._take_entries,
+                self.records.take_entries,
                 clock,
                 rng,
                 MESH_WAIT_SECONDS,
@@ -380,66 +378,6 @@
     def _announce_entry(self, entry: VmEntry) -> None:
         self.call_server.broadcast(EntryChanged(entry))
 
-    def _take_operator_records(self, records) -> None:
-        for record in records:
-            if record.value is None:
-                continue
-            if record.key == CONFIGURATION_KEY:
-                self._take_configuration(record.value, "store")
-            elif record.key.startswith(platform_rollouts.KEY_PREFIX):
-                self._take_order(record)
-
-    def _take_order(self, record) -> None:
-        decoded = platform_rollouts.decode_order(
-            record.key, record.value, record.offset
-        )
-        if isinstance(decoded, Err):
-            events.warning("rollout_refused", key=record.key, error=decoded.err_value)
-            return
-        self.rollouts.take_order(decoded.ok_value)
-
-    def _take_document(self, document: ConfigurationDocument) -> None:
-        self._take_configuration(document.source, "vm")
-
-    def _take_configuration(self, value: bytes, origin: str) -> None:
-        decoded = decode_configuration(value)
-        if isinstance(decoded, Err):
-            error = decoded.err_value
-            events.warning("configuration_refused", origin=origin, error=error)
-            return
-        configuration = decoded.ok_value
-        before = self.configurations.current.number
-        taken = self.configurations.adopt(configuration)
-        events.info(
-            "configuration_read",
-            origin=origin,
-            number=configuration.number,
-            before=before,
-            routes=len(configuration.routes_by_name),
-            is_taken=taken,
-        )
-
-    def _take_entries(self, records) -> None:
-        for record in records:
-            if record.value is None:
-                self._drop_entry(record.key)
-                continue
-            decoded = decode_entry(record.value)
-            if isinstance(decoded, Err) or decoded.ok_value.vm_id != record.key:
-                events.warning("entry_unreadable", key=record.key, offset=record.offset)
-                continue
-            entry = decoded.ok_value
-            if entry.vm_id == self.settings.vm_id:
-                self.registration.seen(entry)
-            else:
-                self.view.merge(entry)
-
-    def _drop_entry(self, vm_id: str) -> None:
-        if vm_id == self.settings.vm_id:
-            self.registration.missing()
-        else:
-            self.view.remove(vm_id)
-
 
 def _own_entry(settings: Settings, clock: Clock) -> VmEntry:
     return VmEntry(
