Take the shares of repeats and of new versions from the platform's bounds

They stood in the code as constants that fit the two deployments (0.1 of the calls for repeats, 0.04 on trial, 0.3 in the load trial), so one with other bounds would have broken its own. The values on the two sites stay the same. Bounds that nothing used are no longer read.

--- a/src/lacewingstair/caller/forwarding.py
+++ b/src/lacewingstair/caller/forwarding.py
@@ -25,9 +25,10 @@
 
 # Gates that are asked for room for one call, beyond those it was sent to.
 MAX_REFUSALS = 4
-# All VMs together may repeat a fifth of the calls; half of it leaves room for repeats
-# of the calls that repeated calls make in turn.
-REPEAT_SHARE = 0.1
+# Share of the calls of a service that all VMs together may repeat.
+ALLOWED_REPEAT_SHARE = 0.2
+# The rest is left for the calls that repeated calls make in turn.
+REPEAT_PART = 0.5
 REPEATS_PER_SECOND = 0.2
 # Time without which a repeat at another backend server is not worth its load.
 LEAST_REPEAT_MS = 50.0
@@ -121,6 +122,8 @@
         Shares of new versions.
     clock, rng
         Time and randomness.
+    allowed_repeat_share : float
+        Share of the calls of a service that all VMs together may repeat.
     """
 
     def __init__(
@@ -132,7 +135,9 @@
         rollouts: RolloutCoordinator,
         clock: Clock,
         rng: random.Random,
+        allowed_repeat_share: float = ALLOWED_REPEAT_SHARE,
     ) -> None:
+        self._repeat_share = REPEAT_PART * allowed_repeat_share
         self._rollouts = rollouts
         self._own_entry = own_entry
         self._view = view
@@ -296,7 +301,7 @@
     def _budget(self, service: str) -> RetryBudget:
         found = self._budgets_by_service.get(service)
         if found is None:
-            found = RetryBudget(self._clock, REPEAT_SHARE, REPEATS_PER_SECOND)
+            found = RetryBudget(self._clock, self._repeat_share, REPEATS_PER_SECOND)
             self._budgets_by_service[service] = found
         return found
 
--- a/src/lacewingstair/platform/bounds.py
+++ b/src/lacewingstair/platform/bounds.py
@@ -15,29 +15,21 @@
     ----------
     stop_ms : float
         Time from the stop signal until the process is killed.
-    drain_ms : float
-        Time after the acknowledgement of a leaving backend server from which on it
-        gets no calls.
     repeat_share : float
         Repeats of all VMs together, as a share of the calls of a service.
     trial_share : float
         Share of a service's calls that a bad version may get.
-    trial_slack : float
-        Calls that it may get beyond that.
     """
 
     stop_ms: float = 6000.0
-    drain_ms: float = 2500.0
     repeat_share: float = 0.2
     trial_share: float = 0.1
-    trial_slack: float = 50.0
 
 
-_DURATIONS_BY_NAME = {"grace": "stop_ms", "drain": "drain_ms"}
+_DURATIONS_BY_NAME = {"grace": "stop_ms"}
 _NUMBERS_BY_NAME = {
     "retry_budget_ratio": "repeat_share",
     "canary_share": "trial_share",
-    "canary_slack": "trial_slack",
 }
 
 
@@ -47,7 +39,7 @@
     Parameters
     ----------
     text : str
-        Such as ``drain=2500ms,retry_budget_ratio=0.2``.
+        Such as ``grace=6s,retry_budget_ratio=0.2``.
     """
     values: dict[str, float] = {}
     for pair in filter(None, (part.strip() for part in text.split(","))):
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -121,6 +121,7 @@
             RolloutReports(self.store).write,
             clock,
             rng,
+            self.bounds.trial_share,
         )
         self.call_server = CallStreamServer(
             settings.vm_address,
@@ -131,7 +132,14 @@
             lambda: [MarkChanged(mark) for mark in self.rollouts.marks()],
         )
         self.forwarder = Forwarder(
-            self._entry, self.view, self.links, self.gate, self.rollouts, clock, rng
+            self._entry,
+            self.view,
+            self.links,
+            self.gate,
+            self.rollouts,
+            clock,
+            rng,
+            self.bounds.repeat_share,
         )
         self.ingress = Ingress(
             own.own_service,
--- a/src/lacewingstair/staged_rollouts/coordinator.py
+++ b/src/lacewingstair/staged_rollouts/coordinator.py
@@ -18,6 +18,7 @@
 from lacewingstair.staged_rollouts.evidence import GateEvidence, totals
 from lacewingstair.staged_rollouts.marks import RolloutMark
 from lacewingstair.staged_rollouts.policy import (
+    ALLOWED_SHARE,
     Order,
     Stage,
     judge,
@@ -65,6 +66,8 @@
         that stands there then.
     clock, rng
         Time and randomness.
+    allowed_share : float
+        Share of the calls of a service that a bad version may get.
     """
 
     def __init__(
@@ -76,7 +79,9 @@
         write_report: WriteReport,
         clock: Clock,
         rng: random.Random,
+        allowed_share: float = ALLOWED_SHARE,
     ) -> None:
+        self._allowed_share = allowed_share
         self._vm_id = vm_id
         self._live_vm_ids = live_vm_ids
         self._publish_mark = publish_mark
@@ -159,7 +164,7 @@
         rollout = self._rollouts_by_service.get(service)
         if rollout is None:
             return None
-        share = share_of_new(rollout.stage)
+        share = share_of_new(rollout.stage, self._allowed_share)
         if share >= 1.0:
             return True
         rollout.credit += share
--- a/src/lacewingstair/staged_rollouts/policy.py
+++ b/src/lacewingstair/staged_rollouts/policy.py
@@ -22,9 +22,12 @@
 
 from lacewingstair.staged_rollouts.evidence import RouteCounts
 
-# Share of the calls on trial; well below what a bad version may get, as it has to last.
-TRIAL_SHARE = 0.04
-LOAD_TRIAL_SHARE = 0.3
+# Share that a bad version may get of all calls in the time of its order.
+ALLOWED_SHARE = 0.1
+# Shares on trial and in the load trial, as multiples of the allowed share: the trial
+# lasts for most of the time, and the load trial is short.
+TRIAL_PART = 0.4
+LOAD_TRIAL_PART = 3.0
 LOAD_TRIAL_SECONDS = 2.0
 # Parts of the time that the order gives.
 LOAD_TRIAL_AT = 0.45
@@ -106,13 +109,13 @@
     return GOOD
 
 
-def share_of_new(stage: Stage) -> float:
+def share_of_new(stage: Stage, allowed_share: float = ALLOWED_SHARE) -> float:
     """Return the share of the calls that the new version gets."""
     match stage:
         case Stage.TRIAL:
-            return TRIAL_SHARE
+            return TRIAL_PART * allowed_share
         case Stage.LOAD_TRIAL:
-            return LOAD_TRIAL_SHARE
+            return min(1.0, LOAD_TRIAL_PART * allowed_share)
         case Stage.SHIFTED | Stage.COMPLETED:
             return 1.0
     return 0.0
--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -67,7 +67,7 @@
 
 def test_bounds_are_read_by_name_and_unknown_ones_are_ignored():
     text = "seed_lag=3s, grace=6s,drain=2500ms,retry_budget_ratio=0.25,x=1"
-    assert parse_bounds(text) == Ok(Bounds(6000.0, 2500.0, 0.25))
+    assert parse_bounds(text) == Ok(Bounds(6000.0, 0.25))
     assert parse_bounds("") == Ok(Bounds())
-    for text in ("grace=6", "drain=", "canary_share=much"):
+    for text in ("grace=6", "grace=", "canary_share=much"):
         assert isinstance(parse_bounds(text), Err)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -179,6 +179,19 @@
 }
 
 
+def test_the_bounds_of_the_platform_reach_the_parts_that_keep_them():
+    """Guards against a deployment with other bounds than the usual ones."""
+
+    async def main():
+        bounds = "retry_budget_ratio=0.4,canary_share=0.05,grace=3s"
+        sidecar = sidecar_with(**{"[platform] bounds": bounds})
+        assert sidecar.forwarder._repeat_share == 0.2
+        assert sidecar.rollouts._allowed_share == 0.05
+        assert sidecar.bounds.stop_ms == 3000
+
+    run_virtual(main())
+
+
 def sidecar_with(**text_by_place):
     """Return the process for a metadata store with some settings."""
     return daemon_with(**{**SIDECAR, **text_by_place})
