End the exchange of two final stages of a rollout between VMs

Only the report in the store now moves a final stage. Tests: two that replay it, one of which failed before.

--- a/src/lacewingstair/staged_rollouts/coordinator.py
+++ b/src/lacewingstair/staged_rollouts/coordinator.py
@@ -298,7 +298,8 @@
         self._advance(rollout, stage, "the report in the store")
 
     def _advance(self, rollout: Rollout, stage: Stage, reason: str) -> None:
-        if stage <= rollout.stage:
+        # Of two final stages the report in the store decides (`_settle`).
+        if stage <= rollout.stage or rollout.stage.is_final:
             return
         before, rollout.stage = rollout.stage, stage
         rollout.stage_at = self._clock.monotonic()
--- a/tests/staged_rollouts/test_coordinator.py
+++ b/tests/staged_rollouts/test_coordinator.py
@@ -5,6 +5,7 @@
 
 from lacewingstair.errors import StoreUnavailable
 from lacewingstair.staged_rollouts.coordinator import RolloutCoordinator
+from lacewingstair.staged_rollouts.marks import RolloutMark
 from lacewingstair.staged_rollouts.policy import Order, Stage
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
 
@@ -163,3 +164,50 @@
         assert mesh.by_vm_id["a"].get("board").order is later
 
     run_virtual(main())
+
+
+def test_late_news_of_a_take_back_does_not_move_a_completed_rollout():
+    """Guards against VMs that tell each other two final stages in turn, for ever.
+
+    Seen on a day with cut VMs: one had found the version bad while the others reported
+    it as completed; the news went round without end and took all bandwidth.
+    """
+
+    async def main():
+        mesh = Mesh("abc")
+        mesh.order(ORDER)
+        await mesh.play(20, is_bad=False)
+        told = []
+        for coordinator in mesh.by_vm_id.values():
+            publish = coordinator._publish_mark
+            coordinator._publish_mark = lambda mark, publish=publish: (
+                told.append(mark),
+                publish(mark) if len(told) < 50 else None,
+            )
+        late = RolloutMark("board", ORDER.offset, Stage.ROLLED_BACK, 12.0, False)
+        mesh.by_vm_id["b"].take_mark(late)
+        assert mesh.stages() == {Stage.COMPLETED}
+        assert told == []
+
+    run_virtual(main())
+
+
+def test_vms_that_hold_different_final_stages_agree_after_few_messages():
+    async def main():
+        mesh = Mesh("abcdef")
+        mesh.order(ORDER)
+        for vm_id in "abc":
+            mesh.by_vm_id[vm_id].get("board").stage = Stage.ROLLED_BACK
+        told = []
+        for coordinator in mesh.by_vm_id.values():
+            publish = coordinator._publish_mark
+            coordinator._publish_mark = lambda mark, publish=publish: (
+                told.append(mark),
+                publish(mark) if len(told) < 500 else None,
+            )
+        report = RolloutMark("board", ORDER.offset, Stage.COMPLETED, 12.0, True)
+        mesh.by_vm_id["d"].take_mark(report)
+        assert mesh.stages() == {Stage.COMPLETED}
+        assert len(told) <= 2 * len(mesh.by_vm_id)
+
+    run_virtual(main())
