Group the modules of the settings in a package

The modules at the top level had no grouping, so that a reader had to know which of them belong together. Only files and imports change; behaviour does not.

--- a/src/lacewingstair/cli/arguments.py
+++ b/src/lacewingstair/cli/arguments.py
@@ -5,7 +5,7 @@
 
 from result import Err, Ok, Result
 
-from lacewingstair.settings_values import IpAddress, Url
+from lacewingstair.settings.values import IpAddress, Url
 
 Checked = Result[float, str] | Result[int, str] | Result[str, str]
 
--- a/src/lacewingstair/cli/commands.py
+++ b/src/lacewingstair/cli/commands.py
@@ -23,7 +23,7 @@
 from lacewingstair.demo import run_demo
 from lacewingstair.directory import Endpoint
 from lacewingstair.runtime import SystemClock
-from lacewingstair.settings_page import example_file, settings_page
+from lacewingstair.settings.page import example_file, settings_page
 from lacewingstair.ticket_log.http_log import HttpLogClient
 
 MAX_TICKET_NUMBER = 2**53 - 1
--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -25,7 +25,7 @@
 from lacewingstair.outcomes import OutcomeSinks
 from lacewingstair.rollouts import RolloutController
 from lacewingstair.runtime import Clock
-from lacewingstair.settings import Settings
+from lacewingstair.settings.declarations import Settings
 from lacewingstair.store import StateStore
 from lacewingstair.ticket_log.http_log import HttpLogClient
 from lacewingstair.ticket_log.options import LogOptions
--- a/src/lacewingstair/http_server.py
+++ b/src/lacewingstair/http_server.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from lacewingstair.errors import ListenError
-from lacewingstair.settings_values import split_address
+from lacewingstair.settings.values import split_address
 
 # Idle connections of callers are closed by callers, which know their own pools; the
 # limit only removes connections whose other end has gone silent.
--- a/src/lacewingstair/process.py
+++ b/src/lacewingstair/process.py
@@ -18,8 +18,8 @@
 from lacewingstair.garbage_collection import tune_garbage_collection
 from lacewingstair.registry import Registry
 from lacewingstair.runtime import Clock, SystemClock
-from lacewingstair.settings import METADATA_STORE, TICKET_LOG, Settings
-from lacewingstair.settings_reader import load_settings
+from lacewingstair.settings.declarations import METADATA_STORE, TICKET_LOG, Settings
+from lacewingstair.settings.reader import load_settings
 
 EXIT_OK = 0
 EXIT_ERROR = 1
--- a/src/lacewingstair/settings.py
+++ b/src/lacewingstair/settings/declarations.py
@@ -1,7 +1,7 @@
 """Settings of the daemon, declared once.
 
 Each field of `Settings` and of its groups carries its declaration. The reader
-(`settings_reader`), the page ``docs/settings.md`` and the example file are all derived
+(`reader`), the page ``docs/settings.md`` and the example file are all derived
 from the declarations.
 """
 
@@ -9,7 +9,7 @@
 
 import attrs
 
-from lacewingstair.settings_fields import (
+from lacewingstair.settings.fields import (
     Setting,
     count,
     declared,
@@ -17,7 +17,7 @@
     required,
     seconds,
 )
-from lacewingstair.settings_values import (
+from lacewingstair.settings.values import (
     Addresses,
     Choice,
     IpAddress,
--- a/src/lacewingstair/settings_fields.py
+++ b/src/lacewingstair/settings/fields.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from lacewingstair.settings_values import Kind, Number
+from lacewingstair.settings.values import Kind, Number
 
 _DECLARATION = "setting"
 
--- a/src/lacewingstair/settings_page.py
+++ b/src/lacewingstair/settings/page.py
@@ -3,13 +3,14 @@
 import textwrap
 from typing import Any
 
-from lacewingstair.settings import all_settings
-from lacewingstair.settings_fields import Setting
+from lacewingstair.settings.declarations import all_settings
+from lacewingstair.settings.fields import Setting
 
 _HEADER = """\
 # Settings
 
-<!-- Written by `lacewingstair settings-page`; change src/lacewingstair/settings.py. -->
+<!-- Written by `lacewingstair settings-page`;
+change src/lacewingstair/settings/declarations.py. -->
 
 `lacewingstaird SETTINGS_FILE` reads one INI file. It is validated whole: every fault is
 reported with its line, the value and what is allowed, and the daemon does not start.
--- a/src/lacewingstair/settings_reader.py
+++ b/src/lacewingstair/settings/reader.py
@@ -11,16 +11,16 @@
 
 from lacewingstair.errors import Fault, SettingsError
 from lacewingstair.platform.bounds import parse_bounds
-from lacewingstair.settings import (
+from lacewingstair.settings.declarations import (
     METADATA_STORE,
     LinkSettings,
     Settings,
     all_settings,
     groups,
 )
-from lacewingstair.settings_fields import Setting, declared
-from lacewingstair.settings_lines import Lines, scan_lines
-from lacewingstair.settings_values import split_address
+from lacewingstair.settings.fields import Setting, declared
+from lacewingstair.settings.lines import Lines, scan_lines
+from lacewingstair.settings.values import split_address
 
 # configparser copies its default section into all others; no file can name this one.
 _NO_DEFAULT_SECTION = "\0"
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -35,8 +35,8 @@
 from lacewingstair.platform.readiness import readiness_application
 from lacewingstair.platform.rollout_reports import RolloutReports
 from lacewingstair.runtime import Clock
-from lacewingstair.settings import Settings
-from lacewingstair.settings_reader import load_settings
+from lacewingstair.settings.declarations import Settings
+from lacewingstair.settings.reader import load_settings
 from lacewingstair.sidecar_metrics import SidecarMetrics
 from lacewingstair.staged_rollouts.coordinator import RolloutCoordinator
 from lacewingstair.store_records import StoreRecords
--- a/src/lacewingstair/standins/local.py
+++ b/src/lacewingstair/standins/local.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import Sequence
 
-from lacewingstair.settings import Settings
+from lacewingstair.settings.declarations import Settings
 
 LOOPBACK = "127.0.0.1"
 
--- a/tests/test_settings.py
+++ b/tests/settings/test_declarations.py
@@ -6,9 +6,9 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from lacewingstair.settings import LinkSettings, all_settings
-from lacewingstair.settings_page import example_file, settings_page
-from lacewingstair.settings_reader import parse_settings
+from lacewingstair.settings.declarations import LinkSettings, all_settings
+from lacewingstair.settings.page import example_file, settings_page
+from lacewingstair.settings.reader import parse_settings
 
 ROOT = Path(__file__).parent.parent
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -6,8 +6,8 @@
 
 from lacewingstair import process
 from lacewingstair.caller.options import CallOptions
-from lacewingstair.settings import all_settings
-from lacewingstair.settings_reader import parse_settings
+from lacewingstair.settings.declarations import all_settings
+from lacewingstair.settings.reader import parse_settings
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
 from lacewingstair.ticket_log.options import LogOptions
 from lacewingstair.vm import transport
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -10,7 +10,7 @@
 from aiohttp.test_utils import TestServer
 
 from lacewingstair.runtime import SystemClock
-from lacewingstair.settings_reader import parse_settings
+from lacewingstair.settings.reader import parse_settings
 from lacewingstair.sidecar import build
 from tests.platform.store_standin import StoreStandIn
 from tests.platform.test_configuration import document
