Group the modules of tickets in a package

The modules at the top level had no grouping, so that a reader had to know which of them belong together. Only files and imports change; behaviour does not.

--- a/bench/acceptance.py
+++ b/bench/acceptance.py
@@ -10,10 +10,10 @@
 
 from bench.registry import benchmarks
 from bench.results import print_table, save_rows
-from lacewingstair.acceptance import MeshState, TicketRecord, Verdict, fold
 from lacewingstair.routes import RouteTable
-from lacewingstair.state_codec import decode_state, encode_state
-from lacewingstair.tickets import parse_ticket
+from lacewingstair.tickets.acceptance import MeshState, TicketRecord, Verdict, fold
+from lacewingstair.tickets.parsing import parse_ticket
+from lacewingstair.tickets.state_codec import decode_state, encode_state
 
 DEFAULT_SIZES = ((71, 200), (710, 2000), (2840, 8000))
 SERVICES_PER_TICKET = 200
--- a/bench/log.py
+++ b/bench/log.py
@@ -7,11 +7,11 @@
 from bench.registry import benchmarks
 from bench.results import print_table, save_rows
 from lacewingstair import events
-from lacewingstair.acceptance import MeshState
 from lacewingstair.marks import RolloutKey, TakeBack
 from lacewingstair.standins.log_readers import LogReaders
 from lacewingstair.standins.memory_log import LogFaults
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
+from lacewingstair.tickets.acceptance import MeshState
 
 READERS = 8  # two in each of four regions
 HOUR_SECONDS = 3600.0
--- a/bench/node_cost.py
+++ b/bench/node_cost.py
@@ -19,7 +19,7 @@
 from lacewingstair.marks import Marks
 from lacewingstair.overlay import Overlay
 from lacewingstair.runtime import SystemClock
-from lacewingstair.store import StateStore
+from lacewingstair.tickets.state_store import StateStore
 from lacewingstair.vm import messages
 from lacewingstair.vm.frames import decode_frame, encode_frame
 from lacewingstair.vm.node import VmNode
--- a/bench/rollout_errors.py
+++ b/bench/rollout_errors.py
@@ -10,7 +10,7 @@
 from bench.results import print_table, save_rows
 from lacewingstair.evidence import Place, Tally
 from lacewingstair.marks import RolloutKey
-from lacewingstair.tickets import Rollout
+from lacewingstair.tickets.parsing import Rollout
 from lacewingstair.verdicts import WRONG_TAKE_BACK, Judge
 
 ROUTES = ("read", "confirm")
--- a/src/lacewingstair/__init__.py
+++ b/src/lacewingstair/__init__.py
@@ -6,11 +6,11 @@
 # The names are imported when they are used: parsing tickets needs libraries that a
 # daemon which reads whole configurations does without.
 _MODULES_BY_NAME = {
-    "Decision": "lacewingstair.acceptance",
-    "MeshState": "lacewingstair.acceptance",
-    "Ticket": "lacewingstair.tickets",
-    "fold": "lacewingstair.acceptance",
-    "parse_ticket": "lacewingstair.tickets",
+    "Decision": "lacewingstair.tickets.acceptance",
+    "MeshState": "lacewingstair.tickets.acceptance",
+    "Ticket": "lacewingstair.tickets.parsing",
+    "fold": "lacewingstair.tickets.acceptance",
+    "parse_ticket": "lacewingstair.tickets.parsing",
 }
 
 __all__ = ["Decision", "MeshState", "Ticket", "fold", "parse_ticket"]
--- a/src/lacewingstair/caller/server.py
+++ b/src/lacewingstair/caller/server.py
@@ -25,8 +25,8 @@
 from lacewingstair.outcomes import CallOutcome, OutcomeSink, VersionChooser
 from lacewingstair.routes import NamedRoute
 from lacewingstair.runtime import Clock, SystemClock
-from lacewingstair.store import StateStore
-from lacewingstair.ticket_types import Service
+from lacewingstair.tickets.state_store import StateStore
+from lacewingstair.tickets.types import Service
 
 MAX_LINE_BYTES = 8190
 SWEEP_SECONDS = 5.0
--- a/src/lacewingstair/cli/check.py
+++ b/src/lacewingstair/cli/check.py
@@ -6,12 +6,12 @@
 
 from result import Err, Ok, Result
 
-from lacewingstair.acceptance import MeshState, TicketRecord, Verdict, fold
 from lacewingstair.cli.exit_codes import ExitCode
 from lacewingstair.cli.pending import fail
 from lacewingstair.errors import Fault
 from lacewingstair.settings.reader import parse_settings
-from lacewingstair.tickets import parse_ticket
+from lacewingstair.tickets.acceptance import MeshState, TicketRecord, Verdict, fold
+from lacewingstair.tickets.parsing import parse_ticket
 
 _SECTION_LINE = re.compile(r"^\[\w+\]\s*$", re.MULTILINE)
 
--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -26,10 +26,10 @@
 from lacewingstair.rollouts import RolloutController
 from lacewingstair.runtime import Clock
 from lacewingstair.settings.declarations import Settings
-from lacewingstair.store import StateStore
 from lacewingstair.ticket_log.http_log import HttpLogClient
 from lacewingstair.ticket_log.options import LogOptions
 from lacewingstair.ticket_log.reader import LogReader
+from lacewingstair.tickets.state_store import StateStore
 from lacewingstair.vm.node import VmNode
 from lacewingstair.vm.options import NodeOptions
 from lacewingstair.vm.transport import TcpTransport
--- a/src/lacewingstair/operator/observe.py
+++ b/src/lacewingstair/operator/observe.py
@@ -13,9 +13,9 @@
     follow_labelled,
 )
 from lacewingstair.operator.health import Health
-from lacewingstair.store import StateStore
 from lacewingstair.ticket_log.http_log import HttpLogClient
 from lacewingstair.ticket_log.status import LogStatus
+from lacewingstair.tickets.state_store import StateStore
 from lacewingstair.vm.traffic import LinkTraffic
 
 _STATUS_NAMES = tuple(status.name.lower() for status in VmStatus)
--- a/src/lacewingstair/operator/report.py
+++ b/src/lacewingstair/operator/report.py
@@ -12,10 +12,10 @@
 import cattrs
 
 from lacewingstair import schedule
-from lacewingstair.acceptance import MeshState
 from lacewingstair.marks import Marks, RolloutKey, StageMark
 from lacewingstair.rollout_view import routes_of
-from lacewingstair.tickets import Rollout
+from lacewingstair.tickets.acceptance import MeshState
+from lacewingstair.tickets.parsing import Rollout
 
 
 class MoveState(enum.Enum):
--- a/src/lacewingstair/platform/configuration.py
+++ b/src/lacewingstair/platform/configuration.py
@@ -16,7 +16,7 @@
 from lacewingstair.errors import ConfigurationError, Fault
 from lacewingstair.platform.durations import parse_duration
 from lacewingstair.routes import RouteTable
-from lacewingstair.ticket_types import normal_host
+from lacewingstair.tickets.types import normal_host
 
 CONFIGURATION_KEY = "config"
 _REPEATABLE_KINDS = frozenset({"idempotent", "download"})
--- a/src/lacewingstair/rollout_view.py
+++ b/src/lacewingstair/rollout_view.py
@@ -1,10 +1,10 @@
 """Rollouts of the configuration with their marks in one availability zone."""
 
 from lacewingstair import schedule
-from lacewingstair.acceptance import MeshState
 from lacewingstair.marks import Marks, RolloutKey, StageMark
-from lacewingstair.store import StateStore
-from lacewingstair.tickets import Rollout
+from lacewingstair.tickets.acceptance import MeshState
+from lacewingstair.tickets.parsing import Rollout
+from lacewingstair.tickets.state_store import StateStore
 
 
 class RolloutView:
--- a/src/lacewingstair/rollouts.py
+++ b/src/lacewingstair/rollouts.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 
 from lacewingstair import events
-from lacewingstair.acceptance import MeshState
 from lacewingstair.evidence import EvidenceTransport
 from lacewingstair.evidence_totals import EvidenceTotals
 from lacewingstair.marks import Marks, RolloutKey, StageMark, TakeBack
@@ -18,7 +17,8 @@
 from lacewingstair.rollout_view import RolloutView
 from lacewingstair.route_plans import RoutePlans
 from lacewingstair.runtime import Clock
-from lacewingstair.store import StateStore
+from lacewingstair.tickets.acceptance import MeshState
+from lacewingstair.tickets.state_store import StateStore
 from lacewingstair.trials import Trial, Trials
 from lacewingstair.verdicts import Verdict
 
--- a/src/lacewingstair/route_plans.py
+++ b/src/lacewingstair/route_plans.py
@@ -15,7 +15,7 @@
 from lacewingstair.rollout_view import RolloutView, routes_of
 from lacewingstair.runtime import Clock
 from lacewingstair.splitting import SmoothSplit
-from lacewingstair.tickets import Rollout
+from lacewingstair.tickets.parsing import Rollout
 
 # A new endpoint's latency and slow failures count for nothing during its cold start.
 # Failures faster than this are no effect of a cold start.
--- a/src/lacewingstair/routes.py
+++ b/src/lacewingstair/routes.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lacewingstair.ticket_types import Route, normal_host
+from lacewingstair.tickets.types import Route, normal_host
 
 ANY_HOST = "*"
 
--- a/src/lacewingstair/schedule.py
+++ b/src/lacewingstair/schedule.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from lacewingstair.tickets import Rollout
+from lacewingstair.tickets.parsing import Rollout
 
 STAGE_SHARES = (0.0, 0.1, 0.25, 0.5, 1.0)
 FINAL_STAGE = len(STAGE_SHARES) - 1
--- a/src/lacewingstair/standins/full_mesh.py
+++ b/src/lacewingstair/standins/full_mesh.py
@@ -12,7 +12,6 @@
 
 import attrs
 
-from lacewingstair.acceptance import MeshState, TicketRecord, fold
 from lacewingstair.directory import Endpoint, VmRecord
 from lacewingstair.marks import StageMark, TakeBack
 from lacewingstair.outcomes import CallOutcome, CallResult
@@ -23,6 +22,7 @@
 from lacewingstair.ticket_log.log import TICKET_STREAM
 from lacewingstair.ticket_log.options import LogOptions
 from lacewingstair.ticket_log.reader import LogReader
+from lacewingstair.tickets.acceptance import MeshState, TicketRecord, fold
 
 CALL_SECONDS = 0.1
 CALL_LATENCY_SECONDS = 0.02
--- a/src/lacewingstair/standins/log_readers.py
+++ b/src/lacewingstair/standins/log_readers.py
@@ -10,11 +10,11 @@
 from lacewingstair.marks import Marks
 from lacewingstair.runtime import Clock
 from lacewingstair.standins.memory_log import LogFaults, LogStreams, MemoryLogClient
-from lacewingstair.store import StateStore
 from lacewingstair.ticket_log.log import SYSTEM_STREAM, TICKET_STREAM
 from lacewingstair.ticket_log.options import LogOptions
 from lacewingstair.ticket_log.reader import DEFAULT_OPTIONS, LogReader
 from lacewingstair.ticket_log.records import decode_record
+from lacewingstair.tickets.state_store import StateStore
 
 
 def _always() -> bool:
--- a/src/lacewingstair/standins/rollout_mesh.py
+++ b/src/lacewingstair/standins/rollout_mesh.py
@@ -12,13 +12,13 @@
 
 import attrs
 
-from lacewingstair.acceptance import TicketRecord
 from lacewingstair.evidence import EvidenceReport
 from lacewingstair.marks import Marks, RolloutKey, StageMark, TakeBack
 from lacewingstair.outcomes import CallOutcome, CallResult
 from lacewingstair.rollouts import STEP_SECONDS, RolloutController
 from lacewingstair.standins.virtual_time import START_WALL_SECONDS
-from lacewingstair.store import StateStore
+from lacewingstair.tickets.acceptance import TicketRecord
+from lacewingstair.tickets.state_store import StateStore
 
 REPAIR_SECONDS = 1.0
 
--- a/src/lacewingstair/ticket_log/checkpoint.py
+++ b/src/lacewingstair/ticket_log/checkpoint.py
@@ -7,11 +7,11 @@
 import msgpack
 from result import Err, Ok, Result
 
-from lacewingstair.acceptance import MeshState
 from lacewingstair.errors import StateCodecError
 from lacewingstair.marks import Marks, RolloutKey, TakeBack
-from lacewingstair.state_codec import decode_state, encode_state
 from lacewingstair.ticket_log.records import CheckpointChunk
+from lacewingstair.tickets.acceptance import MeshState
+from lacewingstair.tickets.state_codec import decode_state, encode_state
 
 CHECKPOINT_FORMAT = 1
 CHUNK_BYTES = 64 << 10
--- a/src/lacewingstair/ticket_log/checkpointer.py
+++ b/src/lacewingstair/ticket_log/checkpointer.py
@@ -7,7 +7,6 @@
 from lacewingstair import events
 from lacewingstair.marks import Marks
 from lacewingstair.runtime import Clock
-from lacewingstair.store import StateStore
 from lacewingstair.ticket_log.checkpoint import (
     Checkpoint,
     encode_checkpoint,
@@ -19,6 +18,7 @@
 from lacewingstair.ticket_log.system_stream import SystemStream
 from lacewingstair.ticket_log.system_view import StoredCheckpoint
 from lacewingstair.ticket_log.writer import SystemWriter
+from lacewingstair.tickets.state_store import StateStore
 
 CHECKPOINT_SHARE_OF_RETENTION = 0.25
 # Bounds the appends of a VM whose wall clock is wrong by more than the retention.
--- a/src/lacewingstair/ticket_log/publish.py
+++ b/src/lacewingstair/ticket_log/publish.py
@@ -9,7 +9,7 @@
 from lacewingstair.runtime import Clock
 from lacewingstair.ticket_log.append import READ_LIMIT, Appender
 from lacewingstair.ticket_log.log import TICKET_STREAM, LogClient
-from lacewingstair.tickets import Ticket, parse_ticket
+from lacewingstair.tickets.parsing import Ticket, parse_ticket
 
 PUBLISH_TIMEOUT_SECONDS = 60.0
 
--- a/src/lacewingstair/ticket_log/reader.py
+++ b/src/lacewingstair/ticket_log/reader.py
@@ -11,10 +11,8 @@
 from result import Err
 
 from lacewingstair import events
-from lacewingstair.acceptance import TicketRecord
 from lacewingstair.marks import Marks, RolloutKey, TakeBack
 from lacewingstair.runtime import Clock
-from lacewingstair.store import StateStore
 from lacewingstair.ticket_log.checkpoint import decode_checkpoint, lasting_take_backs
 from lacewingstair.ticket_log.checkpointer import Checkpointer
 from lacewingstair.ticket_log.log import LogClient
@@ -24,6 +22,8 @@
 from lacewingstair.ticket_log.system_stream import SystemStream
 from lacewingstair.ticket_log.tail import LogTail
 from lacewingstair.ticket_log.writer import SystemWriter
+from lacewingstair.tickets.acceptance import TicketRecord
+from lacewingstair.tickets.state_store import StateStore
 
 ROLE_CHECK_SECONDS = 2.0
 # Readers look for marks to write at random moments of this interval, so that the first
--- a/src/lacewingstair/ticket_log/records.py
+++ b/src/lacewingstair/ticket_log/records.py
@@ -16,7 +16,7 @@
 from lacewingstair.errors import InvariantError, SystemRecordError
 from lacewingstair.marks import TakeBack
 from lacewingstair.registry import Registry
-from lacewingstair.strict_structuring import shown, strict, structure_float
+from lacewingstair.tickets.strict_structuring import shown, strict, structure_float
 
 record_types: Registry[type] = Registry("system record")
 _kinds_by_type: dict[type, str] = {}
--- a/src/lacewingstair/ticket_log/tail.py
+++ b/src/lacewingstair/ticket_log/tail.py
@@ -6,16 +6,16 @@
 from result import Err
 
 from lacewingstair import events
-from lacewingstair.acceptance import TicketRecord
 from lacewingstair.errors import LogUnavailable, OffsetExpired
 from lacewingstair.runtime import Clock, full_jitter
-from lacewingstair.store import StateStore
 from lacewingstair.ticket_log.checkpoint import decode_checkpoint
 from lacewingstair.ticket_log.log import TICKET_STREAM, LogBatch, LogClient, LogRecord
 from lacewingstair.ticket_log.options import LogOptions
 from lacewingstair.ticket_log.status import LogStatus
 from lacewingstair.ticket_log.system_stream import SystemStream
-from lacewingstair.tickets import MAX_TICKET_BYTES
+from lacewingstair.tickets.acceptance import TicketRecord
+from lacewingstair.tickets.parsing import MAX_TICKET_BYTES
+from lacewingstair.tickets.state_store import StateStore
 
 READ_LIMIT = 128
 POLL_JITTER = 0.25
--- /dev/null
+++ b/src/lacewingstair/tickets/__init__.py
@@ -0,0 +1,1 @@
+"""Tickets: their types, parsing, acceptance, and the state that follows from them."""
--- a/src/lacewingstair/acceptance.py
+++ b/src/lacewingstair/tickets/acceptance.py
@@ -15,7 +15,7 @@
 
 from lacewingstair.errors import Fault
 from lacewingstair.routes import RouteTable
-from lacewingstair.tickets import (
+from lacewingstair.tickets.parsing import (
     MAX_FAULTS,
     SECTIONS,
     Rollout,
--- a/src/lacewingstair/tickets.py
+++ b/src/lacewingstair/tickets/parsing.py
@@ -14,7 +14,7 @@
 from result import Err, Ok, Result
 
 from lacewingstair.errors import Fault, TicketError
-from lacewingstair.ticket_types import Rollout, Route, Service, Ticket, normal_host
+from lacewingstair.tickets.types import Rollout, Route, Service, Ticket, normal_host
 
 # A ticket has to fit in a frame of 1 MiB between VMs, and parsing one blocks the event
 # loop for about 0.7 ms per KB.
@@ -26,7 +26,7 @@
 
 
 def _load_schema() -> dict[str, Any]:
-    path = resources.files("lacewingstair").joinpath("ticket.schema.json")
+    path = resources.files("lacewingstair.tickets").joinpath("ticket.schema.json")
     return json.loads(path.read_text("utf-8"))
 
 
--- a/src/lacewingstair/state_codec.py
+++ b/src/lacewingstair/tickets/state_codec.py
@@ -13,17 +13,17 @@
 import zstandard
 from result import Err, Ok, Result
 
-from lacewingstair.acceptance import (
+from lacewingstair.errors import StateCodecError
+from lacewingstair.routes import RouteTable
+from lacewingstair.tickets.acceptance import (
     MAX_REMEMBERED_DIGESTS,
     Decision,
     MeshState,
     configuration_digest,
     reference_faults,
 )
-from lacewingstair.errors import StateCodecError
-from lacewingstair.routes import RouteTable
-from lacewingstair.strict_structuring import tuple_converter
-from lacewingstair.tickets import Rollout, Route, Service
+from lacewingstair.tickets.parsing import Rollout, Route, Service
+from lacewingstair.tickets.strict_structuring import tuple_converter
 
 STATE_FORMAT = 2
 MAX_STATE_BYTES = 64 << 20
--- a/src/lacewingstair/store.py
+++ b/src/lacewingstair/tickets/state_store.py
@@ -3,7 +3,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 
-from lacewingstair.acceptance import (
+from lacewingstair.tickets.acceptance import (
     Decision,
     MeshState,
     TicketRecord,
--- a/src/lacewingstair/trials.py
+++ b/src/lacewingstair/trials.py
@@ -8,7 +8,7 @@
 from lacewingstair.evidence_totals import ZoneGrowth
 from lacewingstair.marks import RolloutKey, StageMark
 from lacewingstair.rollout_view import RolloutView, routes_of
-from lacewingstair.tickets import Rollout
+from lacewingstair.tickets.parsing import Rollout
 from lacewingstair.verdicts import WRONG_TAKE_BACK, Judge, Verdict
 
 # A part of the error rate is shared by the judges of subtrees, one per VM, the rest by
--- a/src/lacewingstair/verdicts.py
+++ b/src/lacewingstair/verdicts.py
@@ -20,7 +20,7 @@
     badness_factors,
     soundness_factor,
 )
-from lacewingstair.tickets import Rollout
+from lacewingstair.tickets.parsing import Rollout
 
 # Probability that a good version is taken back at all, over all tests of a rollout.
 WRONG_TAKE_BACK = 1e-4
--- a/src/lacewingstair/vm/dissemination.py
+++ b/src/lacewingstair/vm/dissemination.py
@@ -6,11 +6,11 @@
 import attrs
 
 from lacewingstair import events
-from lacewingstair.acceptance import Decision, TicketRecord
 from lacewingstair.directory import VmRecord
 from lacewingstair.marks import Marks, StageMark, TakeBack
 from lacewingstair.runtime import Clock
-from lacewingstair.store import StateStore
+from lacewingstair.tickets.acceptance import Decision, TicketRecord
+from lacewingstair.tickets.state_store import StateStore
 from lacewingstair.vm import messages
 from lacewingstair.vm.membership import Membership
 from lacewingstair.vm.peers import Peer, PeerTable
--- a/src/lacewingstair/vm/messages.py
+++ b/src/lacewingstair/vm/messages.py
@@ -12,12 +12,12 @@
 import msgpack
 from result import Err, Ok, Result
 
-from lacewingstair.acceptance import TicketRecord
 from lacewingstair.directory import EndpointState, VmRecord, VmStatus
 from lacewingstair.errors import FrameError, InvariantError
 from lacewingstair.evidence import EvidenceReport
 from lacewingstair.marks import StageMark, TakeBack
-from lacewingstair.strict_structuring import (
+from lacewingstair.tickets.acceptance import TicketRecord
+from lacewingstair.tickets.strict_structuring import (
     StructureHook,
     shown,
     structure_float,
--- a/src/lacewingstair/vm/node.py
+++ b/src/lacewingstair/vm/node.py
@@ -6,14 +6,14 @@
 
 from result import Result
 
-from lacewingstair.acceptance import Decision, TicketRecord
 from lacewingstair.directory import Directory, Endpoint, VmRecord, VmStatus
 from lacewingstair.errors import ListenError
 from lacewingstair.evidence import EvidenceReport
 from lacewingstair.marks import Marks, StageMark, TakeBack
 from lacewingstair.overlay import Overlay
 from lacewingstair.runtime import Clock
-from lacewingstair.store import StateStore
+from lacewingstair.tickets.acceptance import Decision, TicketRecord
+from lacewingstair.tickets.state_store import StateStore
 from lacewingstair.vm import messages
 from lacewingstair.vm.discovery import Discovery
 from lacewingstair.vm.dissemination import (
--- a/src/lacewingstair/vm/reader_role.py
+++ b/src/lacewingstair/vm/reader_role.py
@@ -5,7 +5,7 @@
 from lacewingstair.directory import VmRecord
 from lacewingstair.overlay import Overlay
 from lacewingstair.runtime import Clock
-from lacewingstair.store import StateStore
+from lacewingstair.tickets.state_store import StateStore
 from lacewingstair.vm.log_region_link import LogRegionLink
 from lacewingstair.vm.peers import PeerTable
 from lacewingstair.vm.reachability import Reachability
--- a/src/lacewingstair/vm/repair.py
+++ b/src/lacewingstair/vm/repair.py
@@ -13,7 +13,7 @@
 from lacewingstair import events
 from lacewingstair.directory import BUCKETS, Directory
 from lacewingstair.marks import Marks
-from lacewingstair.store import StateStore, low_64_bits, settling_order
+from lacewingstair.tickets.state_store import StateStore, low_64_bits, settling_order
 from lacewingstair.vm import messages
 from lacewingstair.vm.dissemination import (
     MarkPublisher,
--- a/src/lacewingstair/vm/snapshot_client.py
+++ b/src/lacewingstair/vm/snapshot_client.py
@@ -9,7 +9,7 @@
 from lacewingstair import events
 from lacewingstair.directory import VmRecord
 from lacewingstair.runtime import Clock, full_jitter
-from lacewingstair.store import StateStore
+from lacewingstair.tickets.state_store import StateStore
 from lacewingstair.vm import messages
 from lacewingstair.vm.peers import Peer, PeerTable
 from lacewingstair.vm.snapshots import Snapshot, SnapshotAssembler
--- a/src/lacewingstair/vm/snapshot_server.py
+++ b/src/lacewingstair/vm/snapshot_server.py
@@ -8,7 +8,7 @@
 
 from lacewingstair.directory import Directory
 from lacewingstair.runtime import Clock
-from lacewingstair.store import StateStore
+from lacewingstair.tickets.state_store import StateStore
 from lacewingstair.vm import messages
 from lacewingstair.vm.dissemination import MarkPublisher
 from lacewingstair.vm.peers import Peer
--- a/src/lacewingstair/vm/snapshots.py
+++ b/src/lacewingstair/vm/snapshots.py
@@ -8,10 +8,10 @@
 import zstandard
 from result import Err, Ok, Result
 
-from lacewingstair.acceptance import MeshState
 from lacewingstair.directory import VmRecord
 from lacewingstair.errors import SnapshotError
-from lacewingstair.state_codec import decode_state, encode_state
+from lacewingstair.tickets.acceptance import MeshState
+from lacewingstair.tickets.state_codec import decode_state, encode_state
 from lacewingstair.vm import messages
 
 SNAPSHOT_FORMAT = 1
--- a/tests/caller/test_server.py
+++ b/tests/caller/test_server.py
@@ -6,10 +6,10 @@
 import pytest
 from aiohttp import web
 
-from lacewingstair.acceptance import TicketRecord
 from lacewingstair.caller.server import CallServer
 from lacewingstair.directory import Directory, Endpoint, VmRecord
-from lacewingstair.store import StateStore
+from lacewingstair.tickets.acceptance import TicketRecord
+from lacewingstair.tickets.state_store import StateStore
 
 TICKET = {
     "number": 1,
--- a/tests/operator/test_api.py
+++ b/tests/operator/test_api.py
@@ -5,11 +5,11 @@
 import aiohttp
 import attrs
 
-from lacewingstair.acceptance import TicketRecord
 from lacewingstair.daemon import build
 from lacewingstair.marks import RolloutKey, TakeBack
 from lacewingstair.runtime import SystemClock
 from lacewingstair.standins.local import free_ports, local_settings
+from lacewingstair.tickets.acceptance import TicketRecord
 
 NO_WAIT = {"leaving_seconds": 0.0}
 FIRST = '{"number": 1, "services": {"desk": {"versions": ["v1"], "current": "v1"}}}'
--- a/tests/operator/test_report.py
+++ b/tests/operator/test_report.py
@@ -3,11 +3,11 @@
 import attrs
 import pytest
 
-from lacewingstair.acceptance import MeshState
 from lacewingstair.marks import Marks, RolloutKey, StageMark, TakeBack
 from lacewingstair.operator.report import MoveState, build_report, make_report
 from lacewingstair.schedule import FINAL_STAGE
-from lacewingstair.tickets import Rollout, Route
+from lacewingstair.tickets.acceptance import MeshState
+from lacewingstair.tickets.parsing import Rollout, Route
 
 KEY = RolloutKey("move", 3)
 START, END = 1000.0, 1100.0
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lacewingstair.acceptance import MeshState, TicketRecord, Verdict, fold
+from lacewingstair.tickets.acceptance import MeshState, TicketRecord, Verdict, fold
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -12,7 +12,6 @@
 from hypothesis import strategies as st
 from loguru import logger
 
-from lacewingstair.acceptance import MeshState
 from lacewingstair.backend_server.pool import ConnectionPool
 from lacewingstair.caller.headers import OUTCOME, OUTCOME_NOT_RUN
 from lacewingstair.caller.server import CallServer
@@ -23,8 +22,9 @@
 from lacewingstair.standins.memory_server import MemoryServer
 from lacewingstair.standins.mesh_cluster import zones
 from lacewingstair.standins.virtual_time import run_virtual
-from lacewingstair.store import StateStore
 from lacewingstair.ticket_log.log import TICKET_STREAM
+from lacewingstair.tickets.acceptance import MeshState
+from lacewingstair.tickets.state_store import StateStore
 
 GOOD = RolloutKey(GOOD_SERVICE, 1)
 BAD = RolloutKey(BAD_SERVICE, 1)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -6,11 +6,11 @@
 import attrs
 from aiohttp import web
 
-from lacewingstair.acceptance import TicketRecord
 from lacewingstair.daemon import build
 from lacewingstair.directory import Endpoint
 from lacewingstair.runtime import SystemClock
 from lacewingstair.standins.local import free_ports, local_settings
+from lacewingstair.tickets.acceptance import TicketRecord
 
 HOLD_SECONDS = 0.3
 TICKET = {
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -3,7 +3,7 @@
 from hypothesis import strategies as st
 
 from lacewingstair.routes import RouteTable
-from lacewingstair.tickets import Route
+from lacewingstair.tickets.parsing import Route
 
 SEGMENTS = ("a", "b", "ab", "")
 HOSTS = ("*", "x.example", "y.example")
--- a/tests/ticket_log/test_fault_schedules.py
+++ b/tests/ticket_log/test_fault_schedules.py
@@ -6,7 +6,6 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from lacewingstair.acceptance import MeshState, TicketRecord, fold
 from lacewingstair.marks import RolloutKey, TakeBack
 from lacewingstair.standins.log_readers import LogReaders
 from lacewingstair.standins.memory_log import LogFaults, MemoryLogClient
@@ -14,6 +13,7 @@
 from lacewingstair.ticket_log.log import SYSTEM_STREAM, TICKET_STREAM
 from lacewingstair.ticket_log.publish import publish_ticket
 from lacewingstair.ticket_log.records import decode_record
+from lacewingstair.tickets.acceptance import MeshState, TicketRecord, fold
 from tests.ticket_texts import ROLLOUT, SERVICES, ticket
 
 VMS = 3
--- a/tests/ticket_log/test_reader.py
+++ b/tests/ticket_log/test_reader.py
@@ -13,7 +13,7 @@
 from lacewingstair.ticket_log.log import SYSTEM_STREAM, TICKET_STREAM
 from lacewingstair.ticket_log.options import LogOptions
 from lacewingstair.ticket_log.records import CheckpointChunk, Lease, TakeBackRecord
-from lacewingstair.tickets import MAX_TICKET_BYTES
+from lacewingstair.tickets.parsing import MAX_TICKET_BYTES
 from tests.ticket_texts import first_ticket, ticket
 
 MARK = TakeBack(RolloutKey("move", 1), "errors", "9 of 10 calls", 12.5, "vm-1")
--- a/tests/test_acceptance.py
+++ b/tests/tickets/test_acceptance.py
@@ -2,7 +2,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lacewingstair.acceptance import (
+from lacewingstair.routes import RouteTable
+from lacewingstair.tickets.acceptance import (
     MAX_REMEMBERED_DIGESTS,
     MeshState,
     TicketRecord,
@@ -11,8 +12,7 @@
     fold,
     reference_faults,
 )
-from lacewingstair.routes import RouteTable
-from lacewingstair.tickets import SECTIONS
+from lacewingstair.tickets.parsing import SECTIONS
 from tests.ticket_texts import ROLLOUT, ticket
 
 FIRST = ticket(
--- a/tests/test_tickets.py
+++ b/tests/tickets/test_parsing.py
@@ -5,7 +5,7 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from lacewingstair.tickets import (
+from lacewingstair.tickets.parsing import (
     MAX_FAULTS,
     MAX_TICKET_BYTES,
     TICKET_SCHEMA,
--- a/tests/test_state_codec.py
+++ b/tests/tickets/test_state_codec.py
@@ -6,8 +6,12 @@
 from hypothesis import strategies as st
 from result import Err
 
-from lacewingstair.acceptance import MeshState, TicketRecord, fold
-from lacewingstair.state_codec import MAX_STATE_BYTES, decode_state, encode_state
+from lacewingstair.tickets.acceptance import MeshState, TicketRecord, fold
+from lacewingstair.tickets.state_codec import (
+    MAX_STATE_BYTES,
+    decode_state,
+    encode_state,
+)
 from tests.ticket_texts import SERVICES, first_ticket, ticket
 
 ROUTES = {
--- a/tests/test_strict_structuring.py
+++ b/tests/tickets/test_strict_structuring.py
@@ -1,7 +1,11 @@
 import attrs
 import pytest
 
-from lacewingstair.strict_structuring import strict, structure_float, tuple_converter
+from lacewingstair.tickets.strict_structuring import (
+    strict,
+    structure_float,
+    tuple_converter,
+)
 
 
 @attrs.frozen
--- a/tests/vm/test_snapshot_client.py
+++ b/tests/vm/test_snapshot_client.py
@@ -4,9 +4,9 @@
 import attrs
 import pytest
 
-from lacewingstair.acceptance import MeshState
 from lacewingstair.directory import VmRecord
-from lacewingstair.store import StateStore
+from lacewingstair.tickets.acceptance import MeshState
+from lacewingstair.tickets.state_store import StateStore
 from lacewingstair.vm import messages, snapshots
 from lacewingstair.vm.peers import Peer, PeerTable
 from lacewingstair.vm.snapshot_client import BOOTSTRAP_SECONDS, SnapshotClient
