Group the modules of rollouts by tickets in a package

The modules at the top level had no grouping, so that a reader had to know which of them belong together. Only files and imports change; behaviour does not.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -13,9 +13,9 @@
 from bench.results import print_table, save_rows
 from lacewingstair.balancing import EndpointIndex
 from lacewingstair.directory import Directory, VmRecord
-from lacewingstair.evidence import EvidenceCounter, EvidenceReport
-from lacewingstair.marks import Marks, RolloutKey, StageMark
 from lacewingstair.overlay import Overlay
+from lacewingstair.rollouts.evidence import EvidenceCounter, EvidenceReport
+from lacewingstair.rollouts.marks import Marks, RolloutKey, StageMark
 from lacewingstair.runtime import SystemClock
 from lacewingstair.vm import messages
 from lacewingstair.vm.frames import decode_frame, encode_frame
--- a/bench/log.py
+++ b/bench/log.py
@@ -7,7 +7,7 @@
 from bench.registry import benchmarks
 from bench.results import print_table, save_rows
 from lacewingstair import events
-from lacewingstair.marks import RolloutKey, TakeBack
+from lacewingstair.rollouts.marks import RolloutKey, TakeBack
 from lacewingstair.standins.log_readers import LogReaders
 from lacewingstair.standins.memory_log import LogFaults
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
--- a/bench/node_cost.py
+++ b/bench/node_cost.py
@@ -16,8 +16,8 @@
 from bench.registry import benchmarks
 from bench.results import print_table, save_rows
 from lacewingstair.directory import Directory, Endpoint, VmRecord, VmStatus
-from lacewingstair.marks import Marks
 from lacewingstair.overlay import Overlay
+from lacewingstair.rollouts.marks import Marks
 from lacewingstair.runtime import SystemClock
 from lacewingstair.tickets.state_store import StateStore
 from lacewingstair.vm import messages
--- a/bench/rollout_errors.py
+++ b/bench/rollout_errors.py
@@ -8,10 +8,10 @@
 
 from bench.registry import benchmarks
 from bench.results import print_table, save_rows
-from lacewingstair.evidence import Place, Tally
-from lacewingstair.marks import RolloutKey
+from lacewingstair.rollouts.evidence import Place, Tally
+from lacewingstair.rollouts.marks import RolloutKey
+from lacewingstair.rollouts.verdicts import WRONG_TAKE_BACK, Judge
 from lacewingstair.tickets.parsing import Rollout
-from lacewingstair.verdicts import WRONG_TAKE_BACK, Judge
 
 ROUTES = ("read", "confirm")
 STEPS = 600
--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -16,14 +16,14 @@
 from lacewingstair.directory import Directory, VmRecord, VmStatus
 from lacewingstair.errors import ListenError
 from lacewingstair.http_server import application_runner, listen_all
-from lacewingstair.marks import Marks
 from lacewingstair.metrics import Metrics
 from lacewingstair.operator.api import OperatorApi
 from lacewingstair.operator.health import Health, build_health
 from lacewingstair.operator.observe import observe
 from lacewingstair.operator.report import build_report
 from lacewingstair.outcomes import OutcomeSinks
-from lacewingstair.rollouts import RolloutController
+from lacewingstair.rollouts.controller import RolloutController
+from lacewingstair.rollouts.marks import Marks
 from lacewingstair.runtime import Clock
 from lacewingstair.settings.declarations import Settings
 from lacewingstair.ticket_log.http_log import HttpLogClient
--- a/src/lacewingstair/operator/observe.py
+++ b/src/lacewingstair/operator/observe.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from lacewingstair.directory import Directory, VmStatus
-from lacewingstair.marks import Marks
 from lacewingstair.metrics import (
     ROLLOUT_STATES,
     Metrics,
@@ -13,6 +12,7 @@
     follow_labelled,
 )
 from lacewingstair.operator.health import Health
+from lacewingstair.rollouts.marks import Marks
 from lacewingstair.ticket_log.http_log import HttpLogClient
 from lacewingstair.ticket_log.status import LogStatus
 from lacewingstair.tickets.state_store import StateStore
--- a/src/lacewingstair/operator/report.py
+++ b/src/lacewingstair/operator/report.py
@@ -11,9 +11,9 @@
 import attrs
 import cattrs
 
-from lacewingstair import schedule
-from lacewingstair.marks import Marks, RolloutKey, StageMark
-from lacewingstair.rollout_view import routes_of
+from lacewingstair.rollouts import schedule
+from lacewingstair.rollouts.marks import Marks, RolloutKey, StageMark
+from lacewingstair.rollouts.view import routes_of
 from lacewingstair.tickets.acceptance import MeshState
 from lacewingstair.tickets.parsing import Rollout
 
--- /dev/null
+++ b/src/lacewingstair/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Rollouts ordered by tickets: schedule, evidence, judges and marks."""
--- a/src/lacewingstair/rollouts.py
+++ b/src/lacewingstair/rollouts/controller.py
@@ -10,17 +10,17 @@
 from collections.abc import Callable
 
 from lacewingstair import events
-from lacewingstair.evidence import EvidenceTransport
-from lacewingstair.evidence_totals import EvidenceTotals
-from lacewingstair.marks import Marks, RolloutKey, StageMark, TakeBack
 from lacewingstair.outcomes import CallOutcome
-from lacewingstair.rollout_view import RolloutView
+from lacewingstair.rollouts.evidence import EvidenceTransport
+from lacewingstair.rollouts.evidence_totals import EvidenceTotals
+from lacewingstair.rollouts.marks import Marks, RolloutKey, StageMark, TakeBack
+from lacewingstair.rollouts.trials import Trial, Trials
+from lacewingstair.rollouts.verdicts import Verdict
+from lacewingstair.rollouts.view import RolloutView
 from lacewingstair.route_plans import RoutePlans
 from lacewingstair.runtime import Clock
 from lacewingstair.tickets.acceptance import MeshState
 from lacewingstair.tickets.state_store import StateStore
-from lacewingstair.trials import Trial, Trials
-from lacewingstair.verdicts import Verdict
 
 STEP_SECONDS = 0.5
 # From this share on a version takes calls for which the other one has no capacity.
--- a/src/lacewingstair/evidence.py
+++ b/src/lacewingstair/rollouts/evidence.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from lacewingstair.marks import RolloutKey
+from lacewingstair.rollouts.marks import RolloutKey
 
 
 @attrs.frozen
--- a/src/lacewingstair/evidence_totals.py
+++ b/src/lacewingstair/rollouts/evidence_totals.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lacewingstair.evidence import (
+from lacewingstair.rollouts.evidence import (
     EvidenceReport,
     EvidenceTransport,
     Growth,
@@ -14,8 +14,8 @@
     zone_of,
     zone_source,
 )
-from lacewingstair.marks import RolloutKey
-from lacewingstair.rollout_view import RolloutView
+from lacewingstair.rollouts.marks import RolloutKey
+from lacewingstair.rollouts.view import RolloutView
 
 # A counter takes about 18 B in a report. The root of a zone hears 8 children and 8
 # other zones and sends to 5 links; at this pace that is 9 kB/s of the 13 kB/s that a VM
--- a/src/lacewingstair/trials.py
+++ b/src/lacewingstair/rollouts/trials.py
@@ -4,12 +4,12 @@
 
 import attrs
 
-from lacewingstair import schedule
-from lacewingstair.evidence_totals import ZoneGrowth
-from lacewingstair.marks import RolloutKey, StageMark
-from lacewingstair.rollout_view import RolloutView, routes_of
+from lacewingstair.rollouts import schedule
+from lacewingstair.rollouts.evidence_totals import ZoneGrowth
+from lacewingstair.rollouts.marks import RolloutKey, StageMark
+from lacewingstair.rollouts.verdicts import WRONG_TAKE_BACK, Judge, Verdict
+from lacewingstair.rollouts.view import RolloutView, routes_of
 from lacewingstair.tickets.parsing import Rollout
-from lacewingstair.verdicts import WRONG_TAKE_BACK, Judge, Verdict
 
 # A part of the error rate is shared by the judges of subtrees, one per VM, the rest by
 # the judges of all zones together: one for each time that a VM becomes a zone's root.
--- a/src/lacewingstair/verdicts.py
+++ b/src/lacewingstair/rollouts/verdicts.py
@@ -11,8 +11,8 @@
 
 import attrs
 
-from lacewingstair.evidence import Place, Tally
-from lacewingstair.sequential_tests import (
+from lacewingstair.rollouts.evidence import Place, Tally
+from lacewingstair.rollouts.sequential_tests import (
     BadnessTest,
     Block,
     Clearance,
--- a/src/lacewingstair/rollout_view.py
+++ b/src/lacewingstair/rollouts/view.py
@@ -1,7 +1,7 @@
 """Rollouts of the configuration with their marks in one availability zone."""
 
-from lacewingstair import schedule
-from lacewingstair.marks import Marks, RolloutKey, StageMark
+from lacewingstair.rollouts import schedule
+from lacewingstair.rollouts.marks import Marks, RolloutKey, StageMark
 from lacewingstair.tickets.acceptance import MeshState
 from lacewingstair.tickets.parsing import Rollout
 from lacewingstair.tickets.state_store import StateStore
--- a/src/lacewingstair/route_plans.py
+++ b/src/lacewingstair/route_plans.py
@@ -5,14 +5,14 @@
 
 import attrs
 
-from lacewingstair import schedule
-from lacewingstair.evidence import Place, Tally
-from lacewingstair.evidence_totals import EvidenceTotals
-from lacewingstair.latency import LatencyReference
-from lacewingstair.marks import RolloutKey
 from lacewingstair.outcomes import CallOutcome, CallResult
-from lacewingstair.probes import PROBE_SHARE, CallHistory, RecentCall
-from lacewingstair.rollout_view import RolloutView, routes_of
+from lacewingstair.rollouts import schedule
+from lacewingstair.rollouts.evidence import Place, Tally
+from lacewingstair.rollouts.evidence_totals import EvidenceTotals
+from lacewingstair.rollouts.latency import LatencyReference
+from lacewingstair.rollouts.marks import RolloutKey
+from lacewingstair.rollouts.probes import PROBE_SHARE, CallHistory, RecentCall
+from lacewingstair.rollouts.view import RolloutView, routes_of
 from lacewingstair.runtime import Clock
 from lacewingstair.splitting import SmoothSplit
 from lacewingstair.tickets.parsing import Rollout
--- a/src/lacewingstair/standins/log_readers.py
+++ b/src/lacewingstair/standins/log_readers.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from lacewingstair.marks import Marks
+from lacewingstair.rollouts.marks import Marks
 from lacewingstair.runtime import Clock
 from lacewingstair.standins.memory_log import LogFaults, LogStreams, MemoryLogClient
 from lacewingstair.ticket_log.log import SYSTEM_STREAM, TICKET_STREAM
--- a/src/lacewingstair/standins/mesh_cluster.py
+++ b/src/lacewingstair/standins/mesh_cluster.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from lacewingstair.directory import Directory, Endpoint, VmRecord
-from lacewingstair.marks import Marks
+from lacewingstair.rollouts.marks import Marks
 from lacewingstair.standins.memory_network import Latency, MemoryNetwork, Place
 from lacewingstair.standins.virtual_time import VirtualClock
 from lacewingstair.tickets.acceptance import TicketRecord
--- a/src/lacewingstair/ticket_log/checkpoint.py
+++ b/src/lacewingstair/ticket_log/checkpoint.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from lacewingstair.errors import StateCodecError
-from lacewingstair.marks import Marks, RolloutKey, TakeBack
+from lacewingstair.rollouts.marks import Marks, RolloutKey, TakeBack
 from lacewingstair.ticket_log.records import CheckpointChunk
 from lacewingstair.tickets.acceptance import MeshState
 from lacewingstair.tickets.state_codec import decode_state, encode_state
--- a/src/lacewingstair/ticket_log/checkpointer.py
+++ b/src/lacewingstair/ticket_log/checkpointer.py
@@ -5,7 +5,7 @@
 from result import Err
 
 from lacewingstair import events
-from lacewingstair.marks import Marks
+from lacewingstair.rollouts.marks import Marks
 from lacewingstair.runtime import Clock
 from lacewingstair.ticket_log.checkpoint import (
     Checkpoint,
--- a/src/lacewingstair/ticket_log/reader.py
+++ b/src/lacewingstair/ticket_log/reader.py
@@ -11,7 +11,7 @@
 from result import Err
 
 from lacewingstair import events
-from lacewingstair.marks import Marks, RolloutKey, TakeBack
+from lacewingstair.rollouts.marks import Marks, RolloutKey, TakeBack
 from lacewingstair.runtime import Clock
 from lacewingstair.ticket_log.checkpoint import decode_checkpoint, lasting_take_backs
 from lacewingstair.ticket_log.checkpointer import Checkpointer
--- a/src/lacewingstair/ticket_log/records.py
+++ b/src/lacewingstair/ticket_log/records.py
@@ -14,8 +14,8 @@
 from result import Err, Ok, Result
 
 from lacewingstair.errors import InvariantError, SystemRecordError
-from lacewingstair.marks import TakeBack
 from lacewingstair.registry import Registry
+from lacewingstair.rollouts.marks import TakeBack
 from lacewingstair.tickets.strict_structuring import shown, strict, structure_float
 
 record_types: Registry[type] = Registry("system record")
--- a/src/lacewingstair/ticket_log/system_view.py
+++ b/src/lacewingstair/ticket_log/system_view.py
@@ -10,7 +10,7 @@
 from result import Err
 
 from lacewingstair import events
-from lacewingstair.marks import Marks
+from lacewingstair.rollouts.marks import Marks
 from lacewingstair.ticket_log.checkpoint import ChunkAssembly
 from lacewingstair.ticket_log.log import LogRecord
 from lacewingstair.ticket_log.records import (
--- a/src/lacewingstair/vm/dissemination.py
+++ b/src/lacewingstair/vm/dissemination.py
@@ -7,7 +7,7 @@
 
 from lacewingstair import events
 from lacewingstair.directory import VmRecord
-from lacewingstair.marks import Marks, StageMark, TakeBack
+from lacewingstair.rollouts.marks import Marks, StageMark, TakeBack
 from lacewingstair.runtime import Clock
 from lacewingstair.tickets.acceptance import Decision, TicketRecord
 from lacewingstair.tickets.state_store import StateStore
--- a/src/lacewingstair/vm/evidence_relay.py
+++ b/src/lacewingstair/vm/evidence_relay.py
@@ -5,8 +5,8 @@
 import attrs
 
 from lacewingstair.directory import VmRecord
-from lacewingstair.evidence import EvidenceReport
 from lacewingstair.overlay import Overlay
+from lacewingstair.rollouts.evidence import EvidenceReport
 from lacewingstair.runtime import Clock
 from lacewingstair.vm import messages
 from lacewingstair.vm.peers import Peer, PeerTable
--- a/src/lacewingstair/vm/messages.py
+++ b/src/lacewingstair/vm/messages.py
@@ -14,8 +14,8 @@
 
 from lacewingstair.directory import EndpointState, VmRecord, VmStatus
 from lacewingstair.errors import FrameError, InvariantError
-from lacewingstair.evidence import EvidenceReport
-from lacewingstair.marks import StageMark, TakeBack
+from lacewingstair.rollouts.evidence import EvidenceReport
+from lacewingstair.rollouts.marks import StageMark, TakeBack
 from lacewingstair.tickets.acceptance import TicketRecord
 from lacewingstair.tickets.strict_structuring import (
     StructureHook,
--- a/src/lacewingstair/vm/node.py
+++ b/src/lacewingstair/vm/node.py
@@ -8,9 +8,9 @@
 
 from lacewingstair.directory import Directory, Endpoint, VmRecord, VmStatus
 from lacewingstair.errors import ListenError
-from lacewingstair.evidence import EvidenceReport
-from lacewingstair.marks import Marks, StageMark, TakeBack
 from lacewingstair.overlay import Overlay
+from lacewingstair.rollouts.evidence import EvidenceReport
+from lacewingstair.rollouts.marks import Marks, StageMark, TakeBack
 from lacewingstair.runtime import Clock
 from lacewingstair.tickets.acceptance import Decision, TicketRecord
 from lacewingstair.tickets.state_store import StateStore
--- a/tests/operator/test_api.py
+++ b/tests/operator/test_api.py
@@ -6,7 +6,7 @@
 import attrs
 
 from lacewingstair.daemon import build
-from lacewingstair.marks import RolloutKey, TakeBack
+from lacewingstair.rollouts.marks import RolloutKey, TakeBack
 from lacewingstair.runtime import SystemClock
 from lacewingstair.standins.local import free_ports, local_settings
 from lacewingstair.tickets.acceptance import TicketRecord
--- a/tests/operator/test_report.py
+++ b/tests/operator/test_report.py
@@ -3,9 +3,9 @@
 import attrs
 import pytest
 
-from lacewingstair.marks import Marks, RolloutKey, StageMark, TakeBack
 from lacewingstair.operator.report import MoveState, build_report, make_report
-from lacewingstair.schedule import FINAL_STAGE
+from lacewingstair.rollouts.marks import Marks, RolloutKey, StageMark, TakeBack
+from lacewingstair.rollouts.schedule import FINAL_STAGE
 from lacewingstair.tickets.acceptance import MeshState
 from lacewingstair.tickets.parsing import Rollout, Route
 
--- a/tests/test_evidence.py
+++ b/tests/rollouts/test_evidence.py
@@ -2,14 +2,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lacewingstair.evidence import (
+from lacewingstair.rollouts.evidence import (
     EvidenceCounter,
     EvidenceReport,
     Growth,
     Tally,
     zone_source,
 )
-from lacewingstair.marks import RolloutKey
+from lacewingstair.rollouts.marks import RolloutKey
 
 KEY = RolloutKey("move", 1)
 
--- a/tests/test_evidence_totals.py
+++ b/tests/rollouts/test_evidence_totals.py
@@ -2,10 +2,15 @@
 
 import attrs
 
-from lacewingstair.evidence import EvidenceCounter, EvidenceReport, Place, Tally
-from lacewingstair.evidence_totals import EvidenceTotals, ZoneGrowth
-from lacewingstair.marks import RolloutKey
-from lacewingstair.rollout_view import RolloutView
+from lacewingstair.rollouts.evidence import (
+    EvidenceCounter,
+    EvidenceReport,
+    Place,
+    Tally,
+)
+from lacewingstair.rollouts.evidence_totals import EvidenceTotals, ZoneGrowth
+from lacewingstair.rollouts.marks import RolloutKey
+from lacewingstair.rollouts.view import RolloutView
 from lacewingstair.standins.rollout_mesh import RolloutMesh, first_sections, key_of
 
 
--- a/tests/test_latency.py
+++ b/tests/rollouts/test_latency.py
@@ -1,4 +1,4 @@
-from lacewingstair.latency import MIN_REFERENCE_CALLS, LatencyReference
+from lacewingstair.rollouts.latency import MIN_REFERENCE_CALLS, LatencyReference
 
 
 def test_the_threshold_is_the_median_times_the_root_of_the_ratio():
--- a/tests/test_marks.py
+++ b/tests/rollouts/test_marks.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lacewingstair.marks import Marks, RolloutKey, StageMark, TakeBack
+from lacewingstair.rollouts.marks import Marks, RolloutKey, StageMark, TakeBack
 
 keys = st.builds(RolloutKey, st.sampled_from(["move", "other"]), st.integers(1, 4))
 times = st.sampled_from([0.0, 10.0, 20.0])
--- a/tests/test_probes.py
+++ b/tests/rollouts/test_probes.py
@@ -1,4 +1,4 @@
-from lacewingstair.probes import FAILURE_PROBE, SLOWNESS_PROBE
+from lacewingstair.rollouts.probes import FAILURE_PROBE, SLOWNESS_PROBE
 
 
 def test_chance_does_not_start_a_probe_but_a_fault_does():
--- a/tests/test_schedule.py
+++ b/tests/rollouts/test_schedule.py
@@ -1,7 +1,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lacewingstair import schedule
+from lacewingstair.rollouts import schedule
 from lacewingstair.tickets.parsing import Rollout
 
 windows = st.floats(1.0, 1e6)
--- a/tests/test_sequential_tests.py
+++ b/tests/rollouts/test_sequential_tests.py
@@ -4,7 +4,7 @@
 from hypothesis import assume, given
 from hypothesis import strategies as st
 
-from lacewingstair.sequential_tests import (
+from lacewingstair.rollouts.sequential_tests import (
     BadnessTest,
     Block,
     badness_factors,
--- a/tests/test_trials.py
+++ b/tests/rollouts/test_trials.py
@@ -2,13 +2,13 @@
 
 import pytest
 
-from lacewingstair import schedule
-from lacewingstair.evidence import Place, Tally
-from lacewingstair.evidence_totals import ZoneGrowth
-from lacewingstair.marks import StageMark
-from lacewingstair.rollout_view import RolloutView
+from lacewingstair.rollouts import schedule
+from lacewingstair.rollouts.evidence import Place, Tally
+from lacewingstair.rollouts.evidence_totals import ZoneGrowth
+from lacewingstair.rollouts.marks import StageMark
+from lacewingstair.rollouts.trials import Trials
+from lacewingstair.rollouts.view import RolloutView
 from lacewingstair.standins.rollout_mesh import RolloutMesh, first_sections, key_of
-from lacewingstair.trials import Trials
 
 
 class Scene:
--- a/tests/test_evidence_pace.py
+++ b/tests/test_evidence_pace.py
@@ -1,8 +1,8 @@
 import pytest
 
-from lacewingstair.evidence import Place, Tally
-from lacewingstair.evidence_totals import COUNTERS_PER_STEP, EvidenceTotals
-from lacewingstair.marks import RolloutKey
+from lacewingstair.rollouts.evidence import Place, Tally
+from lacewingstair.rollouts.evidence_totals import COUNTERS_PER_STEP, EvidenceTotals
+from lacewingstair.rollouts.marks import RolloutKey
 
 
 class EveryRolloutKnown:
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -16,8 +16,8 @@
 from lacewingstair.caller.headers import OUTCOME, OUTCOME_NOT_RUN
 from lacewingstair.caller.server import CallServer
 from lacewingstair.directory import VmStatus
-from lacewingstair.marks import RolloutKey, TakeBack
-from lacewingstair.rollouts import SETTLE_SECONDS
+from lacewingstair.rollouts.controller import SETTLE_SECONDS
+from lacewingstair.rollouts.marks import RolloutKey, TakeBack
 from lacewingstair.standins.full_mesh import BAD_SERVICE, GOOD_SERVICE, FullMesh, FullVm
 from lacewingstair.standins.memory_server import MemoryServer
 from lacewingstair.standins.mesh_cluster import zones
--- a/tests/ticket_log/test_fault_schedules.py
+++ b/tests/ticket_log/test_fault_schedules.py
@@ -6,7 +6,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from lacewingstair.marks import RolloutKey, TakeBack
+from lacewingstair.rollouts.marks import RolloutKey, TakeBack
 from lacewingstair.standins.log_readers import LogReaders
 from lacewingstair.standins.memory_log import LogFaults, MemoryLogClient
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
--- a/tests/ticket_log/test_reader.py
+++ b/tests/ticket_log/test_reader.py
@@ -5,7 +5,7 @@
 from loguru import logger
 
 from lacewingstair.events import parse_event
-from lacewingstair.marks import RolloutKey, TakeBack
+from lacewingstair.rollouts.marks import RolloutKey, TakeBack
 from lacewingstair.standins.log_readers import LogReaders
 from lacewingstair.standins.memory_log import LogFaults
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
--- a/tests/ticket_log/test_system_view.py
+++ b/tests/ticket_log/test_system_view.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lacewingstair.marks import RolloutKey, TakeBack
+from lacewingstair.rollouts.marks import RolloutKey, TakeBack
 from lacewingstair.ticket_log.checkpoint import CHUNK_BYTES, split_checkpoint
 from lacewingstair.ticket_log.log import LogRecord
 from lacewingstair.ticket_log.records import (
--- a/tests/vm/test_node.py
+++ b/tests/vm/test_node.py
@@ -8,8 +8,8 @@
 from loguru import logger
 
 from lacewingstair.directory import Endpoint, VmStatus
-from lacewingstair.evidence import EvidenceCounter, EvidenceReport
-from lacewingstair.marks import RolloutKey, StageMark, TakeBack
+from lacewingstair.rollouts.evidence import EvidenceCounter, EvidenceReport
+from lacewingstair.rollouts.marks import RolloutKey, StageMark, TakeBack
 from lacewingstair.standins.memory_network import Faults
 from lacewingstair.standins.mesh_cluster import Cluster, zones
 from lacewingstair.standins.virtual_time import run_virtual
