Group the modules of routing in a package

The modules at the top level had no grouping, so that a reader had to know which of them belong together. Only files and imports change; behaviour does not.

--- a/bench/acceptance.py
+++ b/bench/acceptance.py
@@ -10,7 +10,7 @@
 
 from bench.registry import benchmarks
 from bench.results import print_table, save_rows
-from lacewingstair.routes import RouteTable
+from lacewingstair.routing.routes import RouteTable
 from lacewingstair.tickets.acceptance import MeshState, TicketRecord, Verdict, fold
 from lacewingstair.tickets.parsing import parse_ticket
 from lacewingstair.tickets.state_codec import decode_state, encode_state
--- a/bench/calls_idle.py
+++ b/bench/calls_idle.py
@@ -11,14 +11,14 @@
 from lacewingstair import events
 from lacewingstair.backend_server.connection import UpstreamConnection
 from lacewingstair.backend_server.pool import ConnectionPool
-from lacewingstair.balancing import EndpointIndex
 from lacewingstair.caller import dispatch
 from lacewingstair.caller.attempts import Call
 from lacewingstair.caller.body import Body
 from lacewingstair.caller.dispatch import Dispatcher
 from lacewingstair.caller.options import DEFAULT_OPTIONS, CallOptions
 from lacewingstair.directory import Directory, Endpoint, VmRecord
-from lacewingstair.outcomes import CallOutcome
+from lacewingstair.routing.balancing import EndpointIndex
+from lacewingstair.routing.outcomes import CallOutcome
 from lacewingstair.standins.memory_server import MemoryServer, MemoryTransport
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
 
--- a/bench/calls_outage.py
+++ b/bench/calls_outage.py
@@ -5,10 +5,10 @@
 from bench.registry import benchmarks
 from bench.results import print_table, save_rows
 from lacewingstair import events
-from lacewingstair.balancing import Balancer, Group, Upstream
 from lacewingstair.caller.dispatch import MAX_ATTEMPTS
 from lacewingstair.directory import Endpoint
-from lacewingstair.limits import ConcurrencyLimit
+from lacewingstair.routing.balancing import Balancer, Group, Upstream
+from lacewingstair.routing.limits import ConcurrencyLimit
 from lacewingstair.standins.load import EventQueue
 
 UPSTREAMS = 6
--- a/bench/calls_policy.py
+++ b/bench/calls_policy.py
@@ -10,10 +10,10 @@
 from bench.registry import benchmarks
 from bench.results import print_table, save_rows
 from lacewingstair import balancing, events
-from lacewingstair.balancing import Balancer, Group, Upstream
 from lacewingstair.caller.dispatch import MAX_ATTEMPTS
 from lacewingstair.directory import Endpoint
-from lacewingstair.limits import Admission, ConcurrencyLimit, RetryBudget
+from lacewingstair.routing.balancing import Balancer, Group, Upstream
+from lacewingstair.routing.limits import Admission, ConcurrencyLimit, RetryBudget
 from lacewingstair.standins.load import EventQueue, SimulatedServer, Work
 
 SERVERS = 6
--- a/bench/rollout_policies.py
+++ b/bench/rollout_policies.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from lacewingstair.outcomes import CallOutcome, CallResult
 from lacewingstair.registry import Registry
 from lacewingstair.rollouts import schedule
 from lacewingstair.rollouts.marks import TakeBack
+from lacewingstair.routing.outcomes import CallOutcome, CallResult
 from lacewingstair.standins.rollout_mesh import SimulatedVm, key_of
 
 THRESHOLD_RATIO = 0.05
--- a/bench/rollout_servers.py
+++ b/bench/rollout_servers.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from lacewingstair.outcomes import CallResult
+from lacewingstair.routing.outcomes import CallResult
 
 TIMEOUT_SECONDS = 2.0
 BASE_LATENCY_SECONDS = 0.02
--- a/bench/rollouts.py
+++ b/bench/rollouts.py
@@ -14,8 +14,8 @@
 from bench.rollout_policies import Policy, policies
 from bench.rollout_servers import BEHAVIOURS, Servers
 from lacewingstair import events, schedule
-from lacewingstair.outcomes import CallOutcome, CallResult
-from lacewingstair.splitting import RandomSplit, SmoothSplit
+from lacewingstair.routing.outcomes import CallOutcome, CallResult
+from lacewingstair.routing.splitting import RandomSplit, SmoothSplit
 from lacewingstair.standins.rollout_mesh import (
     RolloutMesh,
     SimulatedVm,
--- a/src/lacewingstair/caller/attempts.py
+++ b/src/lacewingstair/caller/attempts.py
@@ -7,10 +7,10 @@
 from aiohttp.streams import StreamReader
 
 from lacewingstair.backend_server.connection import UpstreamConnection
-from lacewingstair.balancing import Group, Upstream
 from lacewingstair.caller import headers
 from lacewingstair.caller.body import Body
 from lacewingstair.errors import InvariantError
+from lacewingstair.routing.balancing import Group, Upstream
 
 REFUSAL_STATUSES = (429, 503)
 
--- a/src/lacewingstair/caller/dispatch.py
+++ b/src/lacewingstair/caller/dispatch.py
@@ -11,7 +11,6 @@
 from lacewingstair import events
 from lacewingstair.backend_server.connection import UpstreamConnection
 from lacewingstair.backend_server.pool import IDLE_SECONDS, ConnectionPool
-from lacewingstair.balancing import Balancer, EndpointIndex, Group, Upstream
 from lacewingstair.caller import headers
 from lacewingstair.caller.attempts import Answer, Attempt, Call, Failure, fault_of
 from lacewingstair.caller.body import Body, BodyTooLarge
@@ -19,8 +18,14 @@
 from lacewingstair.caller.refusals import Refusal
 from lacewingstair.errors import ConnectionsBusy
 from lacewingstair.events import DecisionLog
-from lacewingstair.limits import Admission, RetryBudget
-from lacewingstair.outcomes import CallOutcome, CallResult, OutcomeSink, VersionChooser
+from lacewingstair.routing.balancing import Balancer, EndpointIndex, Group, Upstream
+from lacewingstair.routing.limits import Admission, RetryBudget
+from lacewingstair.routing.outcomes import (
+    CallOutcome,
+    CallResult,
+    OutcomeSink,
+    VersionChooser,
+)
 from lacewingstair.runtime import Clock
 
 MAX_ATTEMPTS = 3
--- a/src/lacewingstair/caller/forwarding.py
+++ b/src/lacewingstair/caller/forwarding.py
@@ -9,7 +9,7 @@
 from lacewingstair.backend_server.gate import Gate
 from lacewingstair.caller.placement import Candidate, Distance, place
 from lacewingstair.configuration import CallRoute
-from lacewingstair.limits import RetryBudget
+from lacewingstair.routing.limits import RetryBudget
 from lacewingstair.runtime import Clock
 from lacewingstair.staged_rollouts.coordinator import RolloutCoordinator
 from lacewingstair.vm.call_links import CallLinks
--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -16,7 +16,7 @@
 from lacewingstair.configuration import ConfigurationStore, SplitChooser
 from lacewingstair.http_server import call_server
 from lacewingstair.platform import headers
-from lacewingstair.routes import NamedRoute
+from lacewingstair.routing.routes import NamedRoute
 from lacewingstair.runtime import Clock
 from lacewingstair.vm.call_messages import CallAnswer
 
--- a/src/lacewingstair/caller/options.py
+++ b/src/lacewingstair/caller/options.py
@@ -3,9 +3,9 @@
 import attrs
 
 from lacewingstair.backend_server.connection import BUFFER_BYTES
-from lacewingstair.balancing import SLOW_START_SECONDS
 from lacewingstair.http_server import MAX_CONNECTIONS
-from lacewingstair.limits import RETRY_MIN_PER_SECOND, RETRY_SHARE
+from lacewingstair.routing.balancing import SLOW_START_SECONDS
+from lacewingstair.routing.limits import RETRY_MIN_PER_SECOND, RETRY_SHARE
 
 
 @attrs.frozen
--- a/src/lacewingstair/caller/server.py
+++ b/src/lacewingstair/caller/server.py
@@ -11,7 +11,6 @@
 
 from lacewingstair import events
 from lacewingstair.backend_server.pool import ConnectionPool
-from lacewingstair.balancing import EndpointIndex
 from lacewingstair.caller import guards, headers
 from lacewingstair.caller.attempts import Answer, Call
 from lacewingstair.caller.body import REPLAY_BYTES, Body, read_start
@@ -22,8 +21,9 @@
 from lacewingstair.directory import Directory
 from lacewingstair.events import DecisionLog
 from lacewingstair.http_server import call_server
-from lacewingstair.outcomes import CallOutcome, OutcomeSink, VersionChooser
-from lacewingstair.routes import NamedRoute
+from lacewingstair.routing.balancing import EndpointIndex
+from lacewingstair.routing.outcomes import CallOutcome, OutcomeSink, VersionChooser
+from lacewingstair.routing.routes import NamedRoute
 from lacewingstair.runtime import Clock, SystemClock
 from lacewingstair.tickets.state_store import StateStore
 from lacewingstair.tickets.types import Service
--- a/src/lacewingstair/configuration.py
+++ b/src/lacewingstair/configuration.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from lacewingstair.routes import NamedRoute, RouteTable
+from lacewingstair.routing.routes import NamedRoute, RouteTable
 
 
 @attrs.frozen
--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -21,9 +21,9 @@
 from lacewingstair.operator.health import Health, build_health
 from lacewingstair.operator.observe import observe
 from lacewingstair.operator.report import build_report
-from lacewingstair.outcomes import OutcomeSinks
 from lacewingstair.rollouts.controller import RolloutController
 from lacewingstair.rollouts.marks import Marks
+from lacewingstair.routing.outcomes import OutcomeSinks
 from lacewingstair.runtime import Clock
 from lacewingstair.settings.declarations import Settings
 from lacewingstair.ticket_log.http_log import HttpLogClient
--- a/src/lacewingstair/metrics.py
+++ b/src/lacewingstair/metrics.py
@@ -11,7 +11,7 @@
 from prometheus_client.registry import Collector
 
 from lacewingstair.metric_names import metric_names
-from lacewingstair.outcomes import CallOutcome
+from lacewingstair.routing.outcomes import CallOutcome
 
 # Bounds in seconds, closest around the 1.7 ms that a call may add.
 LATENCY_BUCKETS = (
--- a/src/lacewingstair/platform/configuration.py
+++ b/src/lacewingstair/platform/configuration.py
@@ -15,7 +15,7 @@
 )
 from lacewingstair.errors import ConfigurationError, Fault
 from lacewingstair.platform.durations import parse_duration
-from lacewingstair.routes import RouteTable
+from lacewingstair.routing.routes import RouteTable
 from lacewingstair.tickets.types import normal_host
 
 CONFIGURATION_KEY = "config"
--- a/src/lacewingstair/rollouts/controller.py
+++ b/src/lacewingstair/rollouts/controller.py
@@ -10,14 +10,14 @@
 from collections.abc import Callable
 
 from lacewingstair import events
-from lacewingstair.outcomes import CallOutcome
 from lacewingstair.rollouts.evidence import EvidenceTransport
 from lacewingstair.rollouts.evidence_totals import EvidenceTotals
 from lacewingstair.rollouts.marks import Marks, RolloutKey, StageMark, TakeBack
 from lacewingstair.rollouts.trials import Trial, Trials
 from lacewingstair.rollouts.verdicts import Verdict
 from lacewingstair.rollouts.view import RolloutView
-from lacewingstair.route_plans import RoutePlans
+from lacewingstair.routing.outcomes import CallOutcome
+from lacewingstair.routing.route_plans import RoutePlans
 from lacewingstair.runtime import Clock
 from lacewingstair.tickets.acceptance import MeshState
 from lacewingstair.tickets.state_store import StateStore
--- /dev/null
+++ b/src/lacewingstair/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routes, and the choice of the backend server of a call."""
--- a/src/lacewingstair/balancing.py
+++ b/src/lacewingstair/routing/balancing.py
@@ -11,7 +11,7 @@
 
 from lacewingstair import events
 from lacewingstair.directory import Directory, Endpoint, EndpointState, VmRecord
-from lacewingstair.limits import ConcurrencyLimit
+from lacewingstair.routing.limits import ConcurrencyLimit
 from lacewingstair.runtime import Clock
 
 # Weight of the newest call in the moving averages (EWMA).
--- a/src/lacewingstair/route_plans.py
+++ b/src/lacewingstair/routing/route_plans.py
@@ -5,7 +5,6 @@
 
 import attrs
 
-from lacewingstair.outcomes import CallOutcome, CallResult
 from lacewingstair.rollouts import schedule
 from lacewingstair.rollouts.evidence import Place, Tally
 from lacewingstair.rollouts.evidence_totals import EvidenceTotals
@@ -13,8 +12,9 @@
 from lacewingstair.rollouts.marks import RolloutKey
 from lacewingstair.rollouts.probes import PROBE_SHARE, CallHistory, RecentCall
 from lacewingstair.rollouts.view import RolloutView, routes_of
+from lacewingstair.routing.outcomes import CallOutcome, CallResult
+from lacewingstair.routing.splitting import SmoothSplit
 from lacewingstair.runtime import Clock
-from lacewingstair.splitting import SmoothSplit
 from lacewingstair.tickets.parsing import Rollout
 
 # A new endpoint's latency and slow failures count for nothing during its cold start.
--- a/src/lacewingstair/standins/full_mesh.py
+++ b/src/lacewingstair/standins/full_mesh.py
@@ -13,13 +13,13 @@
 import attrs
 
 from lacewingstair.directory import Endpoint, VmRecord
-from lacewingstair.outcomes import CallOutcome, CallResult
 from lacewingstair.rollouts.controller import (
     PAUSE_SECONDS,
     STEP_SECONDS,
     RolloutController,
 )
 from lacewingstair.rollouts.marks import StageMark, TakeBack
+from lacewingstair.routing.outcomes import CallOutcome, CallResult
 from lacewingstair.standins.memory_log import LogFaults, LogStreams, MemoryLogClient
 from lacewingstair.standins.mesh_cluster import MESH, Cluster, ClusterVm
 from lacewingstair.standins.rollout_mesh import rollout_document
--- a/src/lacewingstair/standins/rollout_mesh.py
+++ b/src/lacewingstair/standins/rollout_mesh.py
@@ -12,10 +12,10 @@
 
 import attrs
 
-from lacewingstair.outcomes import CallOutcome, CallResult
 from lacewingstair.rollouts.controller import STEP_SECONDS, RolloutController
 from lacewingstair.rollouts.evidence import EvidenceReport
 from lacewingstair.rollouts.marks import Marks, RolloutKey, StageMark, TakeBack
+from lacewingstair.routing.outcomes import CallOutcome, CallResult
 from lacewingstair.standins.virtual_time import START_WALL_SECONDS
 from lacewingstair.tickets.acceptance import TicketRecord
 from lacewingstair.tickets.state_store import StateStore
--- a/src/lacewingstair/tickets/acceptance.py
+++ b/src/lacewingstair/tickets/acceptance.py
@@ -14,7 +14,7 @@
 from result import Err
 
 from lacewingstair.errors import Fault
-from lacewingstair.routes import RouteTable
+from lacewingstair.routing.routes import RouteTable
 from lacewingstair.tickets.parsing import (
     MAX_FAULTS,
     SECTIONS,
--- a/src/lacewingstair/tickets/state_codec.py
+++ b/src/lacewingstair/tickets/state_codec.py
@@ -14,7 +14,7 @@
 from result import Err, Ok, Result
 
 from lacewingstair.errors import StateCodecError
-from lacewingstair.routes import RouteTable
+from lacewingstair.routing.routes import RouteTable
 from lacewingstair.tickets.acceptance import (
     MAX_REMEMBERED_DIGESTS,
     Decision,
--- a/tests/caller/test_dispatch.py
+++ b/tests/caller/test_dispatch.py
@@ -9,8 +9,8 @@
 
 from lacewingstair.directory import Endpoint
 from lacewingstair.events import DecisionLog, parse_event
-from lacewingstair.limits import RETRY_SHARE
-from lacewingstair.outcomes import CallResult
+from lacewingstair.routing.limits import RETRY_SHARE
+from lacewingstair.routing.outcomes import CallResult
 from lacewingstair.standins.memory_server import REFUSAL_STATUS, Fault
 from lacewingstair.standins.virtual_time import run_virtual
 from tests.caller.harness import Mesh
--- a/tests/rollouts/test_controller.py
+++ b/tests/rollouts/test_controller.py
@@ -5,11 +5,11 @@
 import pytest
 
 from lacewingstair.operator.report import MoveState, make_report
-from lacewingstair.outcomes import CallOutcome, CallResult
 from lacewingstair.rollouts import schedule
 from lacewingstair.rollouts.controller import SETTLE_SECONDS, RolloutController
 from lacewingstair.rollouts.evidence import EvidenceCounter, EvidenceReport
 from lacewingstair.rollouts.marks import StageMark, TakeBack
+from lacewingstair.routing.outcomes import CallOutcome, CallResult
 from lacewingstair.standins.rollout_mesh import (
     Answer,
     RolloutMesh,
--- a/tests/test_balancing.py
+++ b/tests/routing/test_balancing.py
@@ -4,11 +4,6 @@
 import attrs
 import pytest
 
-from lacewingstair.balancing import (
-    EJECT_BASE_SECONDS,
-    Balancer,
-    EndpointIndex,
-)
 from lacewingstair.directory import (
     Directory,
     Endpoint,
@@ -16,6 +11,11 @@
     VmRecord,
     VmStatus,
 )
+from lacewingstair.routing.balancing import (
+    EJECT_BASE_SECONDS,
+    Balancer,
+    EndpointIndex,
+)
 from lacewingstair.standins.load import EventQueue
 
 
--- a/tests/test_limits.py
+++ b/tests/routing/test_limits.py
@@ -1,7 +1,7 @@
 import random
 from collections import Counter
 
-from lacewingstair.limits import (
+from lacewingstair.routing.limits import (
     ADMIT_MIN,
     Admission,
     ConcurrencyLimit,
--- a/tests/test_splitting.py
+++ b/tests/routing/test_splitting.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lacewingstair.splitting import SmoothSplit
+from lacewingstair.routing.splitting import SmoothSplit
 
 
 @given(st.integers(0, 1000), st.floats(0.0, 1.0), st.integers(1, 300))
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -4,7 +4,7 @@
 import pytest
 
 from lacewingstair.configuration import CallRoute, SplitChooser, SplitPart
-from lacewingstair.routes import NamedRoute
+from lacewingstair.routing.routes import NamedRoute
 
 
 def split(**weights):
--- a/tests/tickets/test_acceptance.py
+++ b/tests/tickets/test_acceptance.py
@@ -2,7 +2,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lacewingstair.routes import RouteTable
+from lacewingstair.routing.routes import RouteTable
 from lacewingstair.tickets.acceptance import (
     MAX_REMEMBERED_DIGESTS,
     MeshState,
