Group the modules of metrics in a package

The modules at the top level had no grouping, so that a reader had to know which of them belong together. Only files and imports change; behaviour does not.

--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -16,7 +16,7 @@
 from lacewingstair.directory import Directory, VmRecord, VmStatus
 from lacewingstair.errors import ListenError
 from lacewingstair.http_server import application_runner, listen_all
-from lacewingstair.metrics import Metrics
+from lacewingstair.metrics.daemon import Metrics
 from lacewingstair.operator.api import OperatorApi
 from lacewingstair.operator.health import Health, build_health
 from lacewingstair.operator.observe import observe
--- /dev/null
+++ b/src/lacewingstair/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Prometheus metrics of both kinds of daemon."""
--- a/src/lacewingstair/metrics.py
+++ b/src/lacewingstair/metrics/daemon.py
@@ -10,7 +10,7 @@
 from prometheus_client.core import CounterMetricFamily
 from prometheus_client.registry import Collector
 
-from lacewingstair.metric_names import metric_names
+from lacewingstair.metrics.names import metric_names
 from lacewingstair.routing.outcomes import CallOutcome
 
 # Bounds in seconds, closest around the 1.7 ms that a call may add.
--- a/src/lacewingstair/sidecar_metrics.py
+++ b/src/lacewingstair/metrics/sidecar.py
@@ -2,7 +2,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Histogram
 
-from lacewingstair.metric_names import metric_names
+from lacewingstair.metrics.names import metric_names
 
 # Bounds in seconds.
 CALL_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.6, 1.2, 2.5, 5.0)
--- a/src/lacewingstair/operator/observe.py
+++ b/src/lacewingstair/operator/observe.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from lacewingstair.directory import Directory, VmStatus
-from lacewingstair.metrics import (
+from lacewingstair.metrics.daemon import (
     ROLLOUT_STATES,
     Metrics,
     follow,
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -27,6 +27,7 @@
 from lacewingstair.errors import ListenError, SettingsError
 from lacewingstair.http_server import application_runner, listen_all
 from lacewingstair.keyed_tail import KeyedTail
+from lacewingstair.metrics.sidecar import SidecarMetrics
 from lacewingstair.operator.sidecar_api import SidecarApi
 from lacewingstair.platform import store as platform_store
 from lacewingstair.platform.announcements import Announcements
@@ -37,7 +38,6 @@
 from lacewingstair.runtime import Clock
 from lacewingstair.settings.declarations import Settings
 from lacewingstair.settings.reader import load_settings
-from lacewingstair.sidecar_metrics import SidecarMetrics
 from lacewingstair.staged_rollouts.coordinator import RolloutCoordinator
 from lacewingstair.store_records import StoreRecords
 from lacewingstair.vm.call_links import CallLinks
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -4,8 +4,8 @@
 import re
 from pathlib import Path
 
-from lacewingstair.metrics import Metrics
-from lacewingstair.sidecar_metrics import SidecarMetrics
+from lacewingstair.metrics.daemon import Metrics
+from lacewingstair.metrics.sidecar import SidecarMetrics
 
 ROOT = Path(__file__).parent.parent
 PAGE = (ROOT / "docs/OPERATIONS.md").read_text("utf-8")
