Move the directory and the overlay to the package of the VMs

The modules at the top level had no grouping, so that a reader had to know which of them belong together. Only files and imports change; behaviour does not.

--- a/bench/calls.py
+++ b/bench/calls.py
@@ -17,11 +17,11 @@
 from lacewingstair import events
 from lacewingstair.backend_server.pool import ConnectionPool
 from lacewingstair.caller.server import CallServer
-from lacewingstair.directory import Directory, Endpoint, VmRecord
 from lacewingstair.garbage_collection import tune_garbage_collection
 from lacewingstair.runtime import SystemClock
 from lacewingstair.tickets.acceptance import TicketRecord
 from lacewingstair.tickets.state_store import StateStore
+from lacewingstair.vm.directory import Directory, Endpoint, VmRecord
 
 BACKEND_PORT = 18710
 HOP_PORTS = {"direct": BACKEND_PORT, "aiohttp hop": 18711, "lacewingstair": 18712}
--- a/bench/calls_idle.py
+++ b/bench/calls_idle.py
@@ -16,11 +16,11 @@
 from lacewingstair.caller.body import Body
 from lacewingstair.caller.dispatch import Dispatcher
 from lacewingstair.caller.options import DEFAULT_OPTIONS, CallOptions
-from lacewingstair.directory import Directory, Endpoint, VmRecord
 from lacewingstair.routing.balancing import EndpointIndex
 from lacewingstair.routing.outcomes import CallOutcome
 from lacewingstair.standins.memory_server import MemoryServer, MemoryTransport
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
+from lacewingstair.vm.directory import Directory, Endpoint, VmRecord
 
 SERVER_IDLE_SECONDS = 5.0
 NETWORK_SECONDS = 0.02
--- a/bench/calls_outage.py
+++ b/bench/calls_outage.py
@@ -6,10 +6,10 @@
 from bench.results import print_table, save_rows
 from lacewingstair import events
 from lacewingstair.caller.dispatch import MAX_ATTEMPTS
-from lacewingstair.directory import Endpoint
 from lacewingstair.routing.balancing import Balancer, Group, Upstream
 from lacewingstair.routing.limits import ConcurrencyLimit
 from lacewingstair.standins.load import EventQueue
+from lacewingstair.vm.directory import Endpoint
 
 UPSTREAMS = 6
 CALLS_PER_SECOND = 20
--- a/bench/calls_policy.py
+++ b/bench/calls_policy.py
@@ -11,10 +11,10 @@
 from bench.results import print_table, save_rows
 from lacewingstair import balancing, events
 from lacewingstair.caller.dispatch import MAX_ATTEMPTS
-from lacewingstair.directory import Endpoint
 from lacewingstair.routing.balancing import Balancer, Group, Upstream
 from lacewingstair.routing.limits import Admission, ConcurrencyLimit, RetryBudget
 from lacewingstair.standins.load import EventQueue, SimulatedServer, Work
+from lacewingstair.vm.directory import Endpoint
 
 SERVERS = 6
 SLOTS = 10
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -11,14 +11,14 @@
 from bench.node_cost import mesh_records
 from bench.registry import benchmarks
 from bench.results import print_table, save_rows
-from lacewingstair.directory import Directory, VmRecord
-from lacewingstair.overlay import Overlay
 from lacewingstair.rollouts.evidence import EvidenceCounter, EvidenceReport
 from lacewingstair.rollouts.marks import Marks, RolloutKey, StageMark
 from lacewingstair.routing.balancing import EndpointIndex
 from lacewingstair.runtime import SystemClock
 from lacewingstair.vm import messages
+from lacewingstair.vm.directory import Directory, VmRecord
 from lacewingstair.vm.frames import decode_frame, encode_frame
+from lacewingstair.vm.overlay import Overlay
 from lacewingstair.vm.snapshots import decode_snapshot, encode_snapshot
 
 VM_COUNTS = (2250, 4500, 9000, 18_000)
--- a/bench/distribution.py
+++ b/bench/distribution.py
@@ -16,9 +16,9 @@
 from bench.http_poll_model import POLL_SECONDS, poll_bytes
 from bench.registry import benchmarks
 from bench.results import print_table, save_rows
-from lacewingstair.directory import Endpoint, VmRecord
 from lacewingstair.standins.mesh_cluster import Cluster, ClusterVm, zones
 from lacewingstair.standins.virtual_time import run_virtual
+from lacewingstair.vm.directory import Endpoint, VmRecord
 
 ZONES = 9
 REGIONS = 4
--- a/bench/distribution_faults.py
+++ b/bench/distribution_faults.py
@@ -12,10 +12,10 @@
 )
 from bench.registry import benchmarks
 from bench.results import print_table, save_rows
-from lacewingstair.directory import Endpoint
 from lacewingstair.standins.memory_network import Place
 from lacewingstair.standins.mesh_cluster import Cluster, ClusterVm
 from lacewingstair.standins.virtual_time import run_virtual
+from lacewingstair.vm.directory import Endpoint
 
 STEP_SECONDS = 0.1
 HOUR_SECONDS = 3600.0
--- a/bench/node_cost.py
+++ b/bench/node_cost.py
@@ -15,14 +15,14 @@
 
 from bench.registry import benchmarks
 from bench.results import print_table, save_rows
-from lacewingstair.directory import Directory, Endpoint, VmRecord, VmStatus
-from lacewingstair.overlay import Overlay
 from lacewingstair.rollouts.marks import Marks
 from lacewingstair.runtime import SystemClock
 from lacewingstair.tickets.state_store import StateStore
 from lacewingstair.vm import messages
+from lacewingstair.vm.directory import Directory, Endpoint, VmRecord, VmStatus
 from lacewingstair.vm.frames import decode_frame, encode_frame
 from lacewingstair.vm.node import VmNode
+from lacewingstair.vm.overlay import Overlay
 from lacewingstair.vm.snapshots import cut, decode_snapshot, encode_snapshot
 from lacewingstair.vm.transport import TcpTransport
 
--- a/src/lacewingstair/backend_server/announce.py
+++ b/src/lacewingstair/backend_server/announce.py
@@ -10,9 +10,9 @@
 from result import Err, Ok, Result
 
 from lacewingstair import events
-from lacewingstair.directory import Endpoint, EndpointState
 from lacewingstair.errors import AnnouncementError, Fault
 from lacewingstair.runtime import Clock
+from lacewingstair.vm.directory import Endpoint, EndpointState
 
 ANNOUNCEMENT_TTL_SECONDS = 10.0
 MAX_BODY_BYTES = 64 << 10
--- a/src/lacewingstair/caller/server.py
+++ b/src/lacewingstair/caller/server.py
@@ -18,7 +18,6 @@
 from lacewingstair.caller.options import DEFAULT_OPTIONS, CallOptions
 from lacewingstair.caller.refusals import Refusal
 from lacewingstair.caller.relay import whole_answer
-from lacewingstair.directory import Directory
 from lacewingstair.events import DecisionLog
 from lacewingstair.http_server import call_server
 from lacewingstair.routing.balancing import EndpointIndex
@@ -27,6 +26,7 @@
 from lacewingstair.runtime import Clock, SystemClock
 from lacewingstair.tickets.state_store import StateStore
 from lacewingstair.tickets.types import Service
+from lacewingstair.vm.directory import Directory
 
 MAX_LINE_BYTES = 8190
 SWEEP_SECONDS = 5.0
--- a/src/lacewingstair/cli/commands.py
+++ b/src/lacewingstair/cli/commands.py
@@ -21,10 +21,10 @@
     watch,
 )
 from lacewingstair.demo import run_demo
-from lacewingstair.directory import Endpoint
 from lacewingstair.runtime import SystemClock
 from lacewingstair.settings.page import example_file, settings_page
 from lacewingstair.ticket_log.http_log import HttpLogClient
+from lacewingstair.vm.directory import Endpoint
 
 MAX_TICKET_NUMBER = 2**53 - 1
 
--- a/src/lacewingstair/cli/standins.py
+++ b/src/lacewingstair/cli/standins.py
@@ -10,11 +10,11 @@
 
 from lacewingstair.cli.exit_codes import ExitCode
 from lacewingstair.cli.pending import fail
-from lacewingstair.directory import Endpoint, EndpointState
 from lacewingstair.http_server import listen
 from lacewingstair.runtime import SystemClock
 from lacewingstair.standins.backend_server import BackendServer
 from lacewingstair.standins.log_service import LogService
+from lacewingstair.vm.directory import Endpoint, EndpointState
 
 DRAIN_SECONDS = 3.0
 
--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -13,7 +13,6 @@
 from lacewingstair.backend_server.announce import AnnouncementServer
 from lacewingstair.caller.options import CallOptions
 from lacewingstair.caller.server import CallServer
-from lacewingstair.directory import Directory, VmRecord, VmStatus
 from lacewingstair.errors import ListenError
 from lacewingstair.http_server import application_runner, listen_all
 from lacewingstair.metrics.daemon import Metrics
@@ -30,6 +29,7 @@
 from lacewingstair.ticket_log.options import LogOptions
 from lacewingstair.ticket_log.reader import LogReader
 from lacewingstair.tickets.state_store import StateStore
+from lacewingstair.vm.directory import Directory, VmRecord, VmStatus
 from lacewingstair.vm.node import VmNode
 from lacewingstair.vm.options import NodeOptions
 from lacewingstair.vm.transport import TcpTransport
--- a/src/lacewingstair/operator/observe.py
+++ b/src/lacewingstair/operator/observe.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Mapping, Sized
 from typing import Any
 
-from lacewingstair.directory import Directory, VmStatus
 from lacewingstair.metrics.daemon import (
     ROLLOUT_STATES,
     Metrics,
@@ -16,6 +15,7 @@
 from lacewingstair.ticket_log.http_log import HttpLogClient
 from lacewingstair.ticket_log.status import LogStatus
 from lacewingstair.tickets.state_store import StateStore
+from lacewingstair.vm.directory import Directory, VmStatus
 from lacewingstair.vm.traffic import LinkTraffic
 
 _STATUS_NAMES = tuple(status.name.lower() for status in VmStatus)
--- a/src/lacewingstair/routing/balancing.py
+++ b/src/lacewingstair/routing/balancing.py
@@ -10,9 +10,9 @@
 import attrs
 
 from lacewingstair import events
-from lacewingstair.directory import Directory, Endpoint, EndpointState, VmRecord
 from lacewingstair.routing.limits import ConcurrencyLimit
 from lacewingstair.runtime import Clock
+from lacewingstair.vm.directory import Directory, Endpoint, EndpointState, VmRecord
 
 # Weight of the newest call in the moving averages (EWMA).
 LATENCY_WEIGHT = 0.1
--- a/src/lacewingstair/standins/backend_server.py
+++ b/src/lacewingstair/standins/backend_server.py
@@ -6,8 +6,8 @@
 import aiohttp
 from aiohttp import web
 
-from lacewingstair.directory import Endpoint
 from lacewingstair.runtime import Clock
+from lacewingstair.vm.directory import Endpoint
 
 ANNOUNCE_EVERY_SECONDS = 3.0
 
--- a/src/lacewingstair/standins/full_mesh.py
+++ b/src/lacewingstair/standins/full_mesh.py
@@ -12,7 +12,6 @@
 
 import attrs
 
-from lacewingstair.directory import Endpoint, VmRecord
 from lacewingstair.rollouts.controller import (
     PAUSE_SECONDS,
     STEP_SECONDS,
@@ -27,6 +26,7 @@
 from lacewingstair.ticket_log.options import LogOptions
 from lacewingstair.ticket_log.reader import LogReader
 from lacewingstair.tickets.acceptance import MeshState, TicketRecord, fold
+from lacewingstair.vm.directory import Endpoint, VmRecord
 
 CALL_SECONDS = 0.1
 CALL_LATENCY_SECONDS = 0.02
--- a/src/lacewingstair/standins/local_mesh.py
+++ b/src/lacewingstair/standins/local_mesh.py
@@ -13,7 +13,6 @@
 from result import Err, Ok, Result
 
 from lacewingstair.daemon import Daemon, build
-from lacewingstair.directory import Endpoint, EndpointState
 from lacewingstair.errors import ListenError
 from lacewingstair.http_server import listen
 from lacewingstair.runtime import Clock
@@ -21,6 +20,7 @@
 from lacewingstair.standins.local import LOOPBACK, free_ports, local_settings
 from lacewingstair.standins.log_service import LogService
 from lacewingstair.ticket_log.log import TICKET_STREAM
+from lacewingstair.vm.directory import Endpoint, EndpointState
 
 PORTS_PER_VM = 4
 
--- a/src/lacewingstair/standins/mesh_cluster.py
+++ b/src/lacewingstair/standins/mesh_cluster.py
@@ -7,12 +7,12 @@
 from collections.abc import Callable, Coroutine, Iterable, Iterator
 from typing import Any
 
-from lacewingstair.directory import Directory, Endpoint, VmRecord
 from lacewingstair.rollouts.marks import Marks
 from lacewingstair.standins.memory_network import Latency, MemoryNetwork, Place
 from lacewingstair.standins.virtual_time import VirtualClock
 from lacewingstair.tickets.acceptance import TicketRecord
 from lacewingstair.tickets.state_store import StateStore
+from lacewingstair.vm.directory import Directory, Endpoint, VmRecord
 from lacewingstair.vm.node import VmNode
 
 MESH = "cluster"
--- a/src/lacewingstair/vm/discovery.py
+++ b/src/lacewingstair/vm/discovery.py
@@ -4,8 +4,8 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 
-from lacewingstair.directory import Directory, VmRecord
 from lacewingstair.runtime import Clock
+from lacewingstair.vm.directory import Directory, VmRecord
 from lacewingstair.vm.links import Dial, Target
 
 CONTACTS_AT_ONCE = 3
--- a/src/lacewingstair/vm/dissemination.py
+++ b/src/lacewingstair/vm/dissemination.py
@@ -6,12 +6,12 @@
 import attrs
 
 from lacewingstair import events
-from lacewingstair.directory import VmRecord
 from lacewingstair.rollouts.marks import Marks, StageMark, TakeBack
 from lacewingstair.runtime import Clock
 from lacewingstair.tickets.acceptance import Decision, TicketRecord
 from lacewingstair.tickets.state_store import StateStore
 from lacewingstair.vm import messages
+from lacewingstair.vm.directory import VmRecord
 from lacewingstair.vm.membership import Membership
 from lacewingstair.vm.peers import Peer, PeerTable
 
--- a/src/lacewingstair/vm/evidence_relay.py
+++ b/src/lacewingstair/vm/evidence_relay.py
@@ -4,11 +4,11 @@
 
 import attrs
 
-from lacewingstair.directory import VmRecord
-from lacewingstair.overlay import Overlay
 from lacewingstair.rollouts.evidence import EvidenceReport
 from lacewingstair.runtime import Clock
 from lacewingstair.vm import messages
+from lacewingstair.vm.directory import VmRecord
+from lacewingstair.vm.overlay import Overlay
 from lacewingstair.vm.peers import Peer, PeerTable
 
 # A new root of a zone counts its reports from the start again, so an older sequence is
--- a/src/lacewingstair/vm/failure_detector.py
+++ b/src/lacewingstair/vm/failure_detector.py
@@ -9,8 +9,8 @@
 import attrs
 
 from lacewingstair import events
-from lacewingstair.directory import TOMBSTONE_SECONDS, Directory, VmRecord, VmStatus
 from lacewingstair.runtime import Clock
+from lacewingstair.vm.directory import TOMBSTONE_SECONDS, Directory, VmRecord, VmStatus
 
 SUSPICION_SECONDS = 5.0
 # The VM that raised the suspicion declares the death. The others do so later, in case
--- a/src/lacewingstair/vm/id_conflict.py
+++ b/src/lacewingstair/vm/id_conflict.py
@@ -8,8 +8,8 @@
 
 from result import Err
 
-from lacewingstair.directory import Directory
 from lacewingstair.runtime import Clock
+from lacewingstair.vm.directory import Directory
 from lacewingstair.vm.membership import Membership
 from lacewingstair.vm.transport import Transport
 
--- a/src/lacewingstair/vm/links.py
+++ b/src/lacewingstair/vm/links.py
@@ -10,10 +10,10 @@
 from result import Err, Ok, Result
 
 from lacewingstair import events
-from lacewingstair.directory import VmRecord
 from lacewingstair.errors import FrameError, ListenError
 from lacewingstair.runtime import Clock, full_jitter
 from lacewingstair.vm import messages
+from lacewingstair.vm.directory import VmRecord
 from lacewingstair.vm.options import NodeOptions
 from lacewingstair.vm.peers import Peer, PeerTable
 from lacewingstair.vm.traffic import LinkTraffic
--- a/src/lacewingstair/vm/log_region_link.py
+++ b/src/lacewingstair/vm/log_region_link.py
@@ -1,7 +1,7 @@
 """Links of a region's gateways to the region that reads the log for all others."""
 
-from lacewingstair.directory import VmRecord
-from lacewingstair.overlay import Link, Overlay
+from lacewingstair.vm.directory import VmRecord
+from lacewingstair.vm.overlay import Link, Overlay
 from lacewingstair.vm.peers import PeerTable
 from lacewingstair.vm.reachability import Reachability
 
--- a/src/lacewingstair/vm/membership.py
+++ b/src/lacewingstair/vm/membership.py
@@ -6,8 +6,8 @@
 import attrs
 
 from lacewingstair import events
-from lacewingstair.directory import Directory, VmRecord, VmStatus
 from lacewingstair.runtime import Clock
+from lacewingstair.vm.directory import Directory, VmRecord, VmStatus
 from lacewingstair.vm.failure_detector import is_expired
 
 # Above any start time in milliseconds; leaves room to raise it in 64 bits.
--- a/src/lacewingstair/vm/messages.py
+++ b/src/lacewingstair/vm/messages.py
@@ -12,7 +12,6 @@
 import msgpack
 from result import Err, Ok, Result
 
-from lacewingstair.directory import EndpointState, VmRecord, VmStatus
 from lacewingstair.errors import FrameError, InvariantError
 from lacewingstair.rollouts.evidence import EvidenceReport
 from lacewingstair.rollouts.marks import StageMark, TakeBack
@@ -23,6 +22,7 @@
     structure_float,
     tuple_converter,
 )
+from lacewingstair.vm.directory import EndpointState, VmRecord, VmStatus
 
 PROTOCOL_VERSION = 4
 
--- a/src/lacewingstair/vm/neighbours.py
+++ b/src/lacewingstair/vm/neighbours.py
@@ -1,12 +1,12 @@
 """Which connections this VM wants, worked out once a heartbeat."""
 
-from lacewingstair.directory import Directory, VmStatus
-from lacewingstair.overlay import TREE_SALTS, Overlay
 from lacewingstair.runtime import Clock
 from lacewingstair.vm import messages
+from lacewingstair.vm.directory import Directory, VmStatus
 from lacewingstair.vm.discovery import Discovery
 from lacewingstair.vm.links import Dial, LinkManager, Target
 from lacewingstair.vm.log_region_link import LogRegionLink
+from lacewingstair.vm.overlay import TREE_SALTS, Overlay
 from lacewingstair.vm.peers import Peer, PeerTable
 from lacewingstair.vm.reachability import Reachability
 
--- a/src/lacewingstair/vm/node.py
+++ b/src/lacewingstair/vm/node.py
@@ -6,15 +6,14 @@
 
 from result import Result
 
-from lacewingstair.directory import Directory, Endpoint, VmRecord, VmStatus
 from lacewingstair.errors import ListenError
-from lacewingstair.overlay import Overlay
 from lacewingstair.rollouts.evidence import EvidenceReport
 from lacewingstair.rollouts.marks import Marks, StageMark, TakeBack
 from lacewingstair.runtime import Clock
 from lacewingstair.tickets.acceptance import Decision, TicketRecord
 from lacewingstair.tickets.state_store import StateStore
 from lacewingstair.vm import messages
+from lacewingstair.vm.directory import Directory, Endpoint, VmRecord, VmStatus
 from lacewingstair.vm.discovery import Discovery
 from lacewingstair.vm.dissemination import (
     DirectoryPublisher,
@@ -30,6 +29,7 @@
 from lacewingstair.vm.membership import Membership
 from lacewingstair.vm.neighbours import Neighbours
 from lacewingstair.vm.options import NodeOptions
+from lacewingstair.vm.overlay import Overlay
 from lacewingstair.vm.peers import Peer, PeerTable
 from lacewingstair.vm.reachability import Reachability
 from lacewingstair.vm.reader_role import ReaderRole
--- a/src/lacewingstair/overlay.py
+++ b/src/lacewingstair/vm/overlay.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from lacewingstair.directory import Directory, VmRecord
+from lacewingstair.vm.directory import Directory, VmRecord
 
 TREE_ARITY = 8
 TREE_SALTS = ("tree-a", "tree-b")
--- a/src/lacewingstair/vm/peers.py
+++ b/src/lacewingstair/vm/peers.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from lacewingstair.directory import VmRecord
+from lacewingstair.vm.directory import VmRecord
 from lacewingstair.vm.messages import Heartbeat, Unchanged
 from lacewingstair.vm.transport import MessageStream
 
--- a/src/lacewingstair/vm/reachability.py
+++ b/src/lacewingstair/vm/reachability.py
@@ -1,8 +1,8 @@
 """Which zones of its region a relay can reach, seen by its own links."""
 
-from lacewingstair.directory import VmRecord
-from lacewingstair.overlay import Overlay
 from lacewingstair.runtime import Clock
+from lacewingstair.vm.directory import VmRecord
+from lacewingstair.vm.overlay import Overlay
 from lacewingstair.vm.peers import PeerTable
 
 UNREACHABLE_SECONDS = 10.0
--- a/src/lacewingstair/vm/reader_role.py
+++ b/src/lacewingstair/vm/reader_role.py
@@ -2,11 +2,11 @@
 
 import random
 
-from lacewingstair.directory import VmRecord
-from lacewingstair.overlay import Overlay
 from lacewingstair.runtime import Clock
 from lacewingstair.tickets.state_store import StateStore
+from lacewingstair.vm.directory import VmRecord
 from lacewingstair.vm.log_region_link import LogRegionLink
+from lacewingstair.vm.overlay import Overlay
 from lacewingstair.vm.peers import PeerTable
 from lacewingstair.vm.reachability import Reachability
 
--- a/src/lacewingstair/vm/repair.py
+++ b/src/lacewingstair/vm/repair.py
@@ -11,10 +11,10 @@
 from collections.abc import Callable
 
 from lacewingstair import events
-from lacewingstair.directory import BUCKETS, Directory
 from lacewingstair.rollouts.marks import Marks
 from lacewingstair.tickets.state_store import StateStore, low_64_bits, settling_order
 from lacewingstair.vm import messages
+from lacewingstair.vm.directory import BUCKETS, Directory
 from lacewingstair.vm.dissemination import (
     MarkPublisher,
     directory_deltas,
--- a/src/lacewingstair/vm/snapshot_client.py
+++ b/src/lacewingstair/vm/snapshot_client.py
@@ -7,10 +7,10 @@
 from result import Err
 
 from lacewingstair import events
-from lacewingstair.directory import VmRecord
 from lacewingstair.runtime import Clock, full_jitter
 from lacewingstair.tickets.state_store import StateStore
 from lacewingstair.vm import messages
+from lacewingstair.vm.directory import VmRecord
 from lacewingstair.vm.peers import Peer, PeerTable
 from lacewingstair.vm.snapshots import Snapshot, SnapshotAssembler
 
--- a/src/lacewingstair/vm/snapshot_server.py
+++ b/src/lacewingstair/vm/snapshot_server.py
@@ -6,10 +6,10 @@
 
 import attrs
 
-from lacewingstair.directory import Directory
 from lacewingstair.runtime import Clock
 from lacewingstair.tickets.state_store import StateStore
 from lacewingstair.vm import messages
+from lacewingstair.vm.directory import Directory
 from lacewingstair.vm.dissemination import MarkPublisher
 from lacewingstair.vm.peers import Peer
 from lacewingstair.vm.snapshots import cut, encode_snapshot
--- a/src/lacewingstair/vm/snapshots.py
+++ b/src/lacewingstair/vm/snapshots.py
@@ -8,11 +8,11 @@
 import zstandard
 from result import Err, Ok, Result
 
-from lacewingstair.directory import VmRecord
 from lacewingstair.errors import SnapshotError
 from lacewingstair.tickets.acceptance import MeshState
 from lacewingstair.tickets.state_codec import decode_state, encode_state
 from lacewingstair.vm import messages
+from lacewingstair.vm.directory import VmRecord
 
 SNAPSHOT_FORMAT = 1
 CHUNK_BYTES = 64 << 10
--- a/src/lacewingstair/vm/traffic.py
+++ b/src/lacewingstair/vm/traffic.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from lacewingstair.directory import VmRecord
+from lacewingstair.vm.directory import VmRecord
 from lacewingstair.vm.peers import Peer
 from lacewingstair.vm.transport import MessageStream
 
--- a/tests/backend_server/test_announce.py
+++ b/tests/backend_server/test_announce.py
@@ -4,8 +4,8 @@
 from aiohttp.test_utils import TestClient, TestServer
 
 from lacewingstair.backend_server.announce import AnnouncementServer
-from lacewingstair.directory import Endpoint, EndpointState
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
+from lacewingstair.vm.directory import Endpoint, EndpointState
 
 ADDRESS = "10.0.0.1:80"
 READY = Endpoint("s", "v", ADDRESS)
--- a/tests/caller/harness.py
+++ b/tests/caller/harness.py
@@ -7,10 +7,10 @@
 from lacewingstair.caller.attempts import Call
 from lacewingstair.caller.body import Body
 from lacewingstair.caller.dispatch import Dispatcher
-from lacewingstair.directory import Directory, Endpoint, VmRecord
 from lacewingstair.routing.balancing import EndpointIndex
 from lacewingstair.standins.memory_server import MemoryServer
 from lacewingstair.standins.virtual_time import VirtualClock
+from lacewingstair.vm.directory import Directory, Endpoint, VmRecord
 
 
 class OneVersion:
--- a/tests/caller/test_dispatch.py
+++ b/tests/caller/test_dispatch.py
@@ -7,12 +7,12 @@
 from hypothesis import strategies as st
 from loguru import logger
 
-from lacewingstair.directory import Endpoint
 from lacewingstair.events import DecisionLog, parse_event
 from lacewingstair.routing.limits import RETRY_SHARE
 from lacewingstair.routing.outcomes import CallResult
 from lacewingstair.standins.memory_server import REFUSAL_STATUS, Fault
 from lacewingstair.standins.virtual_time import run_virtual
+from lacewingstair.vm.directory import Endpoint
 from tests.caller.harness import Mesh
 
 FAULTS = st.lists(st.sampled_from(Fault), max_size=12)
--- a/tests/caller/test_server.py
+++ b/tests/caller/test_server.py
@@ -7,9 +7,9 @@
 from aiohttp import web
 
 from lacewingstair.caller.server import CallServer
-from lacewingstair.directory import Directory, Endpoint, VmRecord
 from lacewingstair.tickets.acceptance import TicketRecord
 from lacewingstair.tickets.state_store import StateStore
+from lacewingstair.vm.directory import Directory, Endpoint, VmRecord
 
 TICKET = {
     "number": 1,
--- a/tests/routing/test_balancing.py
+++ b/tests/routing/test_balancing.py
@@ -4,19 +4,19 @@
 import attrs
 import pytest
 
-from lacewingstair.directory import (
-    Directory,
-    Endpoint,
-    EndpointState,
-    VmRecord,
-    VmStatus,
-)
 from lacewingstair.routing.balancing import (
     EJECT_BASE_SECONDS,
     Balancer,
     EndpointIndex,
 )
 from lacewingstair.standins.load import EventQueue
+from lacewingstair.vm.directory import (
+    Directory,
+    Endpoint,
+    EndpointState,
+    VmRecord,
+    VmStatus,
+)
 
 
 def announced(name=1, **changes):
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -15,7 +15,6 @@
 from lacewingstair.backend_server.pool import ConnectionPool
 from lacewingstair.caller.headers import OUTCOME, OUTCOME_NOT_RUN
 from lacewingstair.caller.server import CallServer
-from lacewingstair.directory import VmStatus
 from lacewingstair.rollouts.controller import SETTLE_SECONDS
 from lacewingstair.rollouts.marks import RolloutKey, TakeBack
 from lacewingstair.standins.full_mesh import BAD_SERVICE, GOOD_SERVICE, FullMesh, FullVm
@@ -25,6 +24,7 @@
 from lacewingstair.ticket_log.log import TICKET_STREAM
 from lacewingstair.tickets.acceptance import MeshState
 from lacewingstair.tickets.state_store import StateStore
+from lacewingstair.vm.directory import VmStatus
 
 GOOD = RolloutKey(GOOD_SERVICE, 1)
 BAD = RolloutKey(BAD_SERVICE, 1)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -7,10 +7,10 @@
 from aiohttp import web
 
 from lacewingstair.daemon import build
-from lacewingstair.directory import Endpoint
 from lacewingstair.runtime import SystemClock
 from lacewingstair.standins.local import free_ports, local_settings
 from lacewingstair.tickets.acceptance import TicketRecord
+from lacewingstair.vm.directory import Endpoint
 
 HOLD_SECONDS = 0.3
 TICKET = {
--- a/tests/test_directory.py
+++ b/tests/vm/test_directory.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lacewingstair.directory import (
+from lacewingstair.vm.directory import (
     BUCKETS,
     Directory,
     Endpoint,
--- a/tests/vm/test_failure_detector.py
+++ b/tests/vm/test_failure_detector.py
@@ -1,7 +1,7 @@
 import attrs
 import pytest
 
-from lacewingstair.directory import TOMBSTONE_SECONDS, Directory, VmRecord, VmStatus
+from lacewingstair.vm.directory import TOMBSTONE_SECONDS, Directory, VmRecord, VmStatus
 from lacewingstair.vm.failure_detector import FailureDetector
 from lacewingstair.vm.membership import MAX_INCARNATION, Membership
 
--- a/tests/vm/test_frames.py
+++ b/tests/vm/test_frames.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from lacewingstair.directory import Endpoint, EndpointState, VmRecord, VmStatus
 from lacewingstair.vm import messages
+from lacewingstair.vm.directory import Endpoint, EndpointState, VmRecord, VmStatus
 from lacewingstair.vm.frames import (
     HEADER_BYTES,
     MAX_FRAME_BYTES,
--- a/tests/vm/test_node.py
+++ b/tests/vm/test_node.py
@@ -7,13 +7,13 @@
 import pytest
 from loguru import logger
 
-from lacewingstair.directory import Endpoint, VmStatus
 from lacewingstair.rollouts.evidence import EvidenceCounter, EvidenceReport
 from lacewingstair.rollouts.marks import RolloutKey, StageMark, TakeBack
 from lacewingstair.standins.memory_network import Faults
 from lacewingstair.standins.mesh_cluster import Cluster, zones
 from lacewingstair.standins.virtual_time import run_virtual
 from lacewingstair.vm import messages
+from lacewingstair.vm.directory import Endpoint, VmStatus
 from lacewingstair.vm.links import MAX_ACCEPTED_CONNECTIONS
 
 ROLLOUT = RolloutKey("move", 1)
--- a/tests/test_overlay.py
+++ b/tests/vm/test_overlay.py
@@ -3,8 +3,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lacewingstair.directory import Directory, VmRecord, VmStatus
-from lacewingstair.overlay import (
+from lacewingstair.vm.directory import Directory, VmRecord, VmStatus
+from lacewingstair.vm.overlay import (
     TREE_ARITY,
     TREE_SALTS,
     Overlay,
--- a/tests/vm/test_peers.py
+++ b/tests/vm/test_peers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lacewingstair.directory import VmRecord
+from lacewingstair.vm.directory import VmRecord
 from lacewingstair.vm.peers import FRESH_SECONDS, Peer, PeerTable
 
 own = VmRecord("m", "r0", "z0", "m:1", 1)
--- a/tests/vm/test_snapshot_client.py
+++ b/tests/vm/test_snapshot_client.py
@@ -4,10 +4,10 @@
 import attrs
 import pytest
 
-from lacewingstair.directory import VmRecord
 from lacewingstair.tickets.acceptance import MeshState
 from lacewingstair.tickets.state_store import StateStore
 from lacewingstair.vm import messages, snapshots
+from lacewingstair.vm.directory import VmRecord
 from lacewingstair.vm.peers import Peer, PeerTable
 from lacewingstair.vm.snapshot_client import BOOTSTRAP_SECONDS, SnapshotClient
 from lacewingstair.vm.snapshots import cut, encode_snapshot
--- a/tests/vm/test_snapshots.py
+++ b/tests/vm/test_snapshots.py
@@ -7,9 +7,9 @@
 from hypothesis import strategies as st
 from result import Err
 
-from lacewingstair.directory import Endpoint, VmRecord
 from lacewingstair.tickets.acceptance import MeshState
 from lacewingstair.vm import snapshots
+from lacewingstair.vm.directory import Endpoint, VmRecord
 from lacewingstair.vm.snapshots import SnapshotAssembler, cut, encode_snapshot
 
 records = tuple(
