Group what follows the metadata store in a package

The modules at the top level had no grouping, so that a reader had to know which of them belong together. Only files and imports change; behaviour does not.

--- a/src/lacewingstair/caller/forwarding.py
+++ b/src/lacewingstair/caller/forwarding.py
@@ -8,7 +8,7 @@
 from lacewingstair import events
 from lacewingstair.backend_server.gate import Gate
 from lacewingstair.caller.placement import Candidate, Distance, place
-from lacewingstair.configuration import CallRoute
+from lacewingstair.metadata.configuration import CallRoute
 from lacewingstair.routing.limits import RetryBudget
 from lacewingstair.runtime import Clock
 from lacewingstair.staged_rollouts.coordinator import RolloutCoordinator
--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -13,8 +13,8 @@
 from lacewingstair.caller.forwarding import ForwardCall, Forwarder, NotServed
 from lacewingstair.caller.patience import Patience
 from lacewingstair.caller.raw_answer import WholeAnswer
-from lacewingstair.configuration import ConfigurationStore, SplitChooser
 from lacewingstair.http_server import call_server
+from lacewingstair.metadata.configuration import ConfigurationStore, SplitChooser
 from lacewingstair.platform import headers
 from lacewingstair.routing.routes import NamedRoute
 from lacewingstair.runtime import Clock
--- /dev/null
+++ b/src/lacewingstair/metadata/__init__.py
@@ -0,0 +1,1 @@
+"""What the metadata store holds, as one VM keeps it."""
--- a/src/lacewingstair/store_records.py
+++ b/src/lacewingstair/metadata/records.py
@@ -5,8 +5,8 @@
 from result import Err
 
 from lacewingstair import events
-from lacewingstair.configuration import ConfigurationStore
-from lacewingstair.keyed_tail import Record
+from lacewingstair.metadata.configuration import ConfigurationStore
+from lacewingstair.metadata.tail import Record
 from lacewingstair.platform import rollouts as platform_rollouts
 from lacewingstair.platform.configuration import (
     CONFIGURATION_KEY,
--- a/src/lacewingstair/platform/configuration.py
+++ b/src/lacewingstair/platform/configuration.py
@@ -6,14 +6,14 @@
 
 from result import Err, Ok, Result
 
-from lacewingstair.configuration import (
+from lacewingstair.errors import ConfigurationError, Fault
+from lacewingstair.metadata.configuration import (
     CallRoute,
     Configuration,
     RequestLimits,
     ServiceTerms,
     SplitPart,
 )
-from lacewingstair.errors import ConfigurationError, Fault
 from lacewingstair.platform.durations import parse_duration
 from lacewingstair.routing.routes import RouteTable
 from lacewingstair.tickets.types import normal_host
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -23,10 +23,11 @@
 )
 from lacewingstair.caller.forwarding import Forwarder
 from lacewingstair.caller.ingress import Ingress
-from lacewingstair.configuration import ConfigurationStore
 from lacewingstair.errors import ListenError, SettingsError
 from lacewingstair.http_server import application_runner, listen_all
-from lacewingstair.keyed_tail import KeyedTail
+from lacewingstair.metadata.configuration import ConfigurationStore
+from lacewingstair.metadata.records import StoreRecords
+from lacewingstair.metadata.tail import KeyedTail
 from lacewingstair.metrics.sidecar import SidecarMetrics
 from lacewingstair.operator.sidecar_api import SidecarApi
 from lacewingstair.platform import store as platform_store
@@ -39,7 +40,6 @@
 from lacewingstair.settings.declarations import Settings
 from lacewingstair.settings.reader import load_settings
 from lacewingstair.staged_rollouts.coordinator import RolloutCoordinator
-from lacewingstair.store_records import StoreRecords
 from lacewingstair.vm.call_links import CallLinks
 from lacewingstair.vm.call_messages import (
     EntryChanged,
--- a/src/lacewingstair/vm/call_server.py
+++ b/src/lacewingstair/vm/call_server.py
@@ -8,8 +8,8 @@
 
 from lacewingstair import events
 from lacewingstair.backend_server.gate import Gate
-from lacewingstair.configuration import ConfigurationStore
 from lacewingstair.errors import ListenError
+from lacewingstair.metadata.configuration import ConfigurationStore
 from lacewingstair.vm.call_messages import (
     CallCancel,
     CallRequest,
--- a/tests/caller/test_forwarding.py
+++ b/tests/caller/test_forwarding.py
@@ -4,7 +4,7 @@
 import pytest
 
 from lacewingstair.caller.forwarding import ForwardCall, Forwarder, NotServed
-from lacewingstair.configuration import CallRoute, SplitPart
+from lacewingstair.metadata.configuration import CallRoute, SplitPart
 from lacewingstair.staged_rollouts.policy import Order, Stage
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
 from lacewingstair.vm.call_messages import (
--- a/tests/test_configuration.py
+++ b/tests/metadata/test_configuration.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from lacewingstair.configuration import CallRoute, SplitChooser, SplitPart
+from lacewingstair.metadata.configuration import CallRoute, SplitChooser, SplitPart
 from lacewingstair.routing.routes import NamedRoute
 
 
--- a/tests/test_store_records.py
+++ b/tests/metadata/test_records.py
@@ -3,10 +3,10 @@
 import json
 import random
 
-from lacewingstair.configuration import ConfigurationStore
+from lacewingstair.metadata.configuration import ConfigurationStore
+from lacewingstair.metadata.records import StoreRecords
 from lacewingstair.platform.store import KeyedRecord
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
-from lacewingstair.store_records import StoreRecords
 from lacewingstair.vm.entries import MeshView, encode_entry
 from lacewingstair.vm.registration import Registration
 from tests.platform.test_configuration import document
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -3,7 +3,7 @@
 import pytest
 from result import Err, Ok
 
-from lacewingstair.configuration import ConfigurationStore, SplitPart
+from lacewingstair.metadata.configuration import ConfigurationStore, SplitPart
 from lacewingstair.platform.configuration import decode_configuration
 from lacewingstair.platform.durations import parse_duration
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,7 +5,7 @@
 from result import Err, Ok
 
 from lacewingstair.errors import OffsetExpired, StoreConflict, StoreUnavailable
-from lacewingstair.keyed_tail import KeyedTail
+from lacewingstair.metadata.tail import KeyedTail
 from lacewingstair.platform.store import KeyedRecord, MetadataStore
 from lacewingstair.runtime import SystemClock
 from tests.platform.store_standin import StoreStandIn
