Let calls of backend servers wait until their deadline, and use free far VMs

Cause: a call that a backend server makes while it runs another one has a short target, and its time left varies with what its parent has left. The estimate of the time that its caller had waited took that for an earlier attempt and shortened its target further, so such calls were refused although they could be answered before their deadline; the parent then failed with its work done. Placement besides passed over far VMs by the target alone, also ones with a free slot.

Change: the id of such a call begins with that of its parent. If the parent runs at the gate of this VM, the deadline of the call is its target. A far VM is passed over for a missed target only when the call would have to wait there. Runs whose own calls were not served no longer count as evidence on a version.

The new tests failed on the code before.

--- a/src/lacewingstair/backend_server/gate.py
+++ b/src/lacewingstair/backend_server/gate.py
@@ -41,6 +41,8 @@
 # An answer of another call is passed over; more of them close the connection.
 MAX_STRAY_ANSWERS = 3
 
+OnOutcome = Callable[[str, int, float, bool], None]
+
 
 @attrs.frozen
 class UpstreamIdentity:
@@ -72,6 +74,19 @@
     is_timeout: bool = False
 
 
+@attrs.define(eq=False)
+class _Run:
+    """A call at the backend server.
+
+    Parameters
+    ----------
+    has_unserved_call : bool
+        Whether a call that the backend server made for it was not served.
+    """
+
+    has_unserved_call: bool = False
+
+
 class _Decision:
     """Whether a call that waits may run; it can come as its caller leaves."""
 
@@ -102,7 +117,8 @@
         Returns the connections that the backend server accepts.
     on_outcome : callable
         Takes the route, status (0 without an answer) and milliseconds at the backend
-        server of each call that may have run.
+        server of each call that may have run, and whether a call that the backend
+        server made for it was not served.
     on_unreachable : callable
         Called when the backend server refuses connections.
     """
@@ -115,7 +131,7 @@
         *,
         configuration_number: Callable[[], int] = lambda: 0,
         max_connections: Callable[[], int] = lambda: DEFAULT_CONNECTIONS,
-        on_outcome: Callable[[str, int, float], None] = lambda route, status, ms: None,
+        on_outcome: OnOutcome = lambda route, status, ms, has_unserved_call: None,
         on_unreachable: Callable[[], None] = lambda: None,
         pool: ConnectionPool | None = None,
     ) -> None:
@@ -129,6 +145,7 @@
         self._pool = pool or ConnectionPool(clock, sharers=1)
         self._idle_seconds = FRESH_SECONDS
         self._listeners: list[Callable[[LoadReport], None]] = []
+        self._runs_by_request_id: dict[str, _Run] = {}
         self.identity = UpstreamIdentity()
         self.admission = Admission()
         self.is_stopping = False
@@ -180,6 +197,16 @@
             configuration_number=self._configuration_number(),
         )
 
+    def is_running(self, request_id: str) -> bool:
+        """Return whether the backend server works on the call with this id."""
+        return request_id in self._runs_by_request_id
+
+    def note_unserved_call(self, request_id: str) -> None:
+        """Note that a call which the backend server made for one was not served."""
+        run = self._runs_by_request_id.get(request_id)
+        if run is not None:
+            run.has_unserved_call = True
+
     def sweep(self) -> None:
         """Close connections that were idle for long."""
         self._pool.sweep()
@@ -195,15 +222,18 @@
         if isinstance(admitted, Refused):
             return self._refuse(call, admitted)
         has_run = False
+        run = _Run()
+        self._runs_by_request_id[call.request_id] = run
         try:
             outcome = await self._perform(call, end_at)
             has_run = not isinstance(outcome, CallRefused)
             if has_run:
                 service_ms = (self._clock.monotonic() - admitted.started_at) * 1000
                 status = outcome.status if isinstance(outcome, CallAnswer) else 0
-                self._on_outcome(call.route, status, service_ms)
+                self._on_outcome(call.route, status, service_ms, run.has_unserved_call)
             return outcome
         finally:
+            self._runs_by_request_id.pop(call.request_id, None)
             now = self._clock.monotonic()
             self.admission.finished(admitted, now, is_typical=has_run)
 
--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from lacewingstair import events
+from lacewingstair.backend_server.gate import Gate
 from lacewingstair.caller import guards
 from lacewingstair.caller.forwarding import ForwardCall, Forwarder, NotServed
 from lacewingstair.caller.patience import Patience
@@ -40,6 +41,8 @@
         Configuration in force.
     forwarder : Forwarder
         Sends calls to gates.
+    gate : Gate
+        Gate of this VM, whose backend server makes calls for those that it runs.
     clock, rng
         Time and randomness.
     on_answer : callable
@@ -51,6 +54,7 @@
         own_service: str,
         configurations: ConfigurationStore,
         forwarder: Forwarder,
+        gate: Gate,
         clock: Clock,
         rng: random.Random,
         on_answer: Callable[[str, int, float], None] = lambda route, status, s: None,
@@ -58,6 +62,7 @@
         self._own_service = own_service
         self._configurations = configurations
         self._forwarder = forwarder
+        self._gate = gate
         self._clock = clock
         self._rng = rng
         self._on_answer = on_answer
@@ -95,6 +100,9 @@
             return response
         finally:
             self.open_calls -= 1
+            if not 200 <= status < 300:
+                request_id = request.headers.get(headers.REQUEST_ID, "")
+                self._gate.note_unserved_call(headers.parent_id(request_id))
             self._on_answer(route, status, self._clock.monotonic() - started_at)
 
     async def _prepare(
@@ -141,6 +149,11 @@
         asked_ms = headers.deadline_ms(request.headers)
         if asked_ms is not None:
             timeout_ms = min(timeout_ms, asked_ms)
+        if self._gate.is_running(headers.parent_id(request_id)):
+            # The call that needs this one is lost without it, and served with an
+            # answer at the deadline as well as with an early one.
+            target_ms = timeout_ms
+        elif asked_ms is not None:
             target_ms -= self._patience.spent_ms(named.name, asked_ms, started_at)
         return ForwardCall(
             request_id=request_id,
--- a/src/lacewingstair/caller/placement.py
+++ b/src/lacewingstair/caller/placement.py
@@ -9,8 +9,9 @@
   there.
 * A sudden burst at one VM: the calls that were sent since its newest load report are
   added to it, so that a stale report does not attract all of them.
-* An overload everywhere: a VM outside of the zone that is known to be too busy is not
-  asked, so that the caller learns of the refusal at once.
+* An overload everywhere: a VM outside of the zone where the call would wait until it
+  is late is not asked, so that the caller learns of the refusal at once. One with a
+  free slot is: a late answer there takes nothing from other calls.
 * A backend server that was slow or full: its report fades with its age, so that it is
   tried again and gets calls once it has recovered.
 """
@@ -88,19 +89,27 @@
     age_seconds: float = 0.0
 
 
-def expected_ms(candidate: Candidate) -> float:
-    """Return the time that a further call is expected to take at a VM."""
+def expected_service_ms(candidate: Candidate) -> float:
+    """Return the time that a further call is expected to run at a VM."""
+    service_ms = candidate.load.service_ms or UNKNOWN_SERVICE_MS
+    return service_ms * _remembered_share(candidate)
+
+
+def expected_wait_ms(candidate: Candidate) -> float:
+    """Return the time that a further call is expected to wait at a VM for a slot."""
     load = candidate.load
-    remembered = max(
-        LEAST_REMEMBERED_SHARE, 0.5 ** (candidate.age_seconds / FORGET_SECONDS)
-    )
-    service_ms = (load.service_ms or UNKNOWN_SERVICE_MS) * remembered
+    remembered = _remembered_share(candidate)
     occupied = (load.running + load.waiting) * remembered + candidate.unreported
     excess = occupied - load.slots + 1
     if excess <= 0:
-        return service_ms
-    wait_ms = max(load.wait_ms * remembered, excess * service_ms / max(1, load.slots))
-    return service_ms + wait_ms
+        return 0.0
+    service_ms = expected_service_ms(candidate)
+    return max(load.wait_ms * remembered, excess * service_ms / max(1, load.slots))
+
+
+def _remembered_share(candidate: Candidate) -> float:
+    share = 0.5 ** (candidate.age_seconds / FORGET_SECONDS)
+    return max(LEAST_REMEMBERED_SHARE, share)
 
 
 def place(
@@ -133,9 +142,13 @@
     best_cost = 0.0
     for candidate in candidates:
         distance = candidate.distance
-        time_ms = expected_ms(candidate) + ROUND_TRIP_MS_BY_DISTANCE[distance]
-        if distance >= Distance.SAME_REGION and time_ms > limit_ms:
-            continue
+        wait_ms = expected_wait_ms(candidate)
+        time_ms = expected_service_ms(candidate) + wait_ms
+        time_ms += ROUND_TRIP_MS_BY_DISTANCE[distance]
+        if distance >= Distance.SAME_REGION:
+            latest_ms = limit_ms if wait_ms > 0 else left_ms
+            if time_ms > latest_ms:
+                continue
         cost = penalty_ms[distance] + WEIGHT_OF_TIME * time_ms + rng.random()
         beyond_ms = time_ms - COMFORTABLE_SHARE * max(0.0, target_ms)
         cost += WEIGHT_BEYOND_COMFORT * max(0.0, beyond_ms)
--- a/src/lacewingstair/platform/headers.py
+++ b/src/lacewingstair/platform/headers.py
@@ -52,6 +52,15 @@
     return float(min(int(text), MAX_DEADLINE_MS))
 
 
+def parent_id(request_id: str) -> str:
+    """Return the id of the call for which a request is made, or an empty text.
+
+    A backend server that makes calls while it runs one puts the id of that one and a
+    dot before the ids of its own.
+    """
+    return request_id.rpartition(".")[0]
+
+
 def request_lines(
     raw_headers: Iterable[tuple[bytes, bytes]], caller_service: str
 ) -> bytes:
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -145,6 +145,7 @@
             own.own_service,
             self.configurations,
             self.forwarder,
+            self.gate,
             clock,
             rng,
             self.metrics.count_call,
@@ -346,8 +347,13 @@
         else:
             self.rollouts.take_mark(message.mark)
 
-    def _count_run(self, route: str, status: int, ms: float) -> None:
+    def _count_run(
+        self, route: str, status: int, ms: float, has_unserved_call: bool
+    ) -> None:
         self.metrics.count_run(route, status, ms)
+        if has_unserved_call:
+            # Its failure says nothing about the version of this backend server.
+            return
         is_cold = self.clock.monotonic() < self._cold_until
         self.rollouts.count_run(
             self.gate.service,
--- a/tests/backend_server/test_gate.py
+++ b/tests/backend_server/test_gate.py
@@ -205,3 +205,23 @@
         assert unreachable == [True]
 
     with_gate(check)
+
+
+def test_a_run_whose_own_call_was_not_served_is_told_apart():
+    """Guards against a version that is blamed for calls that nobody served."""
+
+    async def check(gate, upstream):
+        outcomes = []
+        gate._on_outcome = lambda *outcome: outcomes.append(outcome)
+        upstream.seconds = 0.1
+        running = asyncio.create_task(gate.run(request("a")))
+        while not gate.is_running("a"):  # noqa: ASYNC110 - it is plain state
+            await asyncio.sleep(0.01)
+        gate.note_unserved_call("a")
+        gate.note_unserved_call("unknown")
+        await running
+        await gate.run(request("b"))
+        assert not gate.is_running("a")
+        assert [(o[1], o[3]) for o in outcomes] == [(200, True), (200, False)]
+
+    with_gate(check)
--- a/tests/caller/test_placement.py
+++ b/tests/caller/test_placement.py
@@ -79,3 +79,12 @@
 
 def test_nothing_is_placed_without_candidates():
     assert placed() is None
+
+
+def test_a_far_vm_with_a_free_slot_is_asked_although_it_would_be_late():
+    """Guards against refusals of calls that a free backend server could still run."""
+    slow = candidate("slow", Distance.OTHER_REGION, running=4, service_ms=900.0)
+    assert placed(slow, target_ms=600.0) == "slow"
+    assert placed(slow, target_ms=-100.0) == "slow"
+    slower = candidate("slower", Distance.OTHER_REGION, running=4, service_ms=1300.0)
+    assert placed(slower) is None
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -25,6 +25,7 @@
     "cold_remaining",
     "traffic_split",
     "heartbeat_address",
+    '"target_latency"',
     'end_offset"',
     "has_more",
     '"keyed.',
