Open the gate at a start only to a backend server that says it does not leave

Cause: a process that was started after its backend server's leaving had been acknowledged knows nothing of it, and took a late report, sent before the leaving, as news: the gate opened and calls reached a backend server later than `drain` after its acknowledgement.

Change: the first run that a process knows counts once a health check has confirmed it, or after new reports for five seconds. A late report of another run than the restored one is checked as well. The confirmation has a module of its own.

Tests: two tests said that a report opens the gate although the health check fails. They stated the fault; they now ask that it stays closed and opens within 1 s of a passed check. A test of the store's outage waits, at most 0.5 s, until the gate of the restarted VM is open.

--- a/src/lacewingstair/backend_server/register.py
+++ b/src/lacewingstair/backend_server/register.py
@@ -3,6 +3,11 @@
 Reports arrive late, twice and out of order, and a backend server can start again under
 the id it had. The start time tells one run from another, the sequence orders the
 reports of one run, and what has been acknowledged as leaving stays so.
+
+A process before this one may have acknowledged that the backend server leaves, and a
+late report can say that it is ready. So the first run that is reported here counts only
+once it is confirmed: by a health check, which one that leaves does not pass, or by new
+reports for longer than late ones arrive.
 """
 
 import enum
@@ -14,6 +19,8 @@
 
 # Ids of earlier runs that are remembered, so that their late reports do not count.
 MAX_REMEMBERED_RUNS = 16
+# Reports that go on for this long after the first one come from a live backend server.
+CONFIRMED_AFTER_SECONDS = 5.0
 # Sequence of what a health check told; each report is newer.
 RESTORED_SEQUENCE = -1
 
@@ -83,12 +90,32 @@
         self._reported_at = 0.0
         self._gone_runs: list[tuple[int, str]] = []
         self._is_unreachable = False
+        # Since when an unconfirmed run has been reported; None when it is confirmed.
+        self._unconfirmed_since: float | None = None
 
     @property
     def is_reported(self) -> bool:
         """Whether any report has been taken since the start."""
         return self._newest is not None or bool(self._gone_runs)
 
+    @property
+    def needs_confirmation(self) -> bool:
+        """Whether the backend server counts only after a health check."""
+        return self._newest is not None and self._unconfirmed_since is not None
+
+    def confirm(self, upstream_id: str) -> bool:
+        """Take that a backend server passed a health check; return whether it counts.
+
+        Parameters
+        ----------
+        upstream_id : str
+            Id with which it answered.
+        """
+        if not self.needs_confirmation or self._newest.upstream_id != upstream_id:
+            return False
+        self._unconfirmed_since = None
+        return True
+
     def restore(self, upstream_id: str, slots: int, now: float) -> bool:
         """Take a backend server that says it is healthy before its first report.
 
@@ -121,6 +148,10 @@
         if held is not None and not _is_newer(report, held):
             return Verdict.STALE
         is_restored = held is not None and held.sequence == RESTORED_SEQUENCE
+        if not self._follows_known_run(report):
+            self._unconfirmed_since = now
+        elif self._is_confirmed_by_time(report, now):
+            self._unconfirmed_since = None
         if held is not None and held.run != report.run and not is_restored:
             self._remember_gone(held.run)
         self._newest = report
@@ -147,10 +178,30 @@
             return UpstreamIdentity()
         state = held.state
         is_lapsed = now - self._reported_at > self._ttl_seconds
-        if self._is_unreachable or is_lapsed:
+        is_unconfirmed = (
+            state is UpstreamState.READY and self._unconfirmed_since is not None
+        )
+        if self._is_unreachable or is_lapsed or is_unconfirmed:
             state = UpstreamState.ABSENT
         return UpstreamIdentity(held.upstream_id, held.version, held.slots, state)
 
+    def _follows_known_run(self, report: UpstreamReport) -> bool:
+        """Return whether a report is of a run known here or of a later one."""
+        held = self._newest
+        if held is not None and held.sequence == RESTORED_SEQUENCE:
+            return held.upstream_id == report.upstream_id
+        if held is not None and held.run == report.run:
+            return True
+        known = [*self._gone_runs] if held is None else [*self._gone_runs, held.run]
+        latest_born_ms = max((born_ms for born_ms, _ in known), default=0)
+        return 0 < latest_born_ms < report.born_ms
+
+    def _is_confirmed_by_time(self, report: UpstreamReport, now: float) -> bool:
+        since = self._unconfirmed_since
+        if since is None or now - since < CONFIRMED_AFTER_SECONDS:
+            return False
+        return self._newest is not None and self._newest.run == report.run
+
     def _remember_gone(self, run: tuple[int, str]) -> None:
         self._gone_runs = [*self._gone_runs, run][-MAX_REMEMBERED_RUNS:]
 
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -15,6 +15,7 @@
 from result import Err, Ok, Result
 
 from lacewingstair import events
+from lacewingstair.backend_server.confirmation import UpstreamConfirmation
 from lacewingstair.backend_server.gate import DEFAULT_CONNECTIONS, Gate
 from lacewingstair.backend_server.register import (
     UpstreamRegister,
@@ -23,7 +24,7 @@
 )
 from lacewingstair.caller.forwarding import Forwarder
 from lacewingstair.caller.ingress import Ingress
-from lacewingstair.errors import ListenError, SettingsError
+from lacewingstair.errors import ConnectError, ListenError, SettingsError
 from lacewingstair.http_server import application_runner, listen_all
 from lacewingstair.metadata.configuration import ConfigurationStore
 from lacewingstair.metadata.records import StoreRecords
@@ -33,7 +34,7 @@
 from lacewingstair.platform import store as platform_store
 from lacewingstair.platform.announcements import Announcements
 from lacewingstair.platform.bounds import parse_bounds
-from lacewingstair.platform.health import ask_health
+from lacewingstair.platform.health import HealthAnswer, ask_health
 from lacewingstair.platform.readiness import readiness_application
 from lacewingstair.platform.rollout_reports import RolloutReports
 from lacewingstair.runtime import Clock
@@ -58,7 +59,7 @@
 CONFIGURATION_BATCH_SECONDS = 0.8
 MESH_BATCH_SECONDS = 1.5
 SWEEP_SECONDS = 1.0
-RESTORE_SECONDS = 0.05
+CONFIGURATION_CHECK_SECONDS = 0.05
 # The platform sends no callers after two missed checks, one each second.
 LEAVING_SECONDS = 2.2
 # Left between the end of a planned stop and the platform's kill.
@@ -89,6 +90,13 @@
         self.register = UpstreamRegister(
             own.own_service, own.own_address, own.announcement_ttl_seconds
         )
+        self.confirmation = UpstreamConfirmation(
+            self.register,
+            self._ask_upstream,
+            self._may_restore_upstream,
+            self._apply_register,
+            clock,
+        )
         self.store = platform_store.MetadataStore(
             settings.log_url, settings.platform.log_timeout_seconds
         )
@@ -191,7 +199,7 @@
             return served
         runs = [tail.run() for tail in self.tails]
         runs += [self.registration.run(), self.links.run(), self._sweep()]
-        runs += [self.rollouts.run(), self._restore_upstream()]
+        runs += [self.rollouts.run(), self.confirmation.run()]
         self._tasks.extend(asyncio.create_task(run) for run in runs)
         settings = self.settings
         events.info(
@@ -308,33 +316,21 @@
     async def _write_entry(self, vm_id: str, value: bytes | None):
         return await self.store.append(platform_store.MESH_TOPIC, vm_id, value)
 
-    async def _restore_upstream(self) -> None:
-        """Open the gate after a restart without waiting for the next report.
-
-        A health check does not tell the version. So it only counts while no rollout of
-        the service is known; a backend server that leaves is not healthy.
-        """
+    async def _ask_upstream(self) -> Result[HealthAnswer, ConnectError]:
+        """Make a health check, as soon as the configuration tells its path."""
         while self.configurations.current.is_empty:
-            await self.clock.sleep(RESTORE_SECONDS)
+            await self.clock.sleep(CONFIGURATION_CHECK_SECONDS)
+        address = self.settings.backend_servers.own_address
         service = self.gate.service
         terms = self.configurations.current.services_by_name.get(service)
-        if terms is None or self.register.is_reported:
-            return
-        asked = await ask_health(
-            self.settings.backend_servers.own_address, terms.health_path
-        )
-        is_restored = (
-            isinstance(asked, Ok)
-            and asked.ok_value.slots > 0
-            and self.rollouts.get(service) is None
-            and self.register.restore(
-                asked.ok_value.upstream_id,
-                asked.ok_value.slots,
-                self.clock.monotonic(),
-            )
-        )
-        events.info("upstream_asked", outcome=str(asked), is_restored=is_restored)
-        self._apply_register()
+        if terms is None:
+            reason = f"service {service!r} is not in the configuration"
+            return Err(ConnectError(address, reason))
+        return await ask_health(address, terms.health_path)
+
+    def _may_restore_upstream(self) -> bool:
+        # A health check does not tell the version, which a rollout depends on.
+        return self.rollouts.get(self.gate.service) is None
 
     def _live_vm_ids(self) -> list[str]:
         linked = (link.entry for link in self.links if link.is_connected)
@@ -369,6 +365,7 @@
         if verdict is Verdict.TAKEN:
             self._cold_until = now + report.cold_ms / 1000
         self._apply_register()
+        self.confirmation.reported()
         return verdict
 
     def _take_leave(self, upstream_id: str) -> None:
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -84,6 +84,7 @@
             return statuses
 
     assert asyncio.run(main()) == [200, 400, 200, 400]
+    register.confirm("i-1")
     assert register.identity(0.0).state is UpstreamState.READY
 
 
@@ -93,7 +94,54 @@
     )
 
 
+def register_with(first):
+    """Return a register whose first report has been confirmed."""
+    register = UpstreamRegister("board", "10.0.0.1:80", 10.0)
+    register.report(first, 0.0)
+    assert register.confirm(first.upstream_id)
+    return register
+
+
 class TestRegister:
+    def test_the_first_run_counts_once_a_health_check_has_confirmed_it(self):
+        """Guards against calls to one whose leaving an earlier process acknowledged.
+
+        A report from before its leaving can arrive seconds late, at the process that
+        was started after it.
+        """
+        register = UpstreamRegister("board", "10.0.0.1:80", 10.0)
+        assert register.report(report(sequence=6), 0.0) is Verdict.TAKEN
+        assert register.needs_confirmation
+        assert register.identity(0.1).state is UpstreamState.ABSENT
+        assert not register.confirm("i-2")
+        assert register.identity(0.1).state is UpstreamState.ABSENT
+        assert register.confirm("i-1")
+        assert not register.needs_confirmation
+        assert register.identity(0.1).state is UpstreamState.READY
+
+    def test_a_late_report_of_another_run_than_the_restored_one_needs_a_check(self):
+        register = UpstreamRegister("board", "10.0.0.1:80", 10.0)
+        register.restore("i-2", 18, 0.0)
+        register.report(report("i-1"), 0.2)
+        assert register.needs_confirmation
+        assert register.identity(0.2).state is UpstreamState.ABSENT
+
+    def test_reports_that_go_on_confirm_a_run_whose_health_check_lies(self):
+        """Guards against a gate that stays closed to a backend server that works."""
+        register = UpstreamRegister("board", "10.0.0.1:80", 10.0)
+        register.report(report(sequence=1), 0.0)
+        register.report(report(sequence=2), 4.0)
+        assert register.identity(4.0).state is UpstreamState.ABSENT
+        register.report(report(sequence=3), 5.5)
+        assert register.identity(5.5).state is UpstreamState.READY
+
+    def test_a_late_report_after_a_sign_off_in_this_process_does_not_confirm(self):
+        register = UpstreamRegister("board", "10.0.0.1:80", 10.0)
+        register.report(report(sequence=1), 0.0)
+        register.leave("i-1")
+        assert not register.needs_confirmation
+        assert not register.confirm("i-1")
+
     def test_a_late_report_does_not_reopen_a_draining_backend_server(self):
         """Guards against calls to one that was acknowledged as leaving."""
         register = UpstreamRegister("board", "10.0.0.1:80", 10.0)
@@ -102,15 +150,13 @@
         assert register.identity(0.1).state is UpstreamState.DRAINING
 
     def test_a_report_after_the_sign_off_does_not_count(self):
-        register = UpstreamRegister("board", "10.0.0.1:80", 10.0)
-        register.report(report(sequence=5), 0.0)
+        register = register_with(report(sequence=5))
         register.leave("i-1")
         assert register.report(report(sequence=9), 0.1) is Verdict.STALE
         assert register.identity(0.1).state is UpstreamState.ABSENT
 
     def test_a_new_run_under_the_same_id_counts_from_its_first_report(self):
-        register = UpstreamRegister("board", "10.0.0.1:80", 10.0)
-        register.report(report(sequence=50), 0.0)
+        register = register_with(report(sequence=50))
         assert register.report(report(sequence=1, born_ms=200), 1.0) is Verdict.TAKEN
         assert register.report(report(sequence=51), 1.1) is Verdict.STALE
         register.leave("i-1")
@@ -118,8 +164,7 @@
         assert register.identity(2.0).state is UpstreamState.READY
 
     def test_an_unreachable_or_silent_one_is_absent_until_its_next_report(self):
-        register = UpstreamRegister("board", "10.0.0.1:80", 10.0)
-        register.report(report(sequence=1), 0.0)
+        register = register_with(report(sequence=1))
         register.unreachable()
         assert register.identity(0.1).state is UpstreamState.ABSENT
         register.report(report(sequence=2), 1.0)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -218,6 +218,8 @@
         await vms[0].start()
         await vms[0].report(session)
         await until(lambda: vms[0].sidecar.configurations.current.number == 1)
+        # Its backend server is asked whether it leaves as soon as the path is known.
+        await until(lambda: vms[0].sidecar.gate.is_open, 0.5)
         assert (await vms[0].call(session, request_id="q2"))[0] == 200
         vms[1].upstream.stop()
         status, body, _ = await vms[2].call(session, request_id="q3")
@@ -303,7 +305,9 @@
         await asyncio.sleep(0.5)
         assert not vms[1].sidecar.gate.is_open
         await vms[1].report(session)
-        assert vms[1].sidecar.gate.is_open
+        assert not vms[1].sidecar.gate.is_open
+        vms[1].upstream.is_healthy = True
+        await until(lambda: vms[1].sidecar.gate.is_open, 1.0)
 
     with_mesh(check)
 
@@ -323,3 +327,25 @@
         assert (await vms[0].call(session))[0] == 200
 
     with_mesh(check)
+
+
+def test_a_restarted_process_sends_no_calls_to_one_that_leaves():
+    """Guards against a late report that opens the gate after a restart.
+
+    The process before it acknowledged that its backend server leaves.
+    """
+
+    async def check(_, vms, session):
+        vms[0].upstream.is_healthy = False
+        await vms[0].sidecar.close()
+        await vms[0].start()
+        assert await vms[0].report(session) == 200
+        await asyncio.sleep(0.3)
+        before = len(vms[0].upstream.runs)
+        for number in range(4):
+            assert (await vms[2].call(session, request_id=f"q{number}"))[0] == 200
+        assert len(vms[0].upstream.runs) == before
+        vms[0].upstream.is_healthy = True
+        await until(lambda: vms[0].sidecar.gate.is_open, 1.5)
+
+    with_mesh(check)
