Give up a lost opening packet to the store after a second

The client of the store bounded a whole read, 22 to 27 s, but not its connect, so the kernel's repeats of the opening packet (after 1, 3, 7 and 15 s) decided when the store was seen again.

Ruled out: the links between the VMs (they were up earlier; a mark of a rollout counts only once its order is known, and orders come from the store).

Change: a connect is given up after 1 s. The test fails without it (the read of a listener whose queue is full took 20 s and more).

--- a/src/lacewingstair/platform/store.py
+++ b/src/lacewingstair/platform/store.py
@@ -18,6 +18,9 @@
 MESH_TOPIC = "keyed.mesh"
 ONLY_PARTITION = 0
 MAX_READ_KB = 1024
+# The kernel repeats a lost opening packet after 1, 3, 7 and 15 s; a new attempt finds a
+# store that is back sooner.
+CONNECT_TIMEOUT_SECONDS = 1.0
 _LENGTH_BYTES = 4
 _OFFSETS_BYTES = 16
 _MAX_KEY_BYTES = 255
@@ -165,7 +168,10 @@
     ) -> Result[tuple[int, bytes], StoreUnavailable]:
         calls = self.calls_by_operation
         calls[operation] = calls.get(operation, 0) + 1
-        timeout = ClientTimeout(total=wait_seconds + self._timeout_seconds)
+        timeout = ClientTimeout(
+            total=wait_seconds + self._timeout_seconds,
+            sock_connect=CONNECT_TIMEOUT_SECONDS,
+        )
         try:
             async with self._open_session().request(
                 method,
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,7 @@
 import asyncio
 import random
+import socket
+import time
 
 from aiohttp.test_utils import TestServer
 from result import Err, Ok
@@ -120,3 +122,29 @@
         tail._deliver([KeyedRecord("a", b"2", 7)])
         tail._deliver([KeyedRecord("a", b"1", 6), KeyedRecord("", b"?", 8)])
         assert delivered == [KeyedRecord("a", b"2", 7)]
+
+
+def test_an_opening_packet_that_is_lost_is_given_up_soon():
+    """Guards against a VM that learns nothing for seconds after a cut has healed."""
+
+    async def main():
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(0)
+            address = listener.getsockname()
+            # The queue of new connections is full, so further ones get no answer.
+            queued = [socket.socket() for _ in range(3)]
+            for sock in queued:
+                sock.setblocking(False)
+                sock.connect_ex(address)
+            store = MetadataStore(f"http://127.0.0.1:{address[1]}", 2.0)
+            started = time.monotonic()
+            page = await store.read(TOPIC, 0, 20.0)
+            elapsed = time.monotonic() - started
+            await store.close()
+            for sock in queued:
+                sock.close()
+        assert isinstance(page.err_value, StoreUnavailable)
+        assert elapsed < 2.0
+
+    asyncio.run(main())
