--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -13,23 +13,23 @@
 from lacewingstair.backend_server.announce import AnnouncementServer
 from lacewingstair.caller.options import CallOptions
 from lacewingstair.caller.server import CallServer
-from lacewingstair.directory import Directory, VmRecord, VmStatus
 from lacewingstair.errors import ListenError
 from lacewingstair.http_server import application_runner, listen_all
-from lacewingstair.marks import Marks
-from lacewingstair.metrics import Metrics
+from lacewingstair.metrics.daemon import Metrics
 from lacewingstair.operator.api import OperatorApi
 from lacewingstair.operator.health import Health, build_health
 from lacewingstair.operator.observe import observe
 from lacewingstair.operator.report import build_report
-from lacewingstair.outcomes import OutcomeSinks
-from lacewingstair.rollouts import RolloutController
+from lacewingstair.rollouts.controller import RolloutController
+from lacewingstair.rollouts.marks import Marks
+from lacewingstair.routing.outcomes import OutcomeSinks
 from lacewingstair.runtime import Clock
-from lacewingstair.settings import Settings
-from lacewingstair.store import StateStore
+from lacewingstair.settings.declarations import Settings
 from lacewingstair.ticket_log.http_log import HttpLogClient
 from lacewingstair.ticket_log.options import LogOptions
 from lacewingstair.ticket_log.reader import LogReader
+from lacewingstair.tickets.state_store import StateStore
+from lacewingstair.vm.directory import Directory, VmRecord, VmStatus
 from lacewingstair.vm.node import VmNode
 from lacewingstair.vm.options import NodeOptions
 from lacewingstair.vm.transport import TcpTransport
--- a/src/lacewingstair/verdicts.py
+++ b/src/lacewingstair/rollouts/verdicts.py
@@ -11,8 +11,8 @@
 
 import attrs
 
-from lacewingstair.evidence import Place, Tally
-from lacewingstair.sequential_tests import (
+from lacewingstair.rollouts.evidence import Place, Tally
+from lacewingstair.rollouts.sequential_tests import (
     BadnessTest,
     Block,
     Clearance,
@@ -20,7 +20,7 @@
     badness_factors,
     soundness_factor,
 )
-from lacewingstair.tickets import Rollout
+from lacewingstair.tickets.parsing import Rollout
 
 # Probability that a good version is taken back at all, over all tests of a rollout.
 WRONG_TAKE_BACK = 1e-4
--- a/src/lacewingstair/acceptance.py
+++ b/src/lacewingstair/tickets/acceptance.py
@@ -14,8 +14,8 @@
 from result import Err
 
 from lacewingstair.errors import Fault
-from lacewingstair.routes import RouteTable
-from lacewingstair.tickets import (
+from lacewingstair.routing.routes import RouteTable
+from lacewingstair.tickets.parsing import (
     MAX_FAULTS,
     SECTIONS,
     Rollout,
--- a/tests/test_configuration.py
+++ b/tests/metadata/test_configuration.py
@@ -3,8 +3,8 @@
 
 import pytest
 
-from lacewingstair.configuration import CallRoute, SplitChooser, SplitPart
-from lacewingstair.routes import NamedRoute
+from lacewingstair.metadata.configuration import CallRoute, SplitChooser, SplitPart
+from lacewingstair.routing.routes import NamedRoute
 
 
 def split(**weights):
