--- a/tests/settings/test_declarations.py
+++ b/tests/settings/test_declarations.py
@@ -10,7 +10,7 @@
 from lacewingstair.settings.page import example_file, settings_page
 from lacewingstair.settings.reader import parse_settings
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[2]
 
 VALID = """\
 [vm]
