Serve callers that still come to a VM that leaves, and cut none of them

Cause: the platform goes on sending callers to a VM that is not ready while fewer than half of its zone's VMs are.

Change: the stop waits until no call has arrived for 0.5 s, within the time that the platform gives. A call that could outlast the process is refused as not run.

The test failed before the change (calls that would be cut were accepted).

--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -25,6 +25,7 @@
 GRACE_SECONDS = 0.2
 LEAST_RETRY_AFTER_SECONDS = 0.1
 NO_CONFIGURATION_RETRY_SECONDS = 0.3
+LEAVING_RETRY_SECONDS = 0.3
 # Calls that were refused together come back spread over this part of their delay.
 RETRY_AFTER_SPREAD = 0.5
 _BODILESS_STATUSES = (204, 304)
@@ -47,6 +48,18 @@
         Time and randomness.
     on_answer : callable
         Takes the route, the status (0 when the caller left) and the seconds of a call.
+
+    Attributes
+    ----------
+    open_calls : int
+        Calls that are not answered yet.
+    newest_call_at : float
+        When the newest call arrived, monotonic seconds.
+    is_draining : bool
+        Whether callers are asked to go elsewhere with their next call.
+    closes_at : float or None
+        When the process ends, monotonic seconds. Calls that could take longer are
+        refused, so that none is cut.
     """
 
     def __init__(
@@ -69,7 +82,9 @@
         self._splits = SplitChooser(rng)
         self._patience = Patience()
         self.open_calls = 0
+        self.newest_call_at = clock.monotonic()
         self.is_draining = False
+        self.closes_at: float | None = None
 
     def http_server(
         self, max_header_bytes: int, max_connections: int, buffer_bytes: int
@@ -86,6 +101,7 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call."""
         started_at = self._clock.monotonic()
+        self.newest_call_at = started_at
         self.open_calls += 1
         status, route = 0, ""
         try:
@@ -128,11 +144,13 @@
         body = await self._read_body(request, configuration.limits.max_body_bytes)
         if isinstance(body, Err):
             return body
-        return Ok(
-            self._call(
-                request, named, target.ok_value, body.ok_value, request_id, started_at
-            )
+        call = self._call(
+            request, named, target.ok_value, body.ok_value, request_id, started_at
         )
+        if self.closes_at is not None and call.end_at > self.closes_at:
+            delay = LEAVING_RETRY_SECONDS
+            return Err(self._refuse(request, 503, "the VM is leaving", delay))
+        return Ok(call)
 
     def _call(
         self,
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -65,6 +65,8 @@
 # Left between the end of a planned stop and the platform's kill.
 STOP_MARGIN_SECONDS = 0.6
 STOP_CHECK_SECONDS = 0.05
+# While too few VMs of a zone are ready, the platform sends callers to one that leaves.
+CALLERS_GONE_SECONDS = 0.5
 MAX_CALLER_CONNECTIONS = 2800
 
 
@@ -228,8 +230,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for runner in self._runners:
-            await runner.cleanup()
+        await asyncio.gather(*(runner.cleanup() for runner in self._runners))
         self.links.close()
         self.call_server.close()
         self.gate.close()
@@ -271,9 +272,11 @@
     async def _wait_for_calls(self, started_at: float) -> None:
         latest = started_at + self.bounds.stop_ms / 1000 - STOP_MARGIN_SECONDS
         earliest = min(latest, started_at + LEAVING_SECONDS)
+        self.ingress.closes_at = latest
         while (now := self.clock.monotonic()) < latest:
             is_idle = not self.ingress.open_calls and not self.call_server.open_calls
-            if is_idle and now >= earliest:
+            is_quiet = now - self.ingress.newest_call_at >= CALLERS_GONE_SECONDS
+            if is_idle and is_quiet and now >= earliest:
                 return
             await self.clock.sleep(STOP_CHECK_SECONDS)
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -349,3 +349,41 @@
         await until(lambda: vms[0].sidecar.gate.is_open, 1.5)
 
     with_mesh(check)
+
+
+def test_a_stop_serves_callers_that_still_come_and_cuts_none():
+    """Guards against callers of a zone whose VMs stop together.
+
+    The platform goes on sending callers to a VM that leaves while fewer than half of
+    its zone's VMs are ready.
+    """
+
+    async def check(_, vms, session):
+        for vm in vms[:2]:
+            vm.upstream.seconds = 0.2
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        stopping = asyncio.create_task(vms[2].sidecar.stop())
+        answers = []
+
+        async def call(number):
+            at = loop.time() - started
+            answers.append((at, *await vms[2].call(session, request_id=f"q{number}")))
+
+        calls = []
+        while loop.time() - started < 2.35:
+            calls.append(asyncio.create_task(call(len(calls))))
+            await asyncio.sleep(0.05)
+        assert not stopping.done()
+        await asyncio.gather(*calls)
+        await stopping
+        assert loop.time() - started < 3.0
+        for at, status, _, headers in answers:
+            # Calls have 0.9 s, and the process ends 2.4 s after the signal.
+            if at < 1.4:
+                assert status == 200, at
+            if at > 1.6:
+                assert status == 503, at
+                assert float(headers["Retry-After"]) < 1.0
+
+    with_mesh(check)
