Keep slots in use around stops and starts of processes

A process that starts during or after a rollout waited for a report (up to a heartbeat), as a health check does not tell the version.

Change: the gate stays open for three tenths of the time to stop. A call that finds no configuration waits for it, at most 0.25 s and three tenths of its own time, in the first second of a process; later ones are refused at once as before. The entry that the earlier process wrote to the store tells the version of a healthy backend server, and that it was reported as leaving.

Tests: the test of the planned stop asked that no call reaches the backend server right after the signal; it now asks so once the gate is closed, within 0.9 s of 3 s.

--- a/src/lacewingstair/backend_server/register.py
+++ b/src/lacewingstair/backend_server/register.py
@@ -116,7 +116,9 @@
         self._unconfirmed_since = None
         return True
 
-    def restore(self, upstream_id: str, slots: int, now: float) -> bool:
+    def restore(
+        self, upstream_id: str, slots: int, now: float, version: str = ""
+    ) -> bool:
         """Take a backend server that says it is healthy before its first report.
 
         Returns
@@ -130,7 +132,7 @@
             upstream_id,
             self._service,
             self._address,
-            "",
+            version,
             slots,
             UpstreamState.READY,
             RESTORED_SEQUENCE,
--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -26,6 +26,12 @@
 LEAST_RETRY_AFTER_SECONDS = 0.1
 NO_CONFIGURATION_RETRY_SECONDS = 0.3
 LEAVING_RETRY_SECONDS = 0.3
+# Callers are back before a process that was restarted has read the configuration, which
+# takes a round trip to the store or two. They need not come again for that.
+START_SECONDS = 1.0
+START_WAIT_SECONDS = 0.25
+# Part of the time of a call that it may wait so.
+START_WAIT_SHARE = 0.3
 # Calls that were refused together come back spread over this part of their delay.
 RETRY_AFTER_SPREAD = 0.5
 _BODILESS_STATUSES = (204, 304)
@@ -81,8 +87,9 @@
         self._on_answer = on_answer
         self._splits = SplitChooser(rng)
         self._patience = Patience()
+        self._started_at = clock.monotonic()
         self.open_calls = 0
-        self.newest_call_at = clock.monotonic()
+        self.newest_call_at = self._started_at
         self.is_draining = False
         self.closes_at: float | None = None
 
@@ -132,6 +139,8 @@
         if isinstance(target, Err):
             found = target.err_value
             return Err(self._refuse(request, found.status, found.reason))
+        if self._configurations.current.is_empty:
+            await self._configurations.wait(self._start_wait_seconds(request))
         configuration = self._configurations.current
         if configuration.is_empty:
             delay = NO_CONFIGURATION_RETRY_SECONDS
@@ -152,6 +161,14 @@
             return Err(self._refuse(request, 503, "the VM is leaving", delay))
         return Ok(call)
 
+    def _start_wait_seconds(self, request: web.BaseRequest) -> float:
+        """Return how long a call may wait for the first configuration."""
+        until_late = self._started_at + START_SECONDS - self._clock.monotonic()
+        asked_ms = headers.deadline_ms(request.headers)
+        if until_late <= 0 or asked_ms is None:
+            return 0.0
+        return min(START_WAIT_SECONDS, asked_ms / 1000 * START_WAIT_SHARE)
+
     def _call(
         self,
         request: web.BaseRequest,
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -60,8 +60,14 @@
 MESH_BATCH_SECONDS = 1.5
 SWEEP_SECONDS = 1.0
 CONFIGURATION_CHECK_SECONDS = 0.05
+# The entry of an earlier process is waited for until so long after the start; the store
+# may not answer.
+FORMER_ENTRY_SECONDS = 0.3
 # The platform sends no callers after two missed checks, one each second.
 LEAVING_SECONDS = 2.2
+# Part of the time to stop in which the gate stays open: the process waits for callers
+# to go elsewhere anyway, and its backend server's slots are missed meanwhile.
+GATE_OPEN_SHARE = 0.3
 # Left between the end of a planned stop and the platform's kill.
 STOP_MARGIN_SECONDS = 0.6
 STOP_CHECK_SECONDS = 0.05
@@ -95,7 +101,8 @@
         self.confirmation = UpstreamConfirmation(
             self.register,
             self._ask_upstream,
-            self._may_restore_upstream,
+            lambda: self.registration.former,
+            lambda: self.rollouts.get(self.gate.service) is not None,
             self._apply_register,
             clock,
         )
@@ -165,27 +172,26 @@
         )
         self.announcements = Announcements(self._take_report, self._take_leave)
         self.operator = SidecarApi(self.status, self.metrics.registry)
-        self.tails = (
-            KeyedTail(
-                self.store,
-                platform_store.OPERATOR_TOPIC,
-                self.records.take_operator_records,
-                clock,
-                rng,
-                CONFIGURATION_WAIT_SECONDS,
-                CONFIGURATION_BATCH_SECONDS,
-            ),
-            KeyedTail(
-                self.store,
-                platform_store.MESH_TOPIC,
-                self.records.take_entries,
-                clock,
-                rng,
-                MESH_WAIT_SECONDS,
-                MESH_BATCH_SECONDS,
-            ),
+        self._operator_tail = KeyedTail(
+            self.store,
+            platform_store.OPERATOR_TOPIC,
+            self.records.take_operator_records,
+            clock,
+            rng,
+            CONFIGURATION_WAIT_SECONDS,
+            CONFIGURATION_BATCH_SECONDS,
+        )
+        self._mesh_tail = KeyedTail(
+            self.store,
+            platform_store.MESH_TOPIC,
+            self.records.take_entries,
+            clock,
+            rng,
+            MESH_WAIT_SECONDS,
+            MESH_BATCH_SECONDS,
         )
         self.registration.subscribe(self._announce_entry)
+        self._started_at = clock.monotonic()
         self._is_leaving = False
         self._cold_until = 0.0
         self._runners: list[web.AppRunner | web.ServerRunner] = []
@@ -199,7 +205,7 @@
         served = await listen_all(self._interfaces(), self._runners)
         if isinstance(served, Err):
             return served
-        runs = [tail.run() for tail in self.tails]
+        runs = [self._operator_tail.run(), self._mesh_tail.run()]
         runs += [self.registration.run(), self.links.run(), self._sweep()]
         runs += [self.rollouts.run(), self.confirmation.run()]
         self._tasks.extend(asyncio.create_task(run) for run in runs)
@@ -218,9 +224,7 @@
         started_at = self.clock.monotonic()
         events.info("daemon_leaving", vm=self.settings.vm_id)
         self._is_leaving = True
-        self.gate.is_stopping = True
         self.ingress.is_draining = True
-        self.registration.change(is_leaving=True)
         await self._wait_for_calls(started_at)
         await self.close()
         events.info("daemon_stopped", vm=self.settings.vm_id)
@@ -270,16 +274,24 @@
         }
 
     async def _wait_for_calls(self, started_at: float) -> None:
-        latest = started_at + self.bounds.stop_ms / 1000 - STOP_MARGIN_SECONDS
+        stop_seconds = self.bounds.stop_ms / 1000
+        latest = started_at + stop_seconds - STOP_MARGIN_SECONDS
         earliest = min(latest, started_at + LEAVING_SECONDS)
         self.ingress.closes_at = latest
         while (now := self.clock.monotonic()) < latest:
+            if now >= started_at + GATE_OPEN_SHARE * stop_seconds:
+                self._leave_mesh()
             is_idle = not self.ingress.open_calls and not self.call_server.open_calls
             is_quiet = now - self.ingress.newest_call_at >= CALLERS_GONE_SECONDS
             if is_idle and is_quiet and now >= earliest:
                 return
             await self.clock.sleep(STOP_CHECK_SECONDS)
 
+    def _leave_mesh(self) -> None:
+        """Let the calls of other VMs, and of this one, go to other gates."""
+        self.gate.is_stopping = True
+        self.registration.change(is_leaving=True)
+
     def _interfaces(self) -> Iterator[tuple[str, web.AppRunner | web.ServerRunner]]:
         settings = self.settings
         calls = settings.calls
@@ -323,6 +335,9 @@
         """Make a health check, as soon as the configuration tells its path."""
         while self.configurations.current.is_empty:
             await self.clock.sleep(CONFIGURATION_CHECK_SECONDS)
+        latest = self._started_at + FORMER_ENTRY_SECONDS
+        while not self._mesh_tail.has_read and self.clock.monotonic() < latest:
+            await self.clock.sleep(CONFIGURATION_CHECK_SECONDS)
         address = self.settings.backend_servers.own_address
         service = self.gate.service
         terms = self.configurations.current.services_by_name.get(service)
@@ -331,10 +346,6 @@
             return Err(ConnectError(address, reason))
         return await ask_health(address, terms.health_path)
 
-    def _may_restore_upstream(self) -> bool:
-        # A health check does not tell the version, which a rollout depends on.
-        return self.rollouts.get(self.gate.service) is None
-
     def _live_vm_ids(self) -> list[str]:
         linked = (link.entry for link in self.links if link.is_connected)
         live = [entry.vm_id for entry in linked if not entry.is_leaving]
--- a/src/lacewingstair/vm/registration.py
+++ b/src/lacewingstair/vm/registration.py
@@ -34,6 +34,13 @@
         Writes the entry under the VM's id; None drops it.
     clock, rng
         Time and randomness.
+
+    Attributes
+    ----------
+    entry : VmEntry
+        The entry now.
+    former : VmEntry or None
+        Newest entry that an earlier process of this VM has written.
     """
 
     def __init__(
@@ -45,6 +52,7 @@
         rng: random.Random,
     ) -> None:
         self.entry = entry
+        self.former: VmEntry | None = None
         self._view = view
         self._write = write
         self._clock = clock
@@ -71,6 +79,9 @@
         effect late.
         """
         own = self.entry
+        is_former = entry.incarnation != own.incarnation
+        if is_former and (self.former is None or entry.order > self.former.order):
+            self.former = entry
         if entry.order > own.order:
             self._replace(attrs.evolve(own, incarnation=entry.incarnation + 1))
         elif entry.order < own.order:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -254,6 +254,9 @@
         await asyncio.sleep(0.1)
         stopping = asyncio.create_task(vms[0].sidecar.stop())
         await asyncio.sleep(0.1)
+        assert not await vms[0].is_ready(session)
+        await until(lambda: vms[0].sidecar.gate.is_stopping, 0.9)
+        await asyncio.sleep(0.1)
         before = len(vms[0].upstream.runs)
         assert (await vms[2].call(session, request_id="new"))[0] == 200
         assert "new" in vms[1].upstream.runs
