Stay for callers until the end of the time to stop when no backend server is left

Change: a process whose backend server is gone ends when its time to stop does; nothing waits for its restart. The test failed before.

--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -48,7 +48,7 @@
     MarkChanged,
 )
 from lacewingstair.vm.call_server import CallStreamServer
-from lacewingstair.vm.entries import MeshView, VmEntry
+from lacewingstair.vm.entries import MeshView, UpstreamState, VmEntry
 from lacewingstair.vm.registration import Registration
 
 # Waits of reads; the longest for which a connection gone silent can go unnoticed is
@@ -276,7 +276,9 @@
     async def _wait_for_calls(self, started_at: float) -> None:
         stop_seconds = self.bounds.stop_ms / 1000
         latest = started_at + stop_seconds - STOP_MARGIN_SECONDS
-        earliest = min(latest, started_at + LEAVING_SECONDS)
+        has_upstream = self.gate.identity.state is not UpstreamState.ABSENT
+        # Without one the VM is removed, and a later end keeps no slots waiting.
+        earliest = started_at + LEAVING_SECONDS if has_upstream else latest
         self.ingress.closes_at = latest
         while (now := self.clock.monotonic()) < latest:
             if now >= started_at + GATE_OPEN_SHARE * stop_seconds:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -390,3 +390,23 @@
                 assert float(headers["Retry-After"]) < 1.0
 
     with_mesh(check)
+
+
+def test_a_stop_without_a_backend_server_takes_all_of_its_time():
+    """Guards against callers who find no listener on a VM that is being removed."""
+
+    async def check(_, vms, session):
+        url = f"http://{vms[0].host}:7102/instances/{vms[0].upstream.upstream_id}"
+        async with session.delete(url) as answer:
+            assert answer.status == 200
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        stopping = asyncio.create_task(vms[0].sidecar.stop())
+        await asyncio.sleep(2.3)
+        assert not stopping.done()
+        status, _, headers = await vms[0].call(session, request_id="late")
+        assert (status, headers["Connection"]) == (503, "close")
+        await stopping
+        assert loop.time() - started < 3.0
+
+    with_mesh(check)
