Let calls wait at a start until the gates of other VMs are known too

Change: the wait has a module of its own and ends when the gates of half of the known VMs are known, a second after the start, or after 0.25 s and three tenths of the time of a call.

--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -14,6 +14,7 @@
 from lacewingstair.caller.forwarding import ForwardCall, Forwarder, NotServed
 from lacewingstair.caller.patience import Patience
 from lacewingstair.caller.raw_answer import WholeAnswer
+from lacewingstair.caller.start_wait import StartWait
 from lacewingstair.http_server import call_server
 from lacewingstair.metadata.configuration import ConfigurationStore, SplitChooser
 from lacewingstair.platform import headers
@@ -26,12 +27,6 @@
 LEAST_RETRY_AFTER_SECONDS = 0.1
 NO_CONFIGURATION_RETRY_SECONDS = 0.3
 LEAVING_RETRY_SECONDS = 0.3
-# Callers are back before a process that was restarted has read the configuration, which
-# takes a round trip to the store or two. They need not come again for that.
-START_SECONDS = 1.0
-START_WAIT_SECONDS = 0.25
-# Part of the time of a call that it may wait so.
-START_WAIT_SHARE = 0.3
 # Calls that were refused together come back spread over this part of their delay.
 RETRY_AFTER_SPREAD = 0.5
 _BODILESS_STATUSES = (204, 304)
@@ -50,6 +45,8 @@
         Sends calls to gates.
     gate : Gate
         Gate of this VM, whose backend server makes calls for those that it runs.
+    start_wait : StartWait
+        Bounds how long calls wait after the start of the process.
     clock, rng
         Time and randomness.
     on_answer : callable
@@ -74,6 +71,7 @@
         configurations: ConfigurationStore,
         forwarder: Forwarder,
         gate: Gate,
+        start_wait: StartWait,
         clock: Clock,
         rng: random.Random,
         on_answer: Callable[[str, int, float], None] = lambda route, status, s: None,
@@ -82,14 +80,14 @@
         self._configurations = configurations
         self._forwarder = forwarder
         self._gate = gate
+        self._start_wait = start_wait
         self._clock = clock
         self._rng = rng
         self._on_answer = on_answer
         self._splits = SplitChooser(rng)
         self._patience = Patience()
-        self._started_at = clock.monotonic()
         self.open_calls = 0
-        self.newest_call_at = self._started_at
+        self.newest_call_at = clock.monotonic()
         self.is_draining = False
         self.closes_at: float | None = None
 
@@ -139,8 +137,7 @@
         if isinstance(target, Err):
             found = target.err_value
             return Err(self._refuse(request, found.status, found.reason))
-        if self._configurations.current.is_empty:
-            await self._configurations.wait(self._start_wait_seconds(request))
+        await self._start_wait.wait(headers.deadline_ms(request.headers))
         configuration = self._configurations.current
         if configuration.is_empty:
             delay = NO_CONFIGURATION_RETRY_SECONDS
@@ -161,14 +158,6 @@
             return Err(self._refuse(request, 503, "the VM is leaving", delay))
         return Ok(call)
 
-    def _start_wait_seconds(self, request: web.BaseRequest) -> float:
-        """Return how long a call may wait for the first configuration."""
-        until_late = self._started_at + START_SECONDS - self._clock.monotonic()
-        asked_ms = headers.deadline_ms(request.headers)
-        if until_late <= 0 or asked_ms is None:
-            return 0.0
-        return min(START_WAIT_SECONDS, asked_ms / 1000 * START_WAIT_SHARE)
-
     def _call(
         self,
         request: web.BaseRequest,
--- a/src/lacewingstair/metadata/configuration.py
+++ b/src/lacewingstair/metadata/configuration.py
@@ -1,7 +1,5 @@
 """Configuration as a VM that forwards calls uses it: routes, services and limits."""
 
-import asyncio
-import contextlib
 import random
 from collections.abc import Callable, Mapping
 
@@ -144,13 +142,6 @@
     def __init__(self) -> None:
         self.current = Configuration()
         self._listeners: list[Callable[[Configuration], None]] = []
-        self._is_held = asyncio.Event()
-
-    async def wait(self, timeout_seconds: float) -> None:
-        """Wait until there is any configuration, or the time has passed."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(timeout_seconds):
-                await self._is_held.wait()
 
     def subscribe(self, listener: Callable[[Configuration], None]) -> None:
         """Call `listener` with each new configuration."""
@@ -161,7 +152,6 @@
         if configuration.number <= self.current.number:
             return False
         self.current = configuration
-        self._is_held.set()
         for listener in self._listeners:
             listener(configuration)
         return True
