--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -14,6 +14,7 @@
 from lacewingstair.caller.forwarding import ForwardCall, Forwarder, NotServed
 from lacewingstair.caller.patience import Patience
 from lacewingstair.caller.raw_answer import WholeAnswer
+from lacewingstair.caller.start_wait import StartWait
 from lacewingstair.http_server import call_server
 from lacewingstair.metadata.configuration import ConfigurationStore, SplitChooser
 from lacewingstair.platform import headers
@@ -25,6 +26,7 @@
 GRACE_SECONDS = 0.2
 LEAST_RETRY_AFTER_SECONDS = 0.1
 NO_CONFIGURATION_RETRY_SECONDS = 0.3
+LEAVING_RETRY_SECONDS = 0.3
 # Calls that were refused together come back spread over this part of their delay.
 RETRY_AFTER_SPREAD = 0.5
 _BODILESS_STATUSES = (204, 304)
@@ -43,10 +45,24 @@
         Sends calls to gates.
     gate : Gate
         Gate of this VM, whose backend server makes calls for those that it runs.
+    start_wait : StartWait
+        Bounds how long calls wait after the start of the process.
     clock, rng
         Time and randomness.
     on_answer : callable
         Takes the route, the status (0 when the caller left) and the seconds of a call.
+
+    Attributes
+    ----------
+    open_calls : int
+        Calls that are not answered yet.
+    newest_call_at : float
+        When the newest call arrived, monotonic seconds.
+    is_draining : bool
+        Whether callers are asked to go elsewhere with their next call.
+    closes_at : float or None
+        When the process ends, monotonic seconds. Calls that could take longer are
+        refused, so that none is cut.
     """
 
     def __init__(
@@ -55,6 +71,7 @@
         configurations: ConfigurationStore,
         forwarder: Forwarder,
         gate: Gate,
+        start_wait: StartWait,
         clock: Clock,
         rng: random.Random,
         on_answer: Callable[[str, int, float], None] = lambda route, status, s: None,
@@ -63,13 +80,16 @@
         self._configurations = configurations
         self._forwarder = forwarder
         self._gate = gate
+        self._start_wait = start_wait
         self._clock = clock
         self._rng = rng
         self._on_answer = on_answer
         self._splits = SplitChooser(rng)
         self._patience = Patience()
         self.open_calls = 0
+        self.newest_call_at = clock.monotonic()
         self.is_draining = False
+        self.closes_at: float | None = None
 
     def http_server(
         self, max_header_bytes: int, max_connections: int, buffer_bytes: int
@@ -86,6 +106,7 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call."""
         started_at = self._clock.monotonic()
+        self.newest_call_at = started_at
         self.open_calls += 1
         status, route = 0, ""
         try:
@@ -116,6 +137,7 @@
         if isinstance(target, Err):
             found = target.err_value
             return Err(self._refuse(request, found.status, found.reason))
+        await self._start_wait.wait(headers.deadline_ms(request.headers))
         configuration = self._configurations.current
         if configuration.is_empty:
             delay = NO_CONFIGURATION_RETRY_SECONDS
@@ -128,11 +150,13 @@
         body = await self._read_body(request, configuration.limits.max_body_bytes)
         if isinstance(body, Err):
             return body
-        return Ok(
-            self._call(
-                request, named, target.ok_value, body.ok_value, request_id, started_at
-            )
+        call = self._call(
+            request, named, target.ok_value, body.ok_value, request_id, started_at
         )
+        if self.closes_at is not None and call.end_at > self.closes_at:
+            delay = LEAVING_RETRY_SECONDS
+            return Err(self._refuse(request, 503, "the VM is leaving", delay))
+        return Ok(call)
 
     def _call(
         self,
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -24,6 +24,7 @@
 )
 from lacewingstair.caller.forwarding import Forwarder
 from lacewingstair.caller.ingress import Ingress
+from lacewingstair.caller.start_wait import StartWait
 from lacewingstair.errors import ConnectError, ListenError, SettingsError
 from lacewingstair.http_server import application_runner, listen_all
 from lacewingstair.metadata.configuration import ConfigurationStore
@@ -48,7 +49,7 @@
     MarkChanged,
 )
 from lacewingstair.vm.call_server import CallStreamServer
-from lacewingstair.vm.entries import MeshView, VmEntry
+from lacewingstair.vm.entries import MeshView, UpstreamState, VmEntry
 from lacewingstair.vm.registration import Registration
 
 # Waits of reads; the longest for which a connection gone silent can go unnoticed is
@@ -60,11 +61,19 @@
 MESH_BATCH_SECONDS = 1.5
 SWEEP_SECONDS = 1.0
 CONFIGURATION_CHECK_SECONDS = 0.05
+# The entry of an earlier process is waited for until so long after the start; the store
+# may not answer.
+FORMER_ENTRY_SECONDS = 0.3
 # The platform sends no callers after two missed checks, one each second.
 LEAVING_SECONDS = 2.2
+# Part of the time to stop in which the gate stays open: the process waits for callers
+# to go elsewhere anyway, and its backend server's slots are missed meanwhile.
+GATE_OPEN_SHARE = 0.3
 # Left between the end of a planned stop and the platform's kill.
 STOP_MARGIN_SECONDS = 0.6
 STOP_CHECK_SECONDS = 0.05
+# While too few VMs of a zone are ready, the platform sends callers to one that leaves.
+CALLERS_GONE_SECONDS = 0.5
 MAX_CALLER_CONNECTIONS = 2800
 
 
@@ -93,7 +102,8 @@
         self.confirmation = UpstreamConfirmation(
             self.register,
             self._ask_upstream,
-            self._may_restore_upstream,
+            lambda: self.registration.former,
+            lambda: self.rollouts.get(self.gate.service) is not None,
             self._apply_register,
             clock,
         )
@@ -149,11 +159,13 @@
             rng,
             self.bounds.repeat_share,
         )
+        self.start_wait = StartWait(self._is_informed, clock)
         self.ingress = Ingress(
             own.own_service,
             self.configurations,
             self.forwarder,
             self.gate,
+            self.start_wait,
             clock,
             rng,
             self.metrics.count_call,
@@ -163,27 +175,26 @@
         )
         self.announcements = Announcements(self._take_report, self._take_leave)
         self.operator = SidecarApi(self.status, self.metrics.registry)
-        self.tails = (
-            KeyedTail(
-                self.store,
-                platform_store.OPERATOR_TOPIC,
-                self.records.take_operator_records,
-                clock,
-                rng,
-                CONFIGURATION_WAIT_SECONDS,
-                CONFIGURATION_BATCH_SECONDS,
-            ),
-            KeyedTail(
-                self.store,
-                platform_store.MESH_TOPIC,
-                self.records.take_entries,
-                clock,
-                rng,
-                MESH_WAIT_SECONDS,
-                MESH_BATCH_SECONDS,
-            ),
+        self._operator_tail = KeyedTail(
+            self.store,
+            platform_store.OPERATOR_TOPIC,
+            self.records.take_operator_records,
+            clock,
+            rng,
+            CONFIGURATION_WAIT_SECONDS,
+            CONFIGURATION_BATCH_SECONDS,
+        )
+        self._mesh_tail = KeyedTail(
+            self.store,
+            platform_store.MESH_TOPIC,
+            self.records.take_entries,
+            clock,
+            rng,
+            MESH_WAIT_SECONDS,
+            MESH_BATCH_SECONDS,
         )
         self.registration.subscribe(self._announce_entry)
+        self._started_at = clock.monotonic()
         self._is_leaving = False
         self._cold_until = 0.0
         self._runners: list[web.AppRunner | web.ServerRunner] = []
@@ -197,9 +208,10 @@
         served = await listen_all(self._interfaces(), self._runners)
         if isinstance(served, Err):
             return served
-        runs = [tail.run() for tail in self.tails]
+        runs = [self._operator_tail.run(), self._mesh_tail.run()]
         runs += [self.registration.run(), self.links.run(), self._sweep()]
         runs += [self.rollouts.run(), self.confirmation.run()]
+        runs.append(self.start_wait.run())
         self._tasks.extend(asyncio.create_task(run) for run in runs)
         settings = self.settings
         events.info(
@@ -216,9 +228,7 @@
         started_at = self.clock.monotonic()
         events.info("daemon_leaving", vm=self.settings.vm_id)
         self._is_leaving = True
-        self.gate.is_stopping = True
         self.ingress.is_draining = True
-        self.registration.change(is_leaving=True)
         await self._wait_for_calls(started_at)
         await self.close()
         events.info("daemon_stopped", vm=self.settings.vm_id)
@@ -228,8 +238,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for runner in self._runners:
-            await runner.cleanup()
+        await asyncio.gather(*(runner.cleanup() for runner in self._runners))
         self.links.close()
         self.call_server.close()
         self.gate.close()
@@ -250,6 +259,14 @@
         """Return whether callers may be sent to this VM."""
         return not self._is_leaving and not self.configurations.current.is_empty
 
+    def _is_informed(self) -> bool:
+        """Return whether the gates of half of the VMs are known, and the routes."""
+        is_alone = len(self.view) == 1 and not self._mesh_tail.has_read
+        if self.configurations.current.is_empty or is_alone:
+            return False
+        gates = sum(link.load.is_open for link in self.links) + self.gate.is_open
+        return 2 * gates >= len(self.view)
+
     def status(self) -> Mapping[str, Any]:
         """Return the JSON object of ``/status``."""
         load = self.gate.load()
@@ -269,14 +286,26 @@
         }
 
     async def _wait_for_calls(self, started_at: float) -> None:
-        latest = started_at + self.bounds.stop_ms / 1000 - STOP_MARGIN_SECONDS
-        earliest = min(latest, started_at + LEAVING_SECONDS)
+        stop_seconds = self.bounds.stop_ms / 1000
+        latest = started_at + stop_seconds - STOP_MARGIN_SECONDS
+        has_upstream = self.gate.identity.state is not UpstreamState.ABSENT
+        # Without one the VM is removed, and a later end keeps no slots waiting.
+        earliest = started_at + LEAVING_SECONDS if has_upstream else latest
+        self.ingress.closes_at = latest
         while (now := self.clock.monotonic()) < latest:
+            if now >= started_at + GATE_OPEN_SHARE * stop_seconds:
+                self._leave_mesh()
             is_idle = not self.ingress.open_calls and not self.call_server.open_calls
-            if is_idle and now >= earliest:
+            is_quiet = now - self.ingress.newest_call_at >= CALLERS_GONE_SECONDS
+            if is_idle and is_quiet and now >= earliest:
                 return
             await self.clock.sleep(STOP_CHECK_SECONDS)
 
+    def _leave_mesh(self) -> None:
+        """Let the calls of other VMs, and of this one, go to other gates."""
+        self.gate.is_stopping = True
+        self.registration.change(is_leaving=True)
+
     def _interfaces(self) -> Iterator[tuple[str, web.AppRunner | web.ServerRunner]]:
         settings = self.settings
         calls = settings.calls
@@ -320,6 +349,9 @@
         """Make a health check, as soon as the configuration tells its path."""
         while self.configurations.current.is_empty:
             await self.clock.sleep(CONFIGURATION_CHECK_SECONDS)
+        latest = self._started_at + FORMER_ENTRY_SECONDS
+        while not self._mesh_tail.has_read and self.clock.monotonic() < latest:
+            await self.clock.sleep(CONFIGURATION_CHECK_SECONDS)
         address = self.settings.backend_servers.own_address
         service = self.gate.service
         terms = self.configurations.current.services_by_name.get(service)
@@ -328,10 +360,6 @@
             return Err(ConnectError(address, reason))
         return await ask_health(address, terms.health_path)
 
-    def _may_restore_upstream(self) -> bool:
-        # A health check does not tell the version, which a rollout depends on.
-        return self.rollouts.get(self.gate.service) is None
-
     def _live_vm_ids(self) -> list[str]:
         linked = (link.entry for link in self.links if link.is_connected)
         live = [entry.vm_id for entry in linked if not entry.is_leaving]
--- a/tests/caller/test_ingress.py
+++ b/tests/caller/test_ingress.py
@@ -8,6 +8,7 @@
 
 from lacewingstair.caller.forwarding import NotServed
 from lacewingstair.caller.ingress import Ingress
+from lacewingstair.caller.start_wait import StartWait
 from lacewingstair.metadata.configuration import ConfigurationStore
 from lacewingstair.platform.configuration import decode_configuration
 from lacewingstair.runtime import SystemClock
@@ -41,14 +42,26 @@
         self.unserved.append(request_id)
 
 
+def configured():
+    configurations = ConfigurationStore()
+    text = json.dumps(document(1, ROUTES)).encode()
+    configurations.adopt(decode_configuration(text).unwrap())
+    return configurations
+
+
 def with_ingress(check):
     async def main():
-        configurations = ConfigurationStore()
-        text = json.dumps(document(1, ROUTES)).encode()
-        configurations.adopt(decode_configuration(text).unwrap())
+        start_wait = StartWait(lambda: True, SystemClock())
+        await start_wait.run()
         forwarder, gate = Forwarder(), RunningGate("parent")
         ingress = Ingress(
-            "book", configurations, forwarder, gate, SystemClock(), random.Random(1)
+            "book",
+            configured(),
+            forwarder,
+            gate,
+            start_wait,
+            SystemClock(),
+            random.Random(1),
         )
         http = ingress.http_server(8190, 100, 65536)
         loop = asyncio.get_running_loop()
