Refuse calls at once again while a process has no configuration

Tried: calls waited at the start of a process for the configuration, and then also for the gates of half of the VMs. All calls that waited were placed at one moment, on gates that had just opened; the refusals, whose delays are drawn, spread them.

--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -14,7 +14,6 @@
 from lacewingstair.caller.forwarding import ForwardCall, Forwarder, NotServed
 from lacewingstair.caller.patience import Patience
 from lacewingstair.caller.raw_answer import WholeAnswer
-from lacewingstair.caller.start_wait import StartWait
 from lacewingstair.http_server import call_server
 from lacewingstair.metadata.configuration import ConfigurationStore, SplitChooser
 from lacewingstair.platform import headers
@@ -45,8 +44,6 @@
         Sends calls to gates.
     gate : Gate
         Gate of this VM, whose backend server makes calls for those that it runs.
-    start_wait : StartWait
-        Bounds how long calls wait after the start of the process.
     clock, rng
         Time and randomness.
     on_answer : callable
@@ -71,7 +68,6 @@
         configurations: ConfigurationStore,
         forwarder: Forwarder,
         gate: Gate,
-        start_wait: StartWait,
         clock: Clock,
         rng: random.Random,
         on_answer: Callable[[str, int, float], None] = lambda route, status, s: None,
@@ -80,7 +76,6 @@
         self._configurations = configurations
         self._forwarder = forwarder
         self._gate = gate
-        self._start_wait = start_wait
         self._clock = clock
         self._rng = rng
         self._on_answer = on_answer
@@ -137,7 +132,6 @@
         if isinstance(target, Err):
             found = target.err_value
             return Err(self._refuse(request, found.status, found.reason))
-        await self._start_wait.wait(headers.deadline_ms(request.headers))
         configuration = self._configurations.current
         if configuration.is_empty:
             delay = NO_CONFIGURATION_RETRY_SECONDS
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -24,7 +24,6 @@
 )
 from lacewingstair.caller.forwarding import Forwarder
 from lacewingstair.caller.ingress import Ingress
-from lacewingstair.caller.start_wait import StartWait
 from lacewingstair.errors import ConnectError, ListenError, SettingsError
 from lacewingstair.http_server import application_runner, listen_all
 from lacewingstair.metadata.configuration import ConfigurationStore
@@ -159,13 +158,11 @@
             rng,
             self.bounds.repeat_share,
         )
-        self.start_wait = StartWait(self._is_informed, clock)
         self.ingress = Ingress(
             own.own_service,
             self.configurations,
             self.forwarder,
             self.gate,
-            self.start_wait,
             clock,
             rng,
             self.metrics.count_call,
@@ -211,7 +208,6 @@
         runs = [self._operator_tail.run(), self._mesh_tail.run()]
         runs += [self.registration.run(), self.links.run(), self._sweep()]
         runs += [self.rollouts.run(), self.confirmation.run()]
-        runs.append(self.start_wait.run())
         self._tasks.extend(asyncio.create_task(run) for run in runs)
         settings = self.settings
         events.info(
@@ -259,14 +255,6 @@
         """Return whether callers may be sent to this VM."""
         return not self._is_leaving and not self.configurations.current.is_empty
 
-    def _is_informed(self) -> bool:
-        """Return whether the gates of half of the VMs are known, and the routes."""
-        is_alone = len(self.view) == 1 and not self._mesh_tail.has_read
-        if self.configurations.current.is_empty or is_alone:
-            return False
-        gates = sum(link.load.is_open for link in self.links) + self.gate.is_open
-        return 2 * gates >= len(self.view)
-
     def status(self) -> Mapping[str, Any]:
         """Return the JSON object of ``/status``."""
         load = self.gate.load()
--- a/tests/caller/test_ingress.py
+++ b/tests/caller/test_ingress.py
@@ -8,7 +8,6 @@
 
 from lacewingstair.caller.forwarding import NotServed
 from lacewingstair.caller.ingress import Ingress
-from lacewingstair.caller.start_wait import StartWait
 from lacewingstair.metadata.configuration import ConfigurationStore
 from lacewingstair.platform.configuration import decode_configuration
 from lacewingstair.runtime import SystemClock
@@ -51,15 +50,12 @@
 
 def with_ingress(check):
     async def main():
-        start_wait = StartWait(lambda: True, SystemClock())
-        await start_wait.run()
         forwarder, gate = Forwarder(), RunningGate("parent")
         ingress = Ingress(
             "book",
             configured(),
             forwarder,
             gate,
-            start_wait,
             SystemClock(),
             random.Random(1),
         )
