Let reports alone never reopen the gate to one that has signed off

Cause: a backend server can sign off before this process has taken any of its reports, and go on reporting that it is ready while it serves until its end. Five seconds of such reports confirmed it without a health check.

Change: the ids that signed off so are remembered; one that starts again under its id is confirmed by a health check. The test failed before.

--- a/src/lacewingstair/backend_server/register.py
+++ b/src/lacewingstair/backend_server/register.py
@@ -89,6 +89,8 @@
         self._newest: UpstreamReport | None = None
         self._reported_at = 0.0
         self._gone_runs: list[tuple[int, str]] = []
+        # Ids that signed off before any of their reports was taken here.
+        self._signed_off_ids: list[str] = []
         self._is_unreachable = False
         # Since when an unconfirmed run has been reported; None when it is confirmed.
         self._unconfirmed_since: float | None = None
@@ -165,6 +167,8 @@
         """Take the sign-off of a backend server."""
         held = self._newest
         if held is None or held.upstream_id != upstream_id:
+            signed_off = [*self._signed_off_ids, upstream_id]
+            self._signed_off_ids = signed_off[-MAX_REMEMBERED_RUNS:]
             return
         self._remember_gone(held.run)
         self._newest = None
@@ -202,6 +206,8 @@
         since = self._unconfirmed_since
         if since is None or now - since < CONFIRMED_AFTER_SECONDS:
             return False
+        if report.upstream_id in self._signed_off_ids:
+            return False
         return self._newest is not None and self._newest.run == report.run
 
     def _remember_gone(self, run: tuple[int, str]) -> None:
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -135,6 +135,16 @@
         register.report(report(sequence=3), 5.5)
         assert register.identity(5.5).state is UpstreamState.READY
 
+    def test_reports_after_a_sign_off_that_came_first_do_not_confirm(self):
+        """Guards against calls to one that reports itself until it ends."""
+        register = UpstreamRegister("board", "10.0.0.1:80", 10.0)
+        register.leave("i-1")
+        for number in range(1, 12):
+            register.report(report(sequence=number), float(number))
+            assert register.identity(float(number)).state is UpstreamState.ABSENT
+        assert register.confirm("i-1")
+        assert register.identity(11.0).state is UpstreamState.READY
+
     def test_a_late_report_after_a_sign_off_in_this_process_does_not_confirm(self):
         register = UpstreamRegister("board", "10.0.0.1:80", 10.0)
         register.report(report(sequence=1), 0.0)
