Log calls that their caller left, and where they were

Cause: a call that ended with its caller's deadline left no line, so it could not be followed from its id. `call_left` names the caller's wait and `call_abandoned` the VM, the attempt and the time left. Both are bounded like other failures.

--- a/src/lacewingstair/caller/forwarding.py
+++ b/src/lacewingstair/caller/forwarding.py
@@ -1,5 +1,6 @@
 """Forwards a call to the backend servers of its service, through their gates."""
 
+import asyncio
 import random
 from collections.abc import Callable, Iterator
 
@@ -156,7 +157,11 @@
             vm_id = self._choose(call, progress)
             if vm_id is None:
                 return self._final(progress)
-            outcome = await self._run_at(vm_id, call)
+            try:
+                outcome = await self._run_at(vm_id, call)
+            except asyncio.CancelledError:
+                self._log_abandoned(call, vm_id, progress)
+                raise
             progress.tried.add(vm_id)
             if progress.wants_new:
                 # What the new version does not serve is served by the old one.
@@ -305,6 +310,21 @@
             self._budgets_by_service[service] = found
         return found
 
+    def _log_abandoned(
+        self, call: ForwardCall, vm_id: str, progress: _Progress
+    ) -> None:
+        """Log where a call was when its caller left or its time was over."""
+        events.call_line(
+            "call_abandoned",
+            is_failure=True,
+            call=call.request_id,
+            route=call.route_name,
+            service=call.service,
+            vm=vm_id,
+            attempt=len(progress.tried) + 1,
+            left_ms=round((call.end_at - self._clock.monotonic()) * 1000),
+        )
+
     def _log(
         self,
         call: ForwardCall,
--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -114,6 +114,9 @@
             response = await self._forward(request, call)
             status = response.status
             return response
+        except asyncio.CancelledError:
+            self._log_left(request, route, started_at)
+            raise
         finally:
             self.open_calls -= 1
             if not 200 <= status < 300:
@@ -121,6 +124,20 @@
                 self._gate.note_unserved_call(headers.parent_id(request_id))
             self._on_answer(route, status, self._clock.monotonic() - started_at)
 
+    def _log_left(
+        self, request: web.BaseRequest, route: str, started_at: float
+    ) -> None:
+        """Log that a caller has closed its connection before its answer."""
+        waited_ms = (self._clock.monotonic() - started_at) * 1000
+        events.call_line(
+            "call_left",
+            is_failure=True,
+            call=request.headers.get(headers.REQUEST_ID, ""),
+            route=route,
+            waited_ms=round(waited_ms),
+            asked_ms=headers.deadline_ms(request.headers),
+        )
+
     async def _prepare(
         self, request: web.BaseRequest, started_at: float
     ) -> Result[ForwardCall, WholeAnswer]:
