Refuse late callers sooner while calls in time keep the slots

Cause: a caller who comes back is late, and late calls run when nothing in time waits.

Change: a late call has to fit with six times the expected wait, not three.

--- a/src/lacewingstair/backend_server/admission.py
+++ b/src/lacewingstair/backend_server/admission.py
@@ -14,7 +14,8 @@
 * A backend server that turns slow: the time for which its calls have been running
   counts before the first of them ends.
 * Calls that are late already, for instance after a slow upstream: they run when nothing
-  that can still be in time waits, so that the lateness does not spread.
+  that can still be in time waits, so that the lateness does not spread. During a
+  lasting overload they are refused on arrival, as they would wait until their end.
 """
 
 import heapq
@@ -38,7 +39,7 @@
 SERVICE_MARGIN = 1.5
 WAIT_MARGIN = 1.1
 # Calls that can be in time and arrive later go before a late one.
-LATE_WAIT_MARGIN = 3.0
+LATE_WAIT_MARGIN = 6.0
 
 
 @attrs.frozen
--- a/tests/backend_server/test_admission.py
+++ b/tests/backend_server/test_admission.py
@@ -21,8 +21,10 @@
     priority: int = 1
     seconds: float = 0.1
     target_seconds: float = TARGET_SECONDS
+    end_seconds: float = END_SECONDS
     started_at: float | None = None
     refused_at: float | None = None
+    expired_at: float | None = None
     place: Place | None = None
 
     def is_in_time(self):
@@ -61,8 +63,14 @@
         if kind == "end":
             admission.finished(call.place, now)
             continue
+        if kind == "expire":
+            if call.started_at is None and call.refused_at is None:
+                call.expired_at = now
+                admission.withdraw(call.place)
+            continue
         target_at = now + call.target_seconds
-        offer = Offer(route, call.priority, target_at, now + END_SECONDS)
+        end_at = now + call.end_seconds
+        offer = Offer(route, call.priority, target_at, end_at)
         place = admission.offer(offer, now, decide_of(call))
         if isinstance(place, Refused):
             call.refused_at = now
@@ -70,6 +78,9 @@
         call.place = place
         if place.is_running:
             start(call)
+        else:
+            number += 1
+            heapq.heappush(events, (end_at, number, "expire", call))
     return admission
 
 
@@ -109,6 +120,32 @@
     assert len(at_once) > 0.99 * len(refused)
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_late_callers_are_not_held_during_a_lasting_overload(seed):
+    """Guards against callers who come back and wait for nothing until their end.
+
+    In the calls of trouble-1 of Tapas that ended with their caller's deadline, the
+    caller had come back with 0.48 s of 0.8 s and waited for all of it.
+    """
+    rng = random.Random(seed)
+    first = poisson(rng, 100, 20, target_seconds=0.3, end_seconds=0.8)
+    late = poisson(rng, 30, 20, target_seconds=-0.1, end_seconds=0.48)
+    replay(sorted(first + late, key=lambda call: call.at), slots=10)
+    held = [call for call in late if call.expired_at is not None]
+    assert len(held) < 0.1 * len(late)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_late_callers_run_when_there_is_room(seed):
+    """Guards against refusals of late calls that could still be served."""
+    rng = random.Random(seed)
+    first = poisson(rng, 60, 20)
+    late = poisson(rng, 25, 20, target_seconds=-0.1, end_seconds=0.7)
+    replay(sorted(first + late, key=lambda call: call.at), slots=10)
+    run = [call for call in late if call.started_at is not None]
+    assert len(run) > 0.95 * len(late)
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_the_less_urgent_calls_give_way(seed):
     """Guards against a less urgent kind that is served more often."""
