--- a/src/lacewingstair/vm/call_link.py
+++ b/src/lacewingstair/vm/call_link.py
@@ -179,7 +179,7 @@
                 task.cancel()
         if self._stream is not None:
             self._stream.close()
-            self._lost("closed")
+            self._fail_calls("the link was closed")
 
     async def _connect(self) -> None:
         self.open()
@@ -247,13 +247,17 @@
             self.send(ConfigurationRequest(self._configuration_number()))
 
     def _lost(self, reason: str) -> None:
-        """Fail all calls on a stream that is gone; they may have run."""
-        self._stream = None
-        self.load = NO_LOAD
-        self.failed_at = self._clock.monotonic()
+        """Note that the stream is gone, and fail all calls on it."""
         events.warning(
             "vm_lost", vm=self.entry.vm_id, error=reason, calls=self.in_flight
         )
+        self._fail_calls(reason)
+
+    def _fail_calls(self, reason: str) -> None:
+        """End the use of a stream; the calls on it may have run."""
+        self._stream = None
+        self.load = NO_LOAD
+        self.failed_at = self._clock.monotonic()
         for pending in list(self._pending_by_call_id.values()):
             if not pending.outcome.done():
                 failed = CallFailed(pending.call.call_id, reason, False, NO_LOAD)
--- a/tests/vm/test_call_link.py
+++ b/tests/vm/test_call_link.py
@@ -1,8 +1,10 @@
 import asyncio
 import random
 
+from loguru import logger
 from result import Ok
 
+from lacewingstair.events import parse_event
 from lacewingstair.runtime import SystemClock
 from lacewingstair.vm import call_messages, call_streams
 from lacewingstair.vm.call_link import PING_AFTER_SECONDS, PONG_SECONDS, CallLink
@@ -196,3 +198,22 @@
         peer.stop()
 
     asyncio.run(main())
+
+
+def test_a_link_that_this_vm_closes_is_no_lost_vm():
+    """Guards against a planned stop that looks like the failure of all other VMs."""
+
+    async def check(link, peer, _):
+        running = asyncio.create_task(link.run(request("c1")))
+        await received(peer, call_messages.CallRequest)
+        link.close()
+        assert isinstance(await running, CallFailed)
+        assert not link.is_connected
+
+    lines = []
+    sink = logger.add(lambda line: lines.append(parse_event(line)), format="{message}")
+    try:
+        with_link(check)
+    finally:
+        logger.remove(sink)
+    assert "vm_lost" not in {line["event"] for line in lines}
