--- a/tests/backend_server/test_admission.py
+++ b/tests/backend_server/test_admission.py
@@ -124,8 +124,8 @@
 def test_late_callers_are_not_held_during_a_lasting_overload(seed):
     """Guards against callers who come back and wait for nothing until their end.
 
-    In the calls of trouble-1 of Tapas that ended with their caller's deadline, the
-    caller had come back with 0.48 s of 0.8 s and waited for all of it.
+    Of the calls of trouble-1 of Tapas that ended with their caller's deadline, most
+    (144 of 162) had come back with 0.4 to 0.5 s of 0.8 s.
     """
     rng = random.Random(seed)
     first = poisson(rng, 100, 20, target_seconds=0.3, end_seconds=0.8)
