Count bytes by kind of message and show why a silent link is given up

The logs of LOST on grown Dala cannot tell a full link from a stalled event loop: vm_lost names only the time without a message. Add bytes between VMs and with the store by kind, distance and direction (metric and a line each 10 s), the delay of the event loop (histogram, and a line from 0.2 s on), and vm_silent with the bytes of a message that is arriving, the age of the newest bytes, the queue and how late the check ran. FollowedCounter and the distances of VMs move to modules of their own, as both roots use them. No decision changes.

--- a/src/lacewingstair/metrics/daemon.py
+++ b/src/lacewingstair/metrics/daemon.py
@@ -4,12 +4,11 @@
 the parts. ``docs/OPERATIONS.md`` explains each metric and what to do about it.
 """
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
-from prometheus_client.core import CounterMetricFamily
-from prometheus_client.registry import Collector
 
+from lacewingstair.metrics.followed import FollowedCounter
 from lacewingstair.metrics.names import metric_names
 from lacewingstair.routing.outcomes import CallOutcome
 
@@ -32,35 +31,6 @@
 ROLLOUT_STATES = ("waiting", "in progress", "done", "taken back")
 
 
-class FollowedCounter(Collector):
-    """Counter whose values are read when the metrics are.
-
-    Parameters
-    ----------
-    name, text : str
-        As for any metric; the name without ``_total``.
-    labels : tuple of str
-        Names of the labels.
-    """
-
-    def __init__(self, name: str, text: str, labels: tuple[str, ...] = ()) -> None:
-        self._name = name
-        self._text = text
-        self._labels = labels
-        self._values: Callable[[], Mapping[tuple[str, ...], float]] = dict
-
-    def follow(self, values: Callable[[], Mapping[tuple[str, ...], float]]) -> None:
-        """Show the values that `values` returns by the values of the labels."""
-        self._values = values
-
-    def collect(self) -> Iterator[CounterMetricFamily]:
-        """Yield the present values."""
-        family = CounterMetricFamily(self._name, self._text, labels=self._labels)
-        for labels, value in sorted(self._values().items()):
-            family.add_metric(labels, value)
-        yield family
-
-
 class Metrics:
     """Metrics of one VM, in a registry of its own.
 
--- a/src/lacewingstair/metrics/sidecar.py
+++ b/src/lacewingstair/metrics/sidecar.py
@@ -2,10 +2,12 @@
 
 from prometheus_client import CollectorRegistry, Counter, Histogram
 
+from lacewingstair.metrics.followed import FollowedCounter
 from lacewingstair.metrics.names import metric_names
 
 # Bounds in seconds.
 CALL_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.6, 1.2, 2.5, 5.0)
+LAG_BUCKETS = (0.002, 0.01, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
 
 
 class SidecarMetrics:
@@ -43,6 +45,18 @@
             buckets=CALL_BUCKETS,
             registry=self.registry,
         )
+        self.loop_lag_seconds = Histogram(
+            "lacewingstair_loop_lag_seconds",
+            "Delay of the event loop at checks, four a second, seconds.",
+            buckets=LAG_BUCKETS,
+            registry=self.registry,
+        )
+        self.mesh_bytes = FollowedCounter(
+            "lacewingstair_mesh_bytes",
+            "Bytes between VMs and with the store, by kind, distance and direction.",
+            ("kind", "distance", "direction"),
+        )
+        self.registry.register(self.mesh_bytes)
 
     def names(self) -> list[str]:
         """Return the name of every metric as ``/metrics`` shows it."""
--- a/src/lacewingstair/platform/store.py
+++ b/src/lacewingstair/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+from collections import Counter
 from collections.abc import Iterator
 from typing import Any
 
@@ -65,6 +66,13 @@
         Base URL.
     timeout_seconds : float
         Time for an answer, in addition to the wait of a read.
+
+    Attributes
+    ----------
+    calls_by_operation : dict
+        Calls since the start.
+    bytes_by_labels : Counter
+        Bytes of bodies since the start by operation and direction.
     """
 
     def __init__(self, url: str, timeout_seconds: float) -> None:
@@ -72,6 +80,7 @@
         self._timeout_seconds = timeout_seconds
         self._session: ClientSession | None = None
         self.calls_by_operation: dict[str, int] = {}
+        self.bytes_by_labels: Counter[tuple[str, str]] = Counter()
 
     async def append(
         self, topic: str, key: str, value: bytes | None, at: int | None = None
@@ -168,6 +177,7 @@
     ) -> Result[tuple[int, bytes], StoreUnavailable]:
         calls = self.calls_by_operation
         calls[operation] = calls.get(operation, 0) + 1
+        self.bytes_by_labels[operation, "sent"] += len(body or b"")
         timeout = ClientTimeout(
             total=wait_seconds + self._timeout_seconds,
             sock_connect=CONNECT_TIMEOUT_SECONDS,
@@ -180,7 +190,9 @@
                 data=body,
                 timeout=timeout,
             ) as answer:
-                return Ok((answer.status, await answer.read()))
+                received = await answer.read()
+                self.bytes_by_labels[operation, "received"] += len(received)
+                return Ok((answer.status, received))
         except (
             ClientError,
             TimeoutError,
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import itertools
 import random
 from collections.abc import Iterator, Mapping
 from typing import Any
@@ -26,6 +27,7 @@
 from lacewingstair.caller.ingress import Ingress
 from lacewingstair.errors import ConnectError, ListenError, SettingsError
 from lacewingstair.http_server import application_runner, listen_all
+from lacewingstair.loop_monitor import LoopMonitor
 from lacewingstair.metadata.configuration import ConfigurationStore
 from lacewingstair.metadata.records import StoreRecords
 from lacewingstair.metadata.tail import KeyedTail
@@ -50,6 +52,7 @@
 from lacewingstair.vm.call_server import CallStreamServer
 from lacewingstair.vm.entries import MeshView, UpstreamState, VmEntry
 from lacewingstair.vm.registration import Registration
+from lacewingstair.vm.stream_traffic import StreamTraffic
 
 # Waits of reads; the longest for which a connection gone silent can go unnoticed is
 # shorter, since the kernel probes it.
@@ -59,6 +62,7 @@
 CONFIGURATION_BATCH_SECONDS = 0.8
 MESH_BATCH_SECONDS = 1.5
 SWEEP_SECONDS = 1.0
+SWEEPS_PER_TRAFFIC_LINE = 10
 CONFIGURATION_CHECK_SECONDS = 0.05
 # The entry of an earlier process is waited for until so long after the start; the store
 # may not answer.
@@ -93,6 +97,9 @@
         own = settings.backend_servers
         self.bounds = parse_bounds(settings.platform.bounds).unwrap()
         self.metrics = SidecarMetrics()
+        self.traffic = StreamTraffic()
+        self.metrics.mesh_bytes.follow(self._mesh_bytes)
+        self.loop_monitor = LoopMonitor(clock, self.metrics.loop_lag_seconds.observe)
         self.configurations = ConfigurationStore()
         self.view = MeshView(settings.vm_id)
         self.register = UpstreamRegister(
@@ -129,6 +136,7 @@
             lambda document: self.records.take_document(document),
             self._take_rollout_news,
             self._configuration_number,
+            self.traffic,
         )
         self.rollouts = RolloutCoordinator(
             settings.vm_id,
@@ -147,6 +155,7 @@
             self.view,
             self.configurations,
             lambda: [MarkChanged(mark) for mark in self.rollouts.marks()],
+            self.traffic,
         )
         self.forwarder = Forwarder(
             self._entry,
@@ -208,6 +217,7 @@
         runs = [self._operator_tail.run(), self._mesh_tail.run()]
         runs += [self.registration.run(), self.links.run(), self._sweep()]
         runs += [self.rollouts.run(), self.confirmation.run()]
+        runs += [self.loop_monitor.run()]
         self._tasks.extend(asyncio.create_task(run) for run in runs)
         settings = self.settings
         events.info(
@@ -314,10 +324,28 @@
             yield address, application_runner(application, calls.max_header_bytes)
 
     async def _sweep(self) -> None:
-        while True:
+        for number in itertools.count(1):
             await self.clock.sleep(SWEEP_SECONDS)
             self.gate.sweep()
             self._apply_register()
+            if number % SWEEPS_PER_TRAFFIC_LINE == 0:
+                self._log_traffic()
+
+    def _log_traffic(self) -> None:
+        """Log the bytes since the start, one field for each set of labels."""
+        totals = self._mesh_bytes().items()
+        fields = {"_".join(labels): size for labels, size in sorted(totals) if size}
+        events.info(
+            "traffic_total", **{n.replace("-", "_"): s for n, s in fields.items()}
+        )
+
+    def _mesh_bytes(self) -> dict[tuple[str, str, str], int]:
+        """Return the bytes between VMs and with the store, by their labels."""
+        with_store = {
+            (operation, "store", direction): size
+            for (operation, direction), size in self.store.bytes_by_labels.items()
+        }
+        return {**self.traffic.bytes_by_labels, **with_store}
 
     def _entry(self) -> VmEntry:
         return self.registration.entry
--- a/src/lacewingstair/vm/call_link.py
+++ b/src/lacewingstair/vm/call_link.py
@@ -30,7 +30,8 @@
     RefusalReason,
 )
 from lacewingstair.vm.call_streams import CallStream, connect
-from lacewingstair.vm.entries import VmEntry
+from lacewingstair.vm.entries import VmEntry, entry_distance
+from lacewingstair.vm.stream_traffic import StreamTraffic
 
 # A peer that has open calls and was silent for this long is asked whether it runs.
 PING_AFTER_SECONDS = 0.5
@@ -71,6 +72,8 @@
         Takes what the peer says about a rollout.
     configuration_number : callable
         Returns the configuration in force here.
+    traffic : StreamTraffic, optional
+        Counts the bytes of messages.
 
     Attributes
     ----------
@@ -95,7 +98,9 @@
         on_greeting: Callable[[str, VmEntry], None],
         on_rollout: Callable[[EvidenceChanged | MarkChanged], None],
         configuration_number: Callable[[], int],
+        traffic: StreamTraffic | None = None,
     ) -> None:
+        self._traffic = traffic
         self._on_greeting = on_greeting
         self._on_rollout = on_rollout
         self.entry = entry
@@ -112,6 +117,7 @@
         self._heard_at = 0.0
         self._is_watching = False
         self._pinged_at: float | None = None
+        self._check_due_at = 0.0
         self._asked_number = 0
         self._sent_since_load = 0
         self.load = NO_LOAD
@@ -188,7 +194,7 @@
 
     async def _open(self) -> None:
         try:
-            opened = await connect(self.entry.address)
+            opened = await connect(self.entry.address, self._traffic)
         finally:
             self._opening = None
         if isinstance(opened, Err):
@@ -198,6 +204,7 @@
             self.failed_at = self._clock.monotonic()
             return
         stream = opened.ok_value
+        stream.distance = entry_distance(self._own_entry(), self.entry)
         self._heard()
         self._stream = stream
         stream.send(Hello(self._own_entry(), self._configuration_number()))
@@ -270,9 +277,22 @@
         """Look after the peer while it has calls of this VM."""
         if not self._is_watching:
             self._is_watching = True
+            self._check_due_at = self._clock.monotonic() + PING_AFTER_SECONDS
             loop = asyncio.get_running_loop()
             loop.call_later(PING_AFTER_SECONDS, self._check_silence)
 
+    def _log_silence(self, stream: CallStream, now: float) -> None:
+        """Log what tells a silent peer from a full link and from a late check."""
+        events.warning(
+            "vm_silent",
+            vm=self.entry.vm_id,
+            calls=self.in_flight,
+            incomplete_bytes=stream.incomplete_bytes,
+            bytes_ms_ago=round((now - stream.received_at) * 1000),
+            queued_bytes=stream.queued_bytes,
+            check_late_ms=round((now - self._check_due_at) * 1000),
+        )
+
     def _check_silence(self) -> None:
         self._is_watching = False
         stream = self._stream
@@ -283,6 +303,7 @@
         pinged_at = self._pinged_at
         if pinged_at is not None and self._heard_at < pinged_at:
             if now - pinged_at >= PONG_SECONDS:
+                self._log_silence(stream, now)
                 stream.abort()
                 self._lost(f"no message for {now - self._heard_at:.1f} s")
                 return
--- a/src/lacewingstair/vm/call_links.py
+++ b/src/lacewingstair/vm/call_links.py
@@ -12,6 +12,7 @@
     MarkChanged,
 )
 from lacewingstair.vm.entries import MeshView, VmEntry
+from lacewingstair.vm.stream_traffic import StreamTraffic
 
 MAINTAIN_SECONDS = 0.5
 
@@ -33,6 +34,8 @@
         Takes what another VM says about a rollout.
     configuration_number : callable
         Returns the configuration in force here.
+    traffic : StreamTraffic, optional
+        Counts the bytes of messages.
     """
 
     def __init__(
@@ -44,7 +47,9 @@
         on_configuration: Callable[[ConfigurationDocument], None],
         on_rollout: Callable[[EvidenceChanged | MarkChanged], None],
         configuration_number: Callable[[], int],
+        traffic: StreamTraffic | None = None,
     ) -> None:
+        self._traffic = traffic
         self._own_entry = own_entry
         self._view = view
         self._clock = clock
@@ -115,4 +120,5 @@
             on_configuration=self._on_configuration,
             on_rollout=self._on_rollout,
             configuration_number=self._configuration_number,
+            traffic=self._traffic,
         )
--- a/src/lacewingstair/vm/call_server.py
+++ b/src/lacewingstair/vm/call_server.py
@@ -23,7 +23,8 @@
     Pong,
 )
 from lacewingstair.vm.call_streams import CallStream
-from lacewingstair.vm.entries import MeshView, VmEntry
+from lacewingstair.vm.entries import MeshView, VmEntry, entry_distance
+from lacewingstair.vm.stream_traffic import StreamTraffic
 
 
 class CallStreamServer:
@@ -43,6 +44,8 @@
         Configuration in force.
     greetings : callable
         Returns further messages for a VM that has just connected.
+    traffic : StreamTraffic, optional
+        Counts the bytes of messages.
     """
 
     def __init__(
@@ -53,7 +56,9 @@
         view: MeshView,
         configurations: ConfigurationStore,
         greetings: Callable[[], list[Any]] = list,
+        traffic: StreamTraffic | None = None,
     ) -> None:
+        self._traffic = traffic
         self._greetings = greetings
         self._address = address
         self._gate = gate
@@ -97,7 +102,7 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        stream = CallStream(reader, writer)
+        stream = CallStream(reader, writer, self._traffic)
         tasks_by_call_id: dict[int, asyncio.Task[None]] = {}
         self._streams.add(stream)
         stream.send(Hello(self._own_entry(), self._configurations.current.number))
@@ -137,7 +142,10 @@
                     task.cancel()
             case Ping(number):
                 stream.send(Pong(number, self._gate.load()))
-            case Hello(entry) | EntryChanged(entry):
+            case Hello(entry):
+                stream.distance = entry_distance(self._own_entry(), entry)
+                self._view.merge(entry)
+            case EntryChanged(entry):
                 self._view.merge(entry)
             case ConfigurationRequest(number):
                 current = self._configurations.current
--- a/src/lacewingstair/vm/call_streams.py
+++ b/src/lacewingstair/vm/call_streams.py
@@ -1,7 +1,8 @@
 """Streams that carry calls between VMs: msgpack messages over TCP."""
 
 import asyncio
-from collections.abc import AsyncIterator
+import time
+from collections.abc import AsyncIterator, Iterator
 from typing import Any
 
 import msgpack
@@ -10,7 +11,8 @@
 from lacewingstair import events
 from lacewingstair.errors import ConnectError
 from lacewingstair.sockets import detect_silence
-from lacewingstair.vm import call_messages
+from lacewingstair.vm import call_messages, distances
+from lacewingstair.vm.stream_traffic import RECEIVED, SENT, StreamTraffic
 
 READ_BYTES = 256 << 10
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -19,22 +21,56 @@
 
 
 class CallStream:
-    """Messages to and from one peer over one connection."""
+    """Messages to and from one peer over one connection.
+
+    Parameters
+    ----------
+    reader, writer
+        The connection.
+    traffic : StreamTraffic, optional
+        Counts the bytes of messages.
+
+    Attributes
+    ----------
+    distance : str
+        Where the peer is, once it is known.
+    received_at : float
+        When the newest bytes came, monotonic seconds.
+    """
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        traffic: StreamTraffic | None = None,
     ) -> None:
         self._reader = reader
         self._writer = writer
+        self._traffic = traffic or StreamTraffic()
         self._unpacker = call_messages.unpacker()
+        self._bytes_received = 0
+        self.received_at = time.monotonic()
+        self.distance = distances.UNKNOWN
         detect_silence(writer.get_extra_info("socket"))
 
+    @property
+    def queued_bytes(self) -> int:
+        """Bytes that the kernel has not taken yet."""
+        return self._writer.transport.get_write_buffer_size()
+
+    @property
+    def incomplete_bytes(self) -> int:
+        """Bytes received of a message that is not complete yet."""
+        return self._bytes_received - self._unpacker.tell()
+
     def send(self, message: Any) -> None:
         """Queue a message."""
         transport = self._writer.transport
         if transport.is_closing():
             return
-        transport.write(call_messages.encode(message))
+        data = call_messages.encode(message)
+        self._count(message, SENT, len(data))
+        transport.write(data)
         if transport.get_write_buffer_size() > MAX_QUEUED_BYTES:
             transport.abort()
 
@@ -48,19 +84,34 @@
                 return
             if not data:
                 return
+            self.received_at = time.monotonic()
+            self._bytes_received += len(data)
             try:
                 self._unpacker.feed(data)
-                arrays = list(self._unpacker)
+                arrays = list(self._arrays())
             except (msgpack.UnpackException, ValueError) as error:
                 events.warning("stream_unreadable", error=error)
                 return
-            for array in arrays:
+            for array, size in arrays:
                 message = call_messages.decode(array)
                 if isinstance(message, Err):
                     events.warning("stream_unreadable", error=message.err_value)
                     return
+                self._count(message.ok_value, RECEIVED, size)
                 yield message.ok_value
 
+    def _arrays(self) -> Iterator[tuple[Any, int]]:
+        """Yield the whole arrays received and their sizes in bytes."""
+        start = self._unpacker.tell()
+        for array in self._unpacker:
+            end = self._unpacker.tell()
+            yield array, end - start
+            start = end
+
+    def _count(self, message: Any, direction: str, size: int) -> None:
+        kind = type(message).__name__
+        self._traffic.count(kind, self.distance, direction, size)
+
     def close(self) -> None:
         """End the stream after what is queued has been sent."""
         self._writer.close()
@@ -70,7 +121,9 @@
         self._writer.transport.abort()
 
 
-async def connect(address: str) -> Result[CallStream, ConnectError]:
+async def connect(
+    address: str, traffic: StreamTraffic | None = None
+) -> Result[CallStream, ConnectError]:
     """Open a stream to ``ip:port``."""
     host, _, port = address.rpartition(":")
     try:
@@ -78,4 +131,4 @@
             reader, writer = await asyncio.open_connection(host, int(port))
     except (OSError, TimeoutError, ValueError) as error:
         return Err(ConnectError(address, str(error) or type(error).__name__))
-    return Ok(CallStream(reader, writer))
+    return Ok(CallStream(reader, writer, traffic))
--- a/src/lacewingstair/vm/entries.py
+++ b/src/lacewingstair/vm/entries.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from lacewingstair.errors import FrameError
+from lacewingstair.vm import distances
 
 ENTRY_FORMAT = 1
 
@@ -73,6 +74,13 @@
 _TYPES = {"incarnation": int, "sequence": int, "slots": int, "is_leaving": bool}
 
 
+def entry_distance(own: VmEntry, other: VmEntry) -> str:
+    """Return how far another VM is, as in `vm.distances`."""
+    return distances.distance(
+        own.region, own.availability_zone, other.region, other.availability_zone
+    )
+
+
 def encode_entry(entry: VmEntry) -> bytes:
     """Return the msgpack form of an entry."""
     return msgpack.packb([ENTRY_FORMAT, *entry_values(entry)])
--- a/src/lacewingstair/vm/traffic.py
+++ b/src/lacewingstair/vm/traffic.py
@@ -2,16 +2,11 @@
 
 from collections import Counter
 
+from lacewingstair.vm import distances
 from lacewingstair.vm.directory import VmRecord
 from lacewingstair.vm.peers import Peer
 from lacewingstair.vm.transport import MessageStream
 
-ZONE = "zone"
-REGION = "region"
-OTHER_REGION = "other_region"
-# Connections whose other end has not introduced itself.
-UNKNOWN = "unknown"
-
 
 class LinkTraffic:
     """Adds up what the streams have counted, when it is asked for.
@@ -29,7 +24,7 @@
 
     def opened(self, stream: MessageStream) -> None:
         """Note a new connection."""
-        self._kinds_by_stream[stream] = UNKNOWN
+        self._kinds_by_stream[stream] = distances.UNKNOWN
 
     def greeted(self, peer: Peer) -> None:
         """Note who is at the other end of a connection."""
@@ -51,10 +46,10 @@
         return sum(stream.queued_bytes for stream in self._kinds_by_stream)
 
     def _kind(self, peer: Peer) -> str:
-        if peer.region != self._own.region:
-            return OTHER_REGION
-        is_same_zone = peer.availability_zone == self._own.availability_zone
-        return ZONE if is_same_zone else REGION
+        own = self._own
+        return distances.distance(
+            own.region, own.availability_zone, peer.region, peer.availability_zone
+        )
 
 
 def _add(total: Counter[tuple[str, str]], kind: str, stream: MessageStream) -> None:
