--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -99,7 +99,10 @@
             except TimeoutError:
                 pass
         body = len(topic.records).to_bytes(8, "big") + topic.first.to_bytes(8, "big")
+        limit = int(request.query.get("max_kb", 1024)) << 10
         for content in topic.records[offset:]:
+            if len(body) + len(content) > limit and len(body) > 16:
+                break
             body += len(content).to_bytes(4, "big") + content
         return web.Response(body=body)
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -43,15 +43,25 @@
 
 
 class Vm:
-    """A sidecar with its backend server."""
+    """A sidecar with its backend server.
 
-    def __init__(self, name, service, store_url):
+    Attributes
+    ----------
+    call_port : int
+        Where streams of other VMs are accepted; its entry names port 7100.
+    """
+
+    def __init__(self, name, service, store_url, zone="z", slots=4, grace="3s"):
         self.name = name
         self.service = service
         self.store_url = store_url
+        self.zone = zone
+        self.slots = slots
+        self.grace = grace
         self.upstream = UpstreamStandIn(f"i-{name}")
         self.sidecar = None
         self.host = own_address()
+        self.call_port = 7100
         self.sequence = 0
 
     async def start(self):
@@ -61,7 +71,7 @@
 [vm]
 id = {self.name}
 region = r
-availability_zone = z
+availability_zone = {self.zone}
 address = {self.host}:7100
 [caller]
 address = {self.host}:7101
@@ -76,18 +86,24 @@
 interface = metadata_store
 log_url = {self.store_url}
 log_timeout_seconds = 1
-bounds = grace=3s
+bounds = grace={self.grace}
 """
         self.text = text
         settings = parse_settings("test", text).unwrap()
         self.sidecar = build(settings, SystemClock(), random.Random(1))
+        self.sidecar.call_server._address = f"{self.host}:{self.call_port}"
         assert (await self.sidecar.start()).is_ok()
 
     async def report(self, session, state="ready"):
         self.sequence += 1
         body = {
             "address": self.upstream.address,
-            "info": {"service": self.service, "version": "v1", "zone": "z", "slots": 4},
+            "info": {
+                "service": self.service,
+                "version": "v1",
+                "zone": self.zone,
+                "slots": self.slots,
+            },
             "status": {"state": state, "seq": self.sequence, "cold_remaining": "0ms"},
         }
         url = f"http://{self.host}:7102/instances/{self.upstream.upstream_id}"
