End no call because its VM is silent

Cause: a failure detector that takes a slow answer for a dead peer, and acts on it as if it were certain. A peer counted as heard only when a whole message had been read, so that a link full of other bytes looked dead after 1.5 s; a timer that ran late judged before the answer in the socket was read; and the verdict ended every call on the stream, also those that nobody may repeat.

Why this works: silence only decides where the next calls go. Bytes count as a sign of life, a late check or a ping that is still queued starts the wait anew, and the stream stays open for the calls on it: one that may not run twice waits for its answer, one that may is tried elsewhere while the first try goes on, and the first answer counts. A path that is really gone is ended by the kernel's probes in 2 to 3 s, and the calls fail then. New calls use a new stream.

--- a/src/lacewingstair/caller/forwarding.py
+++ b/src/lacewingstair/caller/forwarding.py
@@ -8,11 +8,13 @@
 
 from lacewingstair import events
 from lacewingstair.backend_server.gate import Gate
+from lacewingstair.caller.hedging import Hedge
 from lacewingstair.caller.placement import Candidate, Distance, place
 from lacewingstair.metadata.configuration import CallRoute
 from lacewingstair.routing.limits import RetryBudget
 from lacewingstair.runtime import Clock
 from lacewingstair.staged_rollouts.coordinator import RolloutCoordinator
+from lacewingstair.vm.call_link import SuspendedCall
 from lacewingstair.vm.call_links import CallLinks
 from lacewingstair.vm.call_messages import (
     CallAnswer,
@@ -159,6 +161,9 @@
                 return self._final(progress)
             try:
                 outcome = await self._run_at(vm_id, call)
+                if isinstance(outcome, SuspendedCall):
+                    hedge = Hedge({vm_id: outcome})
+                    vm_id, outcome = await self._hedge(call, hedge, progress, budget)
             except asyncio.CancelledError:
                 self._log_abandoned(call, vm_id, progress)
                 raise
@@ -170,6 +175,27 @@
             if not self._goes_on(call, outcome, progress, budget):
                 return self._final(progress)
 
+    async def _hedge(
+        self, call: ForwardCall, hedge: Hedge, progress: _Progress, budget: RetryBudget
+    ) -> tuple[str, CallOutcome]:
+        """Run a call whose VM is silent at another one too; the first answer counts.
+
+        The VM may only be slow, so that ending the call there could lose its answer.
+        """
+        progress.tried.update(hedge.vm_ids)
+        left_ms = (call.end_at - self._clock.monotonic()) * 1000
+        progress.sent += 1
+        other = None
+        if left_ms >= LEAST_REPEAT_MS and progress.sent < call.route.max_attempts:
+            other = self._choose(call, progress)
+        if other is not None and budget.take():
+            progress.tried.add(other)
+            progress.may_have_run = True
+            hedge.start(other, self._run_at(other, call))
+        else:
+            progress.sent -= 1
+        return await hedge.first_served()
+
     def _goes_on(
         self,
         call: ForwardCall,
@@ -278,7 +304,9 @@
             distance = _distance(own, entry)
             yield Candidate(entry.vm_id, distance, link.load, link.unreported, age)
 
-    async def _run_at(self, vm_id: str, call: ForwardCall) -> CallOutcome:
+    async def _run_at(
+        self, vm_id: str, call: ForwardCall
+    ) -> CallOutcome | SuspendedCall:
         now = self._clock.monotonic()
         request = CallRequest(
             call_id=0,
--- a/src/lacewingstair/vm/call_link.py
+++ b/src/lacewingstair/vm/call_link.py
@@ -1,8 +1,9 @@
 """Calling side of a stream: one link to each VM that gets calls from this one."""
 
 import asyncio
+import functools
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
@@ -36,6 +37,8 @@
 # A peer that has open calls and was silent for this long is asked whether it runs.
 PING_AFTER_SECONDS = 0.5
 PONG_SECONDS = 1.0
+# A check that runs this late says more about this process than about the peer.
+LATE_CHECK_SECONDS = 0.2
 # A call waits this long for a stream that is being opened.
 OPENING_SECONDS = 0.25
 # After a failed connect the VM is left out of the choice for this long.
@@ -43,12 +46,37 @@
 NO_LOAD = LoadReport()
 
 
+@attrs.define(eq=False)
+class SuspendedCall:
+    """A call at a VM that is silent; it may run there, and its outcome may come.
+
+    Parameters
+    ----------
+    late : Future
+        Its outcome, when it comes.
+    cancel : callable
+        Gives the call up.
+    """
+
+    late: "asyncio.Future[CallOutcome]"
+    cancel: Callable[[], None]
+
+
 @attrs.define(eq=False)
 class _Pending:
-    """A call that waits for its outcome."""
+    """A call that waits for its outcome on a stream."""
 
     call: CallRequest
-    outcome: "asyncio.Future[CallOutcome]"
+    stream: CallStream
+    outcome: "asyncio.Future[CallOutcome | SuspendedCall]"
+    late: "asyncio.Future[CallOutcome]"
+
+    def resolve(self, outcome: CallOutcome) -> None:
+        """Take the outcome, late when the call was suspended."""
+        if not self.outcome.done():
+            self.outcome.set_result(outcome)
+        elif not self.late.done():
+            self.late.set_result(outcome)
 
 
 class CallLink:
@@ -113,12 +141,13 @@
         self._pending_by_call_id: dict[int, _Pending] = {}
         self._stream: CallStream | None = None
         self._opening: asyncio.Task[None] | None = None
-        self._reading: asyncio.Task[None] | None = None
+        self._reading: set[asyncio.Task[None]] = set()
         self._heard_at = 0.0
         self._is_watching = False
         self._pinged_at: float | None = None
         self._check_due_at = 0.0
         self._asked_number = 0
+        self._bytes_seen = 0
         self._sent_since_load = 0
         self.load = NO_LOAD
         self.load_at = 0.0
@@ -143,8 +172,13 @@
         """Return whether calls may be placed there, as far as this VM knows."""
         return self.failed_at is None or now - self.failed_at >= RECONNECT_SECONDS
 
-    async def run(self, call: CallRequest) -> CallOutcome:
-        """Send a call and wait for its outcome; cancellation is passed on."""
+    async def run(self, call: CallRequest) -> CallOutcome | SuspendedCall:
+        """Send a call and wait for its outcome; cancellation is passed on.
+
+        A call that may run twice is returned as suspended when the VM is silent, so
+        that it can be tried elsewhere meanwhile. The others go on waiting: ending them
+        would gain nothing, as they may run.
+        """
         if self._stream is None:
             await self._connect()
         stream = self._stream
@@ -155,18 +189,32 @@
         call_id = next(self._numbers)
         call = attrs.evolve(call, call_id=call_id)
         loop = asyncio.get_running_loop()
-        pending = _Pending(call, loop.create_future())
+        pending = _Pending(call, stream, loop.create_future(), loop.create_future())
         self._pending_by_call_id[call_id] = pending
         self._sent_since_load += 1
         stream.send(call)
         self._watch()
         try:
-            return await pending.outcome
+            outcome = await pending.outcome
         except asyncio.CancelledError:
-            stream.send(CallCancel(call_id))
+            self._give_up(pending)
             raise
-        finally:
-            self._pending_by_call_id.pop(call_id, None)
+        if not isinstance(outcome, SuspendedCall):
+            self._forget(pending)
+        return outcome
+
+    def _give_up(self, pending: _Pending) -> None:
+        pending.stream.send(CallCancel(pending.call.call_id))
+        self._forget(pending)
+
+    def _forget(self, pending: _Pending) -> None:
+        """End the wait for a call; a stream that was given up ends with its last."""
+        self._pending_by_call_id.pop(pending.call.call_id, None)
+        stream = pending.stream
+        if stream is self._stream:
+            return
+        if all(p.stream is not stream for p in self._pending_by_call_id.values()):
+            stream.close()
 
     def send(self, message: Any) -> None:
         """Send a message if the stream is open."""
@@ -180,12 +228,13 @@
 
     def close(self) -> None:
         """End the stream; calls on it fail."""
-        for task in (self._opening, self._reading):
+        for task in (self._opening, *self._reading):
             if task is not None:
                 task.cancel()
         if self._stream is not None:
             self._stream.close()
-            self._fail_calls("the link was closed")
+        self._detach()
+        self._fail_calls("the link was closed", self._pending_by_call_id.values())
 
     async def _connect(self) -> None:
         self.open()
@@ -206,30 +255,36 @@
         stream = opened.ok_value
         stream.distance = entry_distance(self._own_entry(), self.entry)
         self._heard()
+        self._bytes_seen = 0
+        self._pinged_at = None
         self._stream = stream
         stream.send(Hello(self._own_entry(), self._configuration_number()))
-        self._reading = asyncio.create_task(self._read(stream))
+        reading = asyncio.create_task(self._read(stream))
+        self._reading.add(reading)
+        reading.add_done_callback(self._reading.discard)
 
     async def _read(self, stream: CallStream) -> None:
         """Take the messages of the peer until the stream ends."""
         try:
             async for message in stream.messages():
-                self._heard()
-                self._handle(message)
+                if stream is self._stream:
+                    self._heard()
+                self._handle(message, is_current=stream is self._stream)
         finally:
             stream.close()
-            if self._stream is stream:
-                self._lost("the stream has ended")
+            self._ended(stream)
 
-    def _handle(self, message: Any) -> None:
+    def _handle(self, message: Any, is_current: bool) -> None:
         match message:
             case CallAnswer() | CallRefused() | CallFailed():
-                self._set_load(message.load)
+                if is_current:
+                    self._set_load(message.load)
                 pending = self._pending_by_call_id.get(message.call_id)
-                if pending is not None and not pending.outcome.done():
-                    pending.outcome.set_result(message)
+                if pending is not None:
+                    pending.resolve(message)
             case LoadChanged(load) | Pong(_, load):
-                self._set_load(load)
+                if is_current:
+                    self._set_load(load)
             case Hello(entry):
                 if self.failed_at is not None:
                     events.info("vm_regained", vm=self.entry.vm_id)
@@ -253,22 +308,27 @@
             self._asked_number = number
             self.send(ConfigurationRequest(self._configuration_number()))
 
-    def _lost(self, reason: str) -> None:
-        """Note that the stream is gone, and fail all calls on it."""
-        events.warning(
-            "vm_lost", vm=self.entry.vm_id, error=reason, calls=self.in_flight
-        )
-        self._fail_calls(reason)
+    def _ended(self, stream: CallStream) -> None:
+        """Note that a stream is gone, and fail the calls on it: they may have run."""
+        reason = "the stream has ended"
+        pendings = self._pending_by_call_id.values()
+        calls = [pending for pending in pendings if pending.stream is stream]
+        if stream is self._stream:
+            vm_id = self.entry.vm_id
+            events.warning("vm_lost", vm=vm_id, error=reason, calls=len(calls))
+            self._detach()
+        self._fail_calls(reason, calls)
+
+    def _fail_calls(self, reason: str, pendings: Iterable[_Pending]) -> None:
+        for pending in list(pendings):
+            call_id = pending.call.call_id
+            pending.resolve(CallFailed(call_id, reason, False, NO_LOAD))
 
-    def _fail_calls(self, reason: str) -> None:
-        """End the use of a stream; the calls on it may have run."""
+    def _detach(self) -> None:
+        """Use the stream for no further calls; a new one is opened later."""
         self._stream = None
         self.load = NO_LOAD
         self.failed_at = self._clock.monotonic()
-        for pending in list(self._pending_by_call_id.values()):
-            if not pending.outcome.done():
-                failed = CallFailed(pending.call.call_id, reason, False, NO_LOAD)
-                pending.outcome.set_result(failed)
 
     def _heard(self) -> None:
         self._heard_at = self._clock.monotonic()
@@ -288,7 +348,7 @@
             vm=self.entry.vm_id,
             calls=self.in_flight,
             incomplete_bytes=stream.incomplete_bytes,
-            bytes_ms_ago=round((now - stream.received_at) * 1000),
+            silent_ms=round((now - self._heard_at) * 1000),
             queued_bytes=stream.queued_bytes,
             check_late_ms=round((now - self._check_due_at) * 1000),
         )
@@ -300,14 +360,34 @@
             self._pinged_at = None
             return
         now = self._clock.monotonic()
+        if stream.bytes_received != self._bytes_seen:
+            # Part of a large message shows as well as a whole one that the peer runs.
+            self._bytes_seen = stream.bytes_received
+            self._heard()
         pinged_at = self._pinged_at
-        if pinged_at is not None and self._heard_at < pinged_at:
-            if now - pinged_at >= PONG_SECONDS:
-                self._log_silence(stream, now)
-                stream.abort()
-                self._lost(f"no message for {now - self._heard_at:.1f} s")
-                return
-        elif now - self._heard_at >= PING_AFTER_SECONDS:
+        if pinged_at is None or self._heard_at >= pinged_at:
+            if now - self._heard_at >= PING_AFTER_SECONDS:
+                self._pinged_at = now
+                stream.send(Ping(0))
+        elif stream.queued_bytes or now - self._check_due_at >= LATE_CHECK_SECONDS:
+            # The ping has not left yet, or its answer may have come while this process
+            # was busy, and is read after this check.
             self._pinged_at = now
-            stream.send(Ping(0))
+        elif now - pinged_at >= PONG_SECONDS:
+            self._suspend(stream, now)
+            return
         self._watch()
+
+    def _suspend(self, stream: CallStream, now: float) -> None:
+        """Send no more calls to a silent peer, and end none that it has.
+
+        It may be slow or its link full. If it is gone, the kernel ends the stream.
+        """
+        self._log_silence(stream, now)
+        self._detach()
+        for pending in list(self._pending_by_call_id.values()):
+            if pending.stream is not stream or not pending.call.allows_repeat:
+                continue
+            if not pending.outcome.done():
+                give_up = functools.partial(self._give_up, pending)
+                pending.outcome.set_result(SuspendedCall(pending.late, give_up))
--- a/src/lacewingstair/vm/call_streams.py
+++ b/src/lacewingstair/vm/call_streams.py
@@ -1,7 +1,6 @@
 """Streams that carry calls between VMs: msgpack messages over TCP."""
 
 import asyncio
-import time
 from collections.abc import AsyncIterator, Iterator
 from typing import Any
 
@@ -34,8 +33,8 @@
     ----------
     distance : str
         Where the peer is, once it is known.
-    received_at : float
-        When the newest bytes came, monotonic seconds.
+    bytes_received : int
+        Bytes since the stream was opened.
     """
 
     def __init__(
@@ -48,8 +47,7 @@
         self._writer = writer
         self._traffic = traffic or StreamTraffic()
         self._unpacker = call_messages.unpacker()
-        self._bytes_received = 0
-        self.received_at = time.monotonic()
+        self.bytes_received = 0
         self.distance = distances.UNKNOWN
         detect_silence(writer.get_extra_info("socket"))
 
@@ -61,7 +59,7 @@
     @property
     def incomplete_bytes(self) -> int:
         """Bytes received of a message that is not complete yet."""
-        return self._bytes_received - self._unpacker.tell()
+        return self.bytes_received - self._unpacker.tell()
 
     def send(self, message: Any) -> None:
         """Queue a message."""
@@ -84,8 +82,7 @@
                 return
             if not data:
                 return
-            self.received_at = time.monotonic()
-            self._bytes_received += len(data)
+            self.bytes_received += len(data)
             try:
                 self._unpacker.feed(data)
                 arrays = list(self._arrays())
