Log what the end of a planned stop cuts, and cut it before the kill

What callers saw: a call with more time than the stop ended without an answer, and the log said call_left, "the caller closed its connection".

Cause: the server of callers cancelled the call, which looked like a caller that had left. Before that it waited twice for its shutdown timeout of 0.5 s, so the process was killed 0.4 s before its own end and wrote no last lines.

With the change it ends within 1.0 s, logs call_cut, and counts what is open in stop_wait_ended, by callers and other VMs.

The root now ends the wait itself, 0.25 s before the kill, and cuts the calls that are open then; nothing is left for the server to wait for. A metric would go unread, as its server closes with the calls.

--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 
+import attrs
 from aiohttp import ClientError, web
 from aiohttp.http import HttpVersion11
 from result import Err, Ok, Result
@@ -31,6 +32,39 @@
 _BODILESS_STATUSES = (204, 304)
 
 
+@attrs.define(eq=False)
+class _OpenCall:
+    """A call that is not answered yet.
+
+    Parameters
+    ----------
+    request : web.BaseRequest
+        The request.
+    started_at : float
+        When its head was read, monotonic seconds.
+    task : asyncio.Task
+        Answers it.
+    route : str
+        Name of its route; empty until it is known.
+    end_at : float or None
+        When its time is over, monotonic seconds; None until its route is known.
+    is_cut : bool
+        Whether this process has ended it without an answer.
+    """
+
+    request: web.BaseRequest
+    started_at: float
+    task: asyncio.Task
+    route: str = ""
+    end_at: float | None = None
+    is_cut: bool = False
+
+    @property
+    def request_id(self) -> str:
+        """Id that the caller gave."""
+        return self.request.headers.get(headers.REQUEST_ID, "")
+
+
 class Ingress:
     """Takes calls, forwards them and answers them.
 
@@ -51,8 +85,6 @@
 
     Attributes
     ----------
-    open_calls : int
-        Calls that are not answered yet.
     newest_call_at : float
         When the newest call arrived, monotonic seconds.
     is_draining : bool
@@ -81,7 +113,7 @@
         self._on_answer = on_answer
         self._splits = SplitChooser(rng)
         self._patience = Patience()
-        self.open_calls = 0
+        self._open_calls: set[_OpenCall] = set()
         self.newest_call_at = clock.monotonic()
         self.is_draining = False
         self.closes_at: float | None = None
@@ -98,44 +130,67 @@
             buffer_bytes=buffer_bytes,
         )
 
+    @property
+    def open_calls(self) -> int:
+        """Calls that are not answered yet."""
+        return len(self._open_calls)
+
+    def cut_calls(self) -> None:
+        """End all calls that are not answered yet, without an answer."""
+        for call in self._open_calls:
+            call.is_cut = True
+            call.task.cancel()
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call."""
         started_at = self._clock.monotonic()
         self.newest_call_at = started_at
-        self.open_calls += 1
-        status, route = 0, ""
+        open_call = _OpenCall(request, started_at, asyncio.current_task())
+        self._open_calls.add(open_call)
+        status = 0
         try:
             prepared = await self._prepare(request, started_at)
             if isinstance(prepared, Err):
                 status = prepared.err_value.status
                 return prepared.err_value
             call = prepared.ok_value
-            route = call.route_name
+            open_call.route, open_call.end_at = call.route_name, call.end_at
             response = await self._forward(request, call)
             status = response.status
             return response
         except asyncio.CancelledError:
-            self._log_left(request, route, started_at)
+            self._log_unanswered(open_call)
             raise
         finally:
-            self.open_calls -= 1
+            self._open_calls.discard(open_call)
             if not 200 <= status < 300:
-                request_id = request.headers.get(headers.REQUEST_ID, "")
-                self._gate.note_unserved_call(headers.parent_id(request_id))
-            self._on_answer(route, status, self._clock.monotonic() - started_at)
+                parent_id = headers.parent_id(open_call.request_id)
+                self._gate.note_unserved_call(parent_id)
+            seconds = self._clock.monotonic() - started_at
+            self._on_answer(open_call.route, status, seconds)
 
-    def _log_left(
-        self, request: web.BaseRequest, route: str, started_at: float
-    ) -> None:
-        """Log that a caller has closed its connection before its answer."""
-        waited_ms = (self._clock.monotonic() - started_at) * 1000
+    def _log_unanswered(self, call: _OpenCall) -> None:
+        """Log which end closed the connection of a call before its answer."""
+        now = self._clock.monotonic()
+        waited_ms = round((now - call.started_at) * 1000)
+        if not call.is_cut:
+            events.call_line(
+                "call_left",
+                is_failure=True,
+                call=call.request_id,
+                route=call.route,
+                waited_ms=waited_ms,
+                asked_ms=headers.deadline_ms(call.request.headers),
+            )
+            return
+        left_ms = None if call.end_at is None else round((call.end_at - now) * 1000)
         events.call_line(
-            "call_left",
+            "call_cut",
             is_failure=True,
-            call=request.headers.get(headers.REQUEST_ID, ""),
-            route=route,
-            waited_ms=round(waited_ms),
-            asked_ms=headers.deadline_ms(request.headers),
+            call=call.request_id,
+            route=call.route,
+            waited_ms=waited_ms,
+            left_ms=left_ms,
         )
 
     async def _prepare(
--- a/src/lacewingstair/metrics/sidecar.py
+++ b/src/lacewingstair/metrics/sidecar.py
@@ -21,7 +21,7 @@
         self.registry = CollectorRegistry()
         self.calls = Counter(
             "lacewingstair_caller_calls",
-            "Calls of callers on this VM, by status; 0 when the caller left.",
+            "Calls of callers on this VM, by status; 0 without an answer.",
             ("status",),
             registry=self.registry,
         )
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -68,8 +68,10 @@
 # Part of the time to stop in which the gate stays open: the process waits for callers
 # to go elsewhere anyway, and its backend server's slots are missed meanwhile.
 GATE_OPEN_SHARE = 0.3
-# Left between the end of a planned stop and the platform's kill.
+# Left between the latest end of a call that is still taken and the platform's kill.
 STOP_MARGIN_SECONDS = 0.6
+# Left of it for closing, when calls that are still open are cut.
+CLOSE_SECONDS = 0.25
 STOP_CHECK_SECONDS = 0.05
 # While too few VMs of a zone are ready, the platform sends callers to one that leaves.
 CALLERS_GONE_SECONDS = 0.5
@@ -226,6 +228,8 @@
         self._is_leaving = True
         self.ingress.is_draining = True
         await self._wait_for_calls(started_at)
+        self._log_open_calls(started_at)
+        self.ingress.cut_calls()
         await self.close()
         events.info("daemon_stopped", vm=self.settings.vm_id)
 
@@ -274,6 +278,7 @@
         }
 
     async def _wait_for_calls(self, started_at: float) -> None:
+        """Wait until no call is open and none is to be expected, or for too long."""
         stop_seconds = self.bounds.stop_ms / 1000
         latest = started_at + stop_seconds - STOP_MARGIN_SECONDS
         has_upstream = self.gate.identity.state is not UpstreamState.ABSENT
@@ -283,11 +288,28 @@
         while (now := self.clock.monotonic()) < latest:
             if now >= started_at + GATE_OPEN_SHARE * stop_seconds:
                 self._leave_mesh()
-            is_idle = not self.ingress.open_calls and not self.call_server.open_calls
             is_quiet = now - self.ingress.newest_call_at >= CALLERS_GONE_SECONDS
-            if is_idle and is_quiet and now >= earliest:
-                return
+            if self._is_idle() and is_quiet and now >= earliest:
+                break
             await self.clock.sleep(STOP_CHECK_SECONDS)
+        cut_at = started_at + stop_seconds - CLOSE_SECONDS
+        while not self._is_idle() and self.clock.monotonic() < cut_at:
+            await self.clock.sleep(STOP_CHECK_SECONDS)
+
+    def _is_idle(self) -> bool:
+        """Return whether no call is open here."""
+        return not self.ingress.open_calls and not self.call_server.open_calls
+
+    def _log_open_calls(self, started_at: float) -> None:
+        """Log what the end of the process cuts."""
+        waited = self.clock.monotonic() - started_at
+        events.info(
+            "stop_wait_ended",
+            waited_ms=round(waited * 1000),
+            stop_ms=round(self.bounds.stop_ms),
+            callers_calls=self.ingress.open_calls,
+            vms_calls=self.call_server.open_calls,
+        )
 
     def _leave_mesh(self) -> None:
         """Let the calls of other VMs, and of this one, go to other gates."""
--- /dev/null
+++ b/tests/test_sidecar_stop.py
@@ -0,0 +1,183 @@
+"""Planned stops of a VM on a platform with a metadata store."""
+
+import asyncio
+import contextlib
+
+import attrs
+import pytest
+from loguru import logger
+
+from lacewingstair.events import parse_event
+from tests.test_sidecar import ROUTES, configuration, until, with_mesh
+
+LONG_ROUTES = [[*route[:4], "60s", *route[5:]] for route in ROUTES]
+
+
+@contextlib.contextmanager
+def logged_events():
+    """Collect the events that are logged."""
+    found = []
+    number = logger.add(
+        lambda message: found.append(parse_event(str(message))), format="{message}"
+    )
+    yield found
+    logger.remove(number)
+
+
+def set_stop(vm, seconds):
+    """Set the time from the signal until the platform kills the process."""
+    bounds = attrs.evolve(vm.sidecar.bounds, stop_ms=seconds * 1000)
+    vm.sidecar.bounds = bounds
+
+
+async def allow_long_calls(store, vms):
+    await store.put("keyed.op", "config", configuration(2, LONG_ROUTES))
+    await until(
+        lambda: all(vm.sidecar.configurations.current.number == 2 for vm in vms)
+    )
+
+
+async def open_call(vm, request_id, timeout_ms, count=1):
+    """Send calls on a connection of their own; return its streams."""
+    reader, writer = await asyncio.open_connection(vm.host, 7101)
+    for number in range(count):
+        writer.write(
+            f"GET /view/{number} HTTP/1.1\r\nHost: a.example\r\n"
+            f"Request-Id: {request_id}{number or ''}\r\n"
+            f"Timeout-Ms: {timeout_ms}\r\n\r\n".encode()
+        )
+    return reader, writer
+
+
+async def answers_of(reader):
+    """Return the status and whether it closes, of each answer until the end."""
+    found = []
+    while True:
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return found
+        lines = head.split("\r\n")
+        fields = dict(line.split(": ", 1) for line in lines[1:] if line)
+        await reader.readexactly(int(fields["Content-Length"]))
+        closes = fields.get("Connection") == "close"
+        found.append((int(lines[0].split()[1]), closes))
+
+
+def all_runs(vms):
+    return [run for vm in vms for run in vm.upstream.runs]
+
+
+def test_calls_that_the_stop_cuts_are_logged_as_cut_before_the_kill():
+    """Guards against a stop that outlasts its time, or that blames callers.
+
+    A call that began before the signal can have more time than the stop.
+    """
+
+    async def check(store, vms, session):
+        await allow_long_calls(store, vms)
+        for vm in vms[:2]:
+            vm.upstream.seconds = 30.0
+        reader, writer = await open_call(vms[2], "long", 30_000)
+        await until(lambda: all_runs(vms) == ["long"])
+        set_stop(vms[2], 1.0)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        with logged_events() as found:
+            await vms[2].sidecar.stop()
+            took = loop.time() - started
+            assert await answers_of(reader) == []
+        writer.close()
+        by_name = {fields["event"]: fields for fields in found}
+        assert "call_left" not in by_name
+        cut = by_name["call_cut"]
+        assert (cut["call"], cut["route"]) == ("long", "view")
+        assert cut["waited_ms"] < 10_000 < cut["left_ms"]
+        waited = by_name["stop_wait_ended"]
+        assert (waited["callers_calls"], waited["vms_calls"]) == (1, 0)
+        assert took < 1.0
+
+    with_mesh(check)
+
+
+def test_calls_of_other_vms_that_are_open_at_the_end_of_a_stop_are_counted():
+    """Guards against a stop that ends calls of other VMs without a line of it."""
+
+    async def check(store, vms, session):
+        await allow_long_calls(store, vms)
+        await vms[1].report(session, "draining")
+        vms[0].upstream.seconds = 30.0
+        _, writer = await open_call(vms[2], "long", 30_000)
+        await until(lambda: vms[0].upstream.runs == ["long"])
+        set_stop(vms[0], 1.0)
+        with logged_events() as found:
+            await vms[0].sidecar.stop()
+        writer.close()
+        (waited,) = [f for f in found if f["event"] == "stop_wait_ended"]
+        assert (waited["callers_calls"], waited["vms_calls"]) == (0, 1)
+
+    with_mesh(check)
+
+
+def test_a_caller_that_leaves_during_a_stop_is_not_logged_as_cut():
+    """Guards against a stop that is blamed for what a caller did."""
+
+    async def check(store, vms, session):
+        await allow_long_calls(store, vms)
+        vms[0].upstream.seconds = vms[1].upstream.seconds = 30.0
+        _, writer = await open_call(vms[2], "left", 30_000)
+        await until(lambda: all_runs(vms) == ["left"])
+        set_stop(vms[2], 3.0)
+        with logged_events() as found:
+            stopping = asyncio.create_task(vms[2].sidecar.stop())
+            await asyncio.sleep(0.1)
+            writer.close()
+            await stopping
+        names = [fields["event"] for fields in found]
+        assert "call_left" in names
+        assert "call_cut" not in names
+
+    with_mesh(check)
+
+
+def test_a_call_that_a_running_call_needs_is_served_during_a_stop():
+    """Guards against calls that fail as one of their own is refused or cut."""
+
+    async def check(store, vms, session):
+        await vms[1].report(session, "draining")
+        vms[0].upstream.seconds = 0.5
+        outer = asyncio.create_task(vms[2].call(session, request_id="outer"))
+        await until(lambda: vms[0].upstream.runs == ["outer"])
+        stopping = asyncio.create_task(vms[0].sidecar.stop())
+        await asyncio.sleep(0.1)
+        await vms[1].report(session)
+        await until(lambda: vms[0].sidecar.links.get("vm1").load.is_open)
+        status, _, _ = await vms[0].call(session, request_id="outer.inner")
+        assert status == 200
+        assert "outer.inner" in all_runs(vms)
+        assert (await outer)[0] == 200
+        await stopping
+
+    with_mesh(check)
+
+
+@pytest.mark.parametrize("is_silent", [False, True])
+def test_a_stop_is_in_time_and_cuts_nothing_while_the_store_is_down(is_silent):
+    """Guards against a stop that waits for the store."""
+
+    async def check(store, vms, session):
+        vms[0].upstream.seconds = vms[1].upstream.seconds = 0.5
+        store.status = 0 if is_silent else 503
+        # Holding the condition keeps the store from answering.
+        silence = store._changed if is_silent else contextlib.AsyncExitStack()
+        async with silence:
+            call = asyncio.create_task(vms[2].call(session))
+            await until(lambda: all_runs(vms) == ["q1"])
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            await vms[2].sidecar.stop()
+            assert loop.time() - started < 3.0
+            assert (await call)[0] == 200
+        store.status = 0
+
+    with_mesh(check)
