Refuse calls that arrive after a planned stop has ended its wait

What callers saw: a call whose connection was closed without an answer while its backend server was at work, seconds before the kill.

Cause: a stop without calls ends early, and its parts take a moment to close. Calls that arrived in that moment were taken, as their deadline lay before the latest end of the stop, and then cut after the shutdown timeout of the server.

Evidence: in the test such a call of 1.5 s got no answer; it now gets a 503, not run. Both happen in the same step of the event loop: the wait ends and calls are refused, so no call falls between.

--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -292,6 +292,8 @@
             if self._is_idle() and is_quiet and now >= earliest:
                 break
             await self.clock.sleep(STOP_CHECK_SECONDS)
+        # What arrives from now on could not be answered before the end.
+        self.ingress.closes_at = self.clock.monotonic()
         cut_at = started_at + stop_seconds - CLOSE_SECONDS
         while not self._is_idle() and self.clock.monotonic() < cut_at:
             await self.clock.sleep(STOP_CHECK_SECONDS)
--- a/tests/test_sidecar_stop.py
+++ b/tests/test_sidecar_stop.py
@@ -7,6 +7,7 @@
 import pytest
 from loguru import logger
 
+from lacewingstair import sidecar
 from lacewingstair.events import parse_event
 from tests.test_sidecar import ROUTES, configuration, until, with_mesh
 
@@ -140,6 +141,50 @@
     with_mesh(check)
 
 
+@pytest.fixture
+def early_end(monkeypatch):
+    """Let a stop without calls end soon."""
+    monkeypatch.setattr(sidecar, "LEAVING_SECONDS", 0.2)
+    monkeypatch.setattr(sidecar, "CALLERS_GONE_SECONDS", 0.1)
+
+
+@pytest.mark.usefixtures("early_end")
+def test_a_call_that_arrives_as_a_stop_ends_early_is_refused_and_not_cut():
+    """Guards against calls that are taken after the wait for calls, and then cut.
+
+    The tasks of the process take a moment to end, and callers are still served then.
+    """
+
+    async def check(store, vms, session):
+        await allow_long_calls(store, vms)
+        vms[0].upstream.seconds = vms[1].upstream.seconds = 1.5
+        vm = vms[2]
+        set_stop(vm, 6.0)
+        ending, has_arrived = asyncio.Event(), asyncio.Event()
+
+        async def slow_to_end():
+            try:
+                await asyncio.Event().wait()
+            finally:
+                ending.set()
+                await has_arrived.wait()
+
+        vm.sidecar._tasks.append(asyncio.create_task(slow_to_end()))
+        stopping = asyncio.create_task(vm.sidecar.stop())
+        await ending.wait()
+        before = vm.sidecar.ingress.newest_call_at
+        reader, writer = await open_call(vm, "late", 3000)
+        await until(lambda: vm.sidecar.ingress.newest_call_at > before)
+        has_arrived.set()
+        answers = await answers_of(reader)
+        writer.close()
+        await stopping
+        assert answers == [(503, True)]
+        assert all_runs(vms) == []
+
+    with_mesh(check)
+
+
 def test_a_call_that_a_running_call_needs_is_served_during_a_stop():
     """Guards against calls that fail as one of their own is refused or cut."""
 
