Tell the other VMs of a planned stop before it can end early

What callers saw: nothing on a platform that kills after 6 s. With more than 7.3 s to stop, a process without calls ended after 2.2 s, before its gate closed at three tenths of the time. No other VM had been told, so calls on their way to it failed as if they could have run, and its entry stayed in the store.

Evidence: in the test, with 30 s to stop, the link of another VM broke before its entry said that the VM leaves; now the entry comes first.

The end of the wait now closes the gate if it is still open, and waits 0.4 s for calls that other VMs had sent by then: the time that 6 s left before.

--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -75,6 +75,8 @@
 STOP_CHECK_SECONDS = 0.05
 # While too few VMs of a zone are ready, the platform sends callers to one that leaves.
 CALLERS_GONE_SECONDS = 0.5
+# Calls that other VMs sent before they learned of the stop arrive until then.
+VMS_GONE_SECONDS = 0.4
 MAX_CALLER_CONNECTIONS = 2800
 
 
@@ -285,11 +287,15 @@
         # Without one the VM is removed, and a later end keeps no slots waiting.
         earliest = started_at + LEAVING_SECONDS if has_upstream else latest
         self.ingress.closes_at = latest
+        gate_closes_at = started_at + GATE_OPEN_SHARE * stop_seconds
+        left_at: float | None = None
         while (now := self.clock.monotonic()) < latest:
-            if now >= started_at + GATE_OPEN_SHARE * stop_seconds:
-                self._leave_mesh()
             is_quiet = now - self.ingress.newest_call_at >= CALLERS_GONE_SECONDS
-            if self._is_idle() and is_quiet and now >= earliest:
+            is_done = self._is_idle() and is_quiet and now >= earliest
+            if left_at is None and (is_done or now >= gate_closes_at):
+                self._leave_mesh()
+                left_at = now
+            if is_done and now - left_at >= VMS_GONE_SECONDS:
                 break
             await self.clock.sleep(STOP_CHECK_SECONDS)
         # What arrives from now on could not be answered before the end.
--- a/tests/test_sidecar_stop.py
+++ b/tests/test_sidecar_stop.py
@@ -185,6 +185,24 @@
     with_mesh(check)
 
 
+@pytest.mark.usefixtures("early_end")
+def test_the_other_vms_know_of_a_stop_before_it_ends():
+    """Guards against calls that other VMs send to a process that has ended.
+
+    With a long time to stop, the process can end before its gate would have closed.
+    """
+
+    async def check(_, vms, session):
+        set_stop(vms[0], 30.0)
+        link = vms[1].sidecar.links.get("vm0")
+        stopping = asyncio.create_task(vms[0].sidecar.stop())
+        await until(lambda: link.entry.is_leaving or not link.is_connected)
+        assert link.is_connected
+        await stopping
+
+    with_mesh(check)
+
+
 def test_a_call_that_a_running_call_needs_is_served_during_a_stop():
     """Guards against calls that fail as one of their own is refused or cut."""
 
