Answer calls that were sent together on one connection during a stop

What callers saw: of two calls sent together, the second got no answer when the first was answered during a planned stop, though it had been read.

Cause: the first answer carried "Connection: close", and the server drops what it has read behind the last call of a connection.

Evidence: in the test the answers were one 200 that closes; now they are a 200 that keeps the connection and a 200 that closes it. While calls wait behind one, its answer keeps the connection.

--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -344,12 +344,7 @@
         body: bytes,
         is_read: bool = True,
     ) -> WholeAnswer:
-        is_kept = (
-            is_read
-            and not self.is_draining
-            and request.keep_alive
-            and request.version == HttpVersion11
-        )
+        is_kept = is_read and request.keep_alive and request.version == HttpVersion11
         if not is_kept:
             lines += b"Connection: close\r\n"
         head = f"HTTP/1.1 {status} {reason}\r\n".encode("latin-1", "replace")
--- a/src/lacewingstair/http_server.py
+++ b/src/lacewingstair/http_server.py
@@ -73,8 +73,9 @@
     handler : callable
         Answers one call. It enforces the limit on bodies, which depends on the route.
     is_leaving : callable
-        While true, answers carry ``Connection: close``, so that callers go elsewhere
-        and no connection is closed while a caller sends its next call on it.
+        While true, the last answer of a connection carries ``Connection: close``, so
+        that callers go elsewhere and no connection is closed while a caller sends its
+        next call on it.
     max_header_bytes : int
         Longest request line and header field.
     max_connections : int
@@ -86,7 +87,9 @@
     class Request(web.BaseRequest):
         @property
         def keep_alive(self) -> bool:
-            return not is_leaving() and super().keep_alive
+            # Calls that were read behind this one are answered as well.
+            has_next = bool(self.protocol._messages)
+            return (has_next or not is_leaving()) and super().keep_alive
 
     def make_request(
         message: RawRequestMessage,
--- a/tests/test_sidecar_stop.py
+++ b/tests/test_sidecar_stop.py
@@ -203,6 +203,21 @@
     with_mesh(check)
 
 
+def test_calls_that_were_sent_together_are_all_answered_during_a_stop():
+    """Guards against a connection that is closed with calls of it unanswered."""
+
+    async def check(_, vms, session):
+        vms[0].upstream.seconds = vms[1].upstream.seconds = 0.3
+        reader, writer = await open_call(vms[2], "q", 900, count=2)
+        await until(lambda: len(all_runs(vms)) == 1)
+        stopping = asyncio.create_task(vms[2].sidecar.stop())
+        assert await answers_of(reader) == [(200, False), (200, True)]
+        writer.close()
+        await stopping
+
+    with_mesh(check)
+
+
 def test_a_call_that_a_running_call_needs_is_served_during_a_stop():
     """Guards against calls that fail as one of their own is refused or cut."""
 
