Send answers in full before a planned stop ends

What callers saw: an answer that breaks off, when the caller read it slowly and the process stopped.

Cause: a call counted as ended once its answer was handed to the connection. The rest of a large answer waited in the process, and the event loop drops it when it is closed.

--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -15,7 +15,7 @@
 from lacewingstair.caller.forwarding import ForwardCall, Forwarder, NotServed
 from lacewingstair.caller.patience import Patience
 from lacewingstair.caller.raw_answer import WholeAnswer
-from lacewingstair.http_server import call_server
+from lacewingstair.http_server import CallServer, call_server
 from lacewingstair.metadata.configuration import ConfigurationStore, SplitChooser
 from lacewingstair.platform import headers
 from lacewingstair.routing.routes import NamedRoute
@@ -114,6 +114,7 @@
         self._splits = SplitChooser(rng)
         self._patience = Patience()
         self._open_calls: set[_OpenCall] = set()
+        self._server: CallServer | None = None
         self.newest_call_at = clock.monotonic()
         self.is_draining = False
         self.closes_at: float | None = None
@@ -122,19 +123,25 @@
         self, max_header_bytes: int, max_connections: int, buffer_bytes: int
     ) -> web.Server:
         """Return the HTTP server; needs a running event loop."""
-        return call_server(
+        self._server = call_server(
             self.handle,
             lambda: self.is_draining,
             max_header_bytes,
             max_connections=max_connections,
             buffer_bytes=buffer_bytes,
         )
+        return self._server
 
     @property
     def open_calls(self) -> int:
         """Calls that are not answered yet."""
         return len(self._open_calls)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that callers have not taken yet."""
+        return 0 if self._server is None else self._server.unsent_bytes
+
     def cut_calls(self) -> None:
         """End all calls that are not answered yet, without an answer."""
         for call in self._open_calls:
--- a/src/lacewingstair/http_server.py
+++ b/src/lacewingstair/http_server.py
@@ -45,12 +45,33 @@
         loop.call_later(LINGER_SECONDS, transport.close)
 
 
-class _BoundedServer(web.Server):
-    """Server with a limit on its open connections."""
+class CallServer(web.Server):
+    """Server with a limit on its open connections, which knows what is unsent."""
 
     def __init__(self, handler: CallHandler, max_connections: int, **options) -> None:
         super().__init__(handler, **options)
         self.max_connections = max_connections
+        self._transports_by_handler: dict[web.RequestHandler, asyncio.Transport] = {}
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that callers have not taken yet, beyond the kernel's."""
+        transports = self._transports_by_handler.values()
+        return sum(transport.get_write_buffer_size() for transport in transports)
+
+    def connection_made(
+        self, handler: web.RequestHandler, transport: asyncio.Transport
+    ) -> None:
+        """Note a new connection."""
+        super().connection_made(handler, transport)
+        self._transports_by_handler[handler] = transport
+
+    def connection_lost(
+        self, handler: web.RequestHandler, exc: BaseException | None = None
+    ) -> None:
+        """Forget a connection, which has sent what it could."""
+        super().connection_lost(handler, exc)
+        self._transports_by_handler.pop(handler, None)
 
     def __call__(self) -> asyncio.Protocol:
         """Return the protocol of a new connection."""
@@ -65,7 +86,7 @@
     max_header_bytes: int,
     max_connections: int = MAX_CONNECTIONS,
     buffer_bytes: int = READ_BYTES,
-) -> web.Server:
+) -> CallServer:
     """Return the server for callers; needs a running event loop.
 
     Parameters
@@ -100,7 +121,7 @@
     ) -> web.BaseRequest:
         return Request(message, payload, protocol, writer, task, server._loop)
 
-    server = _BoundedServer(
+    server = CallServer(
         handler,
         max_connections,
         request_factory=make_request,
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -57,7 +57,13 @@
     async def start(self):
         if not self.upstream.address:
             await self.upstream.start()
-        text = f"""
+        self.text = self.settings_text()
+        settings = parse_settings("test", self.text).unwrap()
+        self.sidecar = build(settings, SystemClock(), random.Random(1))
+        assert (await self.sidecar.start()).is_ok()
+
+    def settings_text(self):
+        return f"""
 [vm]
 id = {self.name}
 region = r
@@ -78,10 +84,6 @@
 log_timeout_seconds = 1
 bounds = grace=3s
 """
-        self.text = text
-        settings = parse_settings("test", text).unwrap()
-        self.sidecar = build(settings, SystemClock(), random.Random(1))
-        assert (await self.sidecar.start()).is_ok()
 
     async def report(self, session, state="ready"):
         self.sequence += 1
--- a/tests/test_sidecar_stop.py
+++ b/tests/test_sidecar_stop.py
@@ -2,14 +2,20 @@
 
 import asyncio
 import contextlib
+import signal
 
+import aiohttp
 import attrs
 import pytest
+from aiohttp.test_utils import TestServer
 from loguru import logger
 
 from lacewingstair import sidecar
 from lacewingstair.events import parse_event
-from tests.test_sidecar import ROUTES, configuration, until, with_mesh
+from tests.platform.store_standin import StoreStandIn
+from tests.platform.upstream_standin import UpstreamStandIn
+from tests.processes import LIMIT_SECONDS, Processes
+from tests.test_sidecar import ROUTES, Vm, configuration, until, with_mesh
 
 LONG_ROUTES = [[*route[:4], "60s", *route[5:]] for route in ROUTES]
 
@@ -259,3 +265,88 @@
         store.status = 0
 
     with_mesh(check)
+
+
+# More than the kernel buffers on both ends of a connection.
+LARGE_ANSWER_BYTES = 32 << 20
+
+
+class LargeUpstream(UpstreamStandIn):
+    """Gives large answers."""
+
+    def _write(self, writer, request_id):
+        writer.write(
+            f"HTTP/1.1 200 X\r\nResponse-Signature: s\r\nRequest-Id: {request_id}\r\n"
+            f"Content-Length: {LARGE_ANSWER_BYTES}\r\n\r\n".encode()
+        )
+        writer.write(bytes(LARGE_ANSWER_BYTES))
+        return True
+
+
+@pytest.fixture
+def processes(tmp_path):
+    started = Processes(tmp_path)
+    yield started
+    started.end()
+
+
+def with_process(processes, tmp_path, upstream, check):
+    """Run a check with the process of one VM that the platform kills after 6 s."""
+
+    async def main():
+        store = StoreStandIn()
+        server = TestServer(store.application())
+        await server.start_server()
+        await store.put("keyed.op", "config", configuration(1, LONG_ROUTES))
+        vm = Vm("vm", "board", str(server.make_url("")).rstrip("/"))
+        vm.upstream = upstream
+        await upstream.start()
+        file = tmp_path / "vm.ini"
+        file.write_text(vm.settings_text().replace("grace=3s", "grace=6s"))
+        process = processes.start("lacewingstair.process", file)
+        try:
+            async with aiohttp.ClientSession() as session:
+                await until_ready(vm, session)
+            await check(vm, process)
+            code = await asyncio.to_thread(process.wait, LIMIT_SECONDS)
+        finally:
+            upstream.stop()
+            await server.close()
+        log = processes.log_of(process)
+        assert code == 0, log
+        assert "Traceback" not in log
+        return [parse_event(line) for line in log.splitlines()]
+
+    return asyncio.run(main())
+
+
+async def until_ready(vm, session):
+    """Wait until the process takes calls for its backend server."""
+    async with asyncio.timeout(LIMIT_SECONDS):
+        while True:
+            with contextlib.suppress(aiohttp.ClientError):
+                await vm.report(session)
+                url = f"http://{vm.host}:7103/status"
+                async with session.get(url) as answer:
+                    status = await answer.json()
+                    if status["upstream_state"] == "ready":
+                        return
+            await asyncio.sleep(0.05)
+
+
+def test_a_caller_that_reads_slowly_gets_its_whole_answer(processes, tmp_path):
+    """Guards against a process that ends before its answers are sent."""
+
+    async def check(vm, process):
+        reader, writer = await open_call(vm, "large", 30_000)
+        await reader.readuntil(b"\r\n\r\n")
+        process.send_signal(signal.SIGTERM)
+        # A process without calls ends in this time.
+        await asyncio.sleep(2.7)
+        body = await reader.readexactly(LARGE_ANSWER_BYTES)
+        assert not any(body)
+        writer.close()
+
+    found = with_process(processes, tmp_path, LargeUpstream(), check)
+    (waited,) = [line for line in found if line["event"] == "stop_wait_ended"]
+    assert waited["unsent_bytes"] == 0
