Keep a planned stop when the platform repeats its signal

What callers saw: a second SIGTERM closed their connections without an answer while backend servers were at work.

Cause: a second signal ended the planned stop at once, which an operator needs where a stop can take long. A platform with a metadata store kills the process when the time to stop is over, and the stop ends before that by itself.

SIGINT still ends a stop at once, and so does a second signal on a platform with a ticket log.

--- a/src/lacewingstair/process.py
+++ b/src/lacewingstair/process.py
@@ -73,7 +73,8 @@
     """Runs one daemon under the entrypoint of aiomisc.
 
     The entrypoint calls `start` and, when `run_until_signal` has returned, `stop`,
-    which is the planned stop. A second signal ends the planned stop at once.
+    which is the planned stop. A second signal ends the planned stop at once, but a
+    platform that kills the process after a while may repeat its signal in that time.
     """
 
     __required__ = ("settings",)
@@ -124,6 +125,11 @@
         with contextlib.suppress(asyncio.CancelledError):
             await planned
 
+    @property
+    def _is_killed_after_signal(self) -> bool:
+        """Whether the platform kills the process some time after its signal."""
+        return self.settings.platform.interface == METADATA_STORE
+
     def _on_reload(self) -> None:
         events.info("signal_received", signal=signal.SIGHUP.name)
         self._daemon.reload(self.settings_path)
@@ -134,6 +140,9 @@
         if self._signals == 1:
             self._stopping.set()
             return
+        if number is signal.SIGTERM and self._is_killed_after_signal:
+            # The planned stop ends before the kill, and an earlier end cuts calls.
+            return
         self.exit_code = EXIT_ERROR
         self._stopping_now.set()
         events.warning("stopping_at_once", vm=self.settings.vm_id)
