Cut off backend servers that send bytes without end in the framing

Callers of a backend server that sent blank lines, spaces before a header value, 1xx answers, a chunk extension, zeros or spaces of a chunk size or spaces in a trailer without end got a 504 only when the time of their call was over. Until then the process read as fast as the server wrote and the call held its slot.

Cause: the parser bounds only what it keeps (status line, header lines and their number). It skips these bytes without a count, and head() takes any number of 1xx answers.

Why it works: each body byte starts the count of other bytes anew, so a good answer, also of tiny chunks, never reaches the bound, while bytes that become no body do. A head with its 1xx answers may have 128 KiB now; before, its 128 lines could have about 1 MiB.

--- a/src/lacewingstair/backend_server/connection.py
+++ b/src/lacewingstair/backend_server/connection.py
@@ -5,6 +5,7 @@
 import socket
 from typing import Any
 
+from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
@@ -12,11 +13,17 @@
 BUFFER_BYTES = 64 << 10
 MAX_LINE_BYTES = 8190
 MAX_HEADERS = 128
+# Bytes in a row that are not part of a body: heads, interim answers, chunk extensions.
+MAX_BYTES_WITHOUT_BODY = 128 << 10
 # The kernel drops a connection whose bytes stay unacknowledged for this long, so that
 # one that went silent fails before the deadline of most calls.
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
 
 
+class EndlessAnswerError(ClientPayloadError):
+    """The peer sends bytes that do not become an answer."""
+
+
 class UpstreamConnection(ResponseHandler):
     """Connection that knows whether any byte of the present call was written.
 
@@ -59,6 +66,9 @@
         self.is_idle = True
         self.was_reset = False
         self._poll: select.poll | None = None
+        self._bytes_without_body = 0
+        self._last_payload: StreamReader | None = None
+        self._last_body_bytes = 0
 
     def connection_made(self, transport: Any) -> None:
         """Bound the write buffer and let the kernel detect a silent peer."""
@@ -97,6 +107,15 @@
             return
         self.has_received = True
         super().data_received(data)
+        self._count_received(len(data))
+
+    def fail(self, error: ClientPayloadError) -> None:
+        """Close the connection; whoever reads the present answer gets the error."""
+        payload = self._payload
+        self.abort()
+        self.set_exception(error)
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(error)
 
     def begin(self, *, is_head: bool) -> None:
         """Prepare for the answer of a new call."""
@@ -104,6 +123,9 @@
         self.has_written = False
         self.has_received = False
         self.is_idle = False
+        self._bytes_without_body = 0
+        self._last_payload = self._payload = None
+        self._last_body_bytes = 0
         self.set_response_params(
             skip_payload=is_head,
             # An answer without a length ends with the connection, so that a truncated
@@ -142,3 +164,29 @@
         self.used_at = now
         self._drop_timeout()
         return self.is_connected() and not self.should_close
+
+    def _count_received(self, size: int) -> None:
+        """Fail the call when the peer goes on without a body or a final answer.
+
+        The parser bounds only what it keeps: blank lines, spaces before a value, chunk
+        extensions, zeros before a chunk size and interim answers may go on for ever.
+        """
+        if not self.is_connected():
+            return
+        if self._has_body_grown():
+            self._bytes_without_body = 0
+        else:
+            self._bytes_without_body += size
+        if self._bytes_without_body > MAX_BYTES_WITHOUT_BODY:
+            received = self._bytes_without_body
+            self.fail(EndlessAnswerError(f"the last {received} bytes hold no body"))
+
+    def _has_body_grown(self) -> bool:
+        payload = self._payload
+        body_bytes = 0 if payload is None else payload.total_bytes
+        if payload is not self._last_payload:
+            self._last_payload = payload
+            self._last_body_bytes = 0
+        has_grown = body_bytes > self._last_body_bytes
+        self._last_body_bytes = body_bytes
+        return has_grown
--- /dev/null
+++ b/tests/backend_server/test_connection.py
@@ -0,0 +1,114 @@
+import asyncio
+
+import pytest
+
+from lacewingstair.vm.call_messages import CallAnswer, CallFailed
+from tests.backend_server.harness import request, with_gate
+from tests.platform.upstream_standin import (
+    ENDLESS_EXCESS,
+    ENDLESS_FRAMING,
+    ENDLESS_HEADS,
+)
+
+# Far beyond what the checks wait for, so that the end of the call does not help.
+LONG_MS = 60_000.0
+SOON_SECONDS = 5.0
+# Buffers of the kernel on both sides are within it.
+MAX_WRITTEN_BYTES = 32 << 20
+
+
+async def closed(upstream):
+    while upstream.connections:  # noqa: ASYNC110 - it is plain state
+        await asyncio.sleep(0.01)
+
+
+def endless(behaviours):
+    return pytest.mark.parametrize("behaviour", behaviours)
+
+
+async def assert_later_calls_work(gate, upstream):
+    upstream.behaviour = "ok"
+    upstream.trickle_seconds = 0.0
+    assert isinstance(await gate.run(request("later")), CallAnswer)
+
+
+@endless([*ENDLESS_HEADS, *ENDLESS_FRAMING])
+def test_endless_bytes_that_are_no_answer_end_the_call_at_once(behaviour):
+    """Guards against calls that read for their whole time what never is an answer."""
+
+    async def check(gate, upstream):
+        upstream.behaviour = behaviour
+        async with asyncio.timeout(SOON_SECONDS):
+            outcome = await gate.run(request(remaining_ms=LONG_MS))
+            await closed(upstream)
+        assert isinstance(outcome, CallFailed) and not outcome.is_timeout
+        assert upstream.endless_bytes < MAX_WRITTEN_BYTES
+        await assert_later_calls_work(gate, upstream)
+
+    with_gate(check)
+
+
+@endless(ENDLESS_EXCESS)
+def test_endless_bytes_beyond_an_answer_are_in_no_answer(behaviour):
+    """Guards against an answer extended by bytes that belong to no call."""
+
+    async def check(gate, upstream):
+        upstream.behaviour = behaviour
+        async with asyncio.timeout(SOON_SECONDS):
+            outcome = await gate.run(request(remaining_ms=LONG_MS))
+            await closed(upstream)
+        assert isinstance(outcome, CallFailed) or outcome.body == b"ok"
+        assert upstream.endless_bytes < MAX_WRITTEN_BYTES
+        await assert_later_calls_work(gate, upstream)
+
+    with_gate(check)
+
+
+@endless(
+    [
+        "endless status line",
+        "endless blank lines",
+        "endless header line",
+        "endless interim answers",
+        "endless chunk extension",
+        "endless chunked body",
+        "endless body without a length",
+    ]
+)
+def test_endless_bytes_that_trickle_in_end_with_the_time_of_the_call(behaviour):
+    """Guards against calls and connections that a slow trickle keeps for ever."""
+
+    async def check(gate, upstream):
+        upstream.behaviour = behaviour
+        upstream.trickle_seconds = 0.01
+        async with asyncio.timeout(SOON_SECONDS):
+            outcome = await gate.run(request(remaining_ms=150.0))
+            await closed(upstream)
+        assert isinstance(outcome, CallFailed) and outcome.is_timeout
+        await assert_later_calls_work(gate, upstream)
+
+    with_gate(check)
+
+
+def test_some_interim_answers_come_before_the_final_one():
+    """Guards against a bound that refuses good answers."""
+
+    async def check(gate, upstream):
+        upstream.behaviour = "interim"
+        outcome = await gate.run(request())
+        assert isinstance(outcome, CallAnswer)
+        assert outcome.body == b"answer of a"
+
+    with_gate(check)
+
+
+def test_an_answer_of_many_small_chunks_arrives_whole():
+    """Guards against framing that is taken for an endless answer."""
+
+    async def check(gate, upstream):
+        upstream.behaviour = "small chunks"
+        outcome = await gate.run(request(remaining_ms=LONG_MS))
+        assert isinstance(outcome, CallAnswer)
+        assert outcome.body == b"answer of a" * 30_000
+
+    with_gate(check)
--- a/tests/backend_server/test_gate.py
+++ b/tests/backend_server/test_gate.py
@@ -2,55 +2,14 @@
 
 import pytest
 
-from lacewingstair.backend_server.gate import Gate, UpstreamIdentity
-from lacewingstair.runtime import SystemClock
 from lacewingstair.vm.call_messages import (
     CallAnswer,
     CallFailed,
     CallRefused,
-    CallRequest,
     RefusalReason,
 )
 from lacewingstair.vm.entries import UpstreamState
-from tests.platform.upstream_standin import UpstreamStandIn
-
-
-def request(request_id="a", remaining_ms=1000.0, **values):
-    call = {
-        "call_id": 1,
-        "request_id": request_id,
-        "service": "board",
-        "version": "",
-        "route": "r",
-        "method": "GET",
-        "target": "/x",
-        "header_lines": f"Request-Id: {request_id}\r\n".encode(),
-        "body": b"",
-        "remaining_ms": remaining_ms,
-        "target_ms": remaining_ms,
-        "priority": 1,
-        "allows_repeat": False,
-    }
-    return CallRequest(**{**call, **values})
-
-
-def identity(upstream_id="i-1", slots=2, state=UpstreamState.READY):
-    return UpstreamIdentity(upstream_id, "v1", slots, state)
-
-
-def with_gate(check):
-    async def main():
-        upstream = UpstreamStandIn()
-        await upstream.start()
-        gate = Gate("board", upstream.address, SystemClock())
-        gate.set_identity(identity())
-        try:
-            await check(gate, upstream)
-        finally:
-            gate.close()
-            upstream.stop()
-
-    asyncio.run(main())
+from tests.backend_server.harness import identity, request, with_gate
 
 
 def test_an_answer_is_passed_on_whole_and_the_request_is_bound_to_its_upstream():
--- a/tests/platform/upstream_standin.py
+++ b/tests/platform/upstream_standin.py
@@ -4,6 +4,54 @@
 import socket
 import struct
 
+_PIECE_BYTES = 64 << 10
+_SIGNED = (
+    b"HTTP/1.1 200 X\r\nResponse-Signature: s\r\n"
+    b"Request-Id: {request}\r\nInstance-Id: {upstream}\r\n"
+)
+_CHUNKED = _SIGNED + b"Transfer-Encoding: chunked\r\n\r\n"
+_STRAY = b"HTTP/1.1 200 X\r\nRequest-Id: other\r\nContent-Length: "
+# What is sent first and then without end, until the caller closes.
+ENDLESS_HEADS = {
+    "endless status line": (b"HTTP/1.1 200 ", b"a"),
+    "endless spaces in the status line": (b"HTTP/1.1 200", b" "),
+    "endless blank lines": (b"", b"\r\n"),
+    "endless header line": (b"HTTP/1.1 200 X\r\nA: ", b"a"),
+    "endless header name": (b"HTTP/1.1 200 X\r\n", b"a"),
+    "endless spaces before a header value": (b"HTTP/1.1 200 X\r\nA:", b" "),
+    "endless folded header": (b"HTTP/1.1 200 X\r\nA: b", b"\r\n c"),
+    "endless header lines": (_SIGNED, b"A: b\r\n"),
+    "endless interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "endless stray answers": (b"", _STRAY + b"2\r\n\r\nab"),
+    "endless empty stray answers": (b"", _STRAY + b"0\r\n\r\n"),
+    "endless bytes that are no HTTP": (b"", b"\x00\xff"),
+    "endless bytes after a switch": (
+        b"HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+        b"a",
+    ),
+}
+ENDLESS_FRAMING = {
+    "endless chunk extension": (_CHUNKED + b"2;", b"a"),
+    "endless chunk extensions": (_CHUNKED + b"2", b";a=b"),
+    "endless chunk size": (_CHUNKED, b"0"),
+    "endless spaces after a chunk size": (_CHUNKED + b"2", b" "),
+    "endless bytes that are no chunk": (_CHUNKED + b"2\r\nok\r\n", b"a"),
+    "endless trailer lines": (_CHUNKED + b"0\r\n", b"A: b\r\n"),
+    "endless spaces in a trailer": (_CHUNKED + b"0\r\nA:", b" "),
+}
+ENDLESS_BODIES = {
+    "endless chunked body": (_CHUNKED, b"400\r\n" + b"a" * 0x400 + b"\r\n"),
+    "endless body without a length": (_SIGNED + b"\r\n", b"a"),
+    "endless body of a large length": (
+        _SIGNED + b"Content-Length: 99999999999\r\n\r\n",
+        b"a",
+    ),
+}
+ENDLESS_EXCESS = {
+    "endless bytes beyond the length": (_SIGNED + b"Content-Length: 2\r\n\r\nok", b"a"),
+}
+_ENDLESS = {**ENDLESS_HEADS, **ENDLESS_FRAMING, **ENDLESS_BODIES, **ENDLESS_EXCESS}
+
 
 class UpstreamStandIn:
     """Answers calls on raw connections, so that it can also misbehave.
@@ -19,7 +67,12 @@
     behaviour : str
         ``ok``, ``truncate``, ``reset``, ``extra`` (a second answer), ``late extra``
         (the second answer comes after a while), ``unframed``, ``unframed reset``,
-        ``unsigned``, ``shed``, ``error`` or ``silent``.
+        ``interim`` (after 1xx answers), ``small chunks``, ``unsigned``, ``shed``,
+        ``error``, ``silent`` or one of the endless answers.
+    trickle_seconds : float
+        Pause after every few bytes of an endless answer; 0 sends as fast as possible.
+    endless_bytes : int
+        Bytes of endless answers written so far.
     """
 
     def __init__(self, upstream_id="i-1"):
@@ -30,12 +83,14 @@
         self.behaviour = "ok"
         self.is_healthy = True
         self.cancelled = []
+        self.trickle_seconds = 0.0
+        self.endless_bytes = 0
         self.address = ""
         self._server = None
         self._writers = set()
 
     async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
@@ -44,7 +99,12 @@
         for writer in self._writers:
             writer.transport.abort()
 
-    async def _serve(self, reader, writer):
+    @property
+    def connections(self):
+        """Connections that are open."""
+        return len(self._writers)
+
+    async def serve(self, reader, writer):
         self._writers.add(writer)
         try:
             while await self._answer_one(reader, writer):
@@ -62,6 +122,8 @@
         lines = head.split("\r\n")
         fields = dict(line.split(": ", 1) for line in lines[1:] if line)
         body = await reader.readexactly(int(fields.get("Content-Length", 0)))
+        if self.behaviour in _ENDLESS:
+            await self._write_endless(writer, fields.get("Request-Id", ""))
         if lines[0].startswith("GET /health "):
             load = f"Instance-Id: {self.upstream_id}\r\nServer-Load: 0,0,4\r\n"
             writer.write(_head(200 if self.is_healthy else 503, load, 0))
@@ -81,6 +143,21 @@
             return False
         return self._write(writer, request_id)
 
+    async def _write_endless(self, writer, request_id):
+        """Write until the caller closes, which raises ConnectionError."""
+        start, repeated = _ENDLESS[self.behaviour]
+        start = start.replace(b"{request}", request_id.encode())
+        writer.write(start.replace(b"{upstream}", self.upstream_id.encode()))
+        piece = repeated
+        if not self.trickle_seconds:
+            piece *= _PIECE_BYTES // len(repeated)
+        while True:
+            writer.write(piece)
+            self.endless_bytes += len(piece)
+            await writer.drain()
+            if self.trickle_seconds:
+                await asyncio.sleep(self.trickle_seconds)
+
     async def _work(self, reader, request_id):
         """Take the time of the call; return False when its connection was closed."""
         if not self.seconds:
@@ -118,6 +195,13 @@
             case "unframed reset":
                 writer.write(f"HTTP/1.1 200 OK\r\n{signed}\r\n".encode() + body[:4])
                 asyncio.get_running_loop().call_later(0.05, _reset, writer)
+            case "interim":
+                interim = b"HTTP/1.1 102 Processing\r\n\r\n" * 8
+                writer.write(interim + _head(200, signed, len(body)) + body)
+            case "small chunks":
+                head = f"HTTP/1.1 200 OK\r\n{signed}Transfer-Encoding: chunked\r\n\r\n"
+                chunks = b"".join(b"001;a=b\r\n%c\r\n" % byte for byte in body)
+                writer.write(head.encode() + chunks * 30_000 + b"0\r\n\r\n")
             case "unsigned":
                 field = f"Request-Id: {request_id}\r\n"
                 writer.write(_head(200, field, len(body)) + body)
