Bound the answers that are parsed before their call reads them

No caller saw a wrong answer, but each connection to a backend server in trouble took 2.3 to 5.3 MB for a moment, and there are as many as calls.

Cause: the loop reads up to 256 KiB at a time and the parser makes an answer of each 18 bytes, with its fields, before the call can look at the first. Bytes that are no HTTP cost the same, as the parser copies all it was given into its error message.

Why it works: outside of a body the parser gets 8 KiB at a time, and the connection is closed once more than 32 answers wait to be read. Answers before that are still read, so a good answer with strays behind it is not lost. Bodies are fed as before.

--- a/src/lacewingstair/backend_server/connection.py
+++ b/src/lacewingstair/backend_server/connection.py
@@ -15,6 +15,11 @@
 MAX_HEADERS = 128
 # Bytes in a row that are not part of a body: heads, interim answers, chunk extensions.
 MAX_BYTES_WITHOUT_BODY = 128 << 10
+# Answers parsed and not read yet; interim (1xx) answers and strays count too.
+MAX_QUEUED_ANSWERS = 32
+# Outside of a body the parser gets this much at a time, since each few bytes can
+# become an answer of a kilobyte.
+PARSE_BYTES = 8 << 10
 # The kernel drops a connection whose bytes stay unacknowledged for this long, so that
 # one that went silent fails before the deadline of most calls.
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
@@ -106,8 +111,14 @@
                 self.abort()
             return
         self.has_received = True
-        super().data_received(data)
-        self._count_received(len(data))
+        rest = data
+        while True:
+            size = len(rest) if self._is_reading_body() else PARSE_BYTES
+            part, rest = rest[:size], rest[size:]
+            super().data_received(part)
+            self._count_received(len(part))
+            if not rest or not self.is_connected():
+                return
 
     def fail(self, error: ClientPayloadError) -> None:
         """Close the connection; whoever reads the present answer gets the error."""
@@ -165,6 +176,9 @@
         self._drop_timeout()
         return self.is_connected() and not self.should_close
 
+    def _is_reading_body(self) -> bool:
+        return self._payload is not None and not self._payload.is_eof()
+
     def _count_received(self, size: int) -> None:
         """Fail the call when the peer goes on without a body or a final answer.
 
@@ -180,6 +194,9 @@
         if self._bytes_without_body > MAX_BYTES_WITHOUT_BODY:
             received = self._bytes_without_body
             self.fail(EndlessAnswerError(f"the last {received} bytes hold no body"))
+        elif len(self._buffer) > MAX_QUEUED_ANSWERS:
+            queued = len(self._buffer)
+            self.fail(EndlessAnswerError(f"{queued} answers came to one call"))
 
     def _has_body_grown(self) -> bool:
         payload = self._payload
--- a/tests/backend_server/test_connection.py
+++ b/tests/backend_server/test_connection.py
@@ -4,6 +4,7 @@
 
 from lacewingstair.vm.call_messages import CallAnswer, CallFailed
 from tests.backend_server.harness import request, with_gate
+from tests.memory import traced_peak
 from tests.platform.upstream_standin import (
     ENDLESS_EXCESS,
     ENDLESS_FRAMING,
@@ -15,6 +16,7 @@
 SOON_SECONDS = 5.0
 # Buffers of the kernel on both sides are within it.
 MAX_WRITTEN_BYTES = 32 << 20
+MAX_PEAK_BYTES = 2 << 20
 
 
 async def closed(upstream):
@@ -38,11 +40,13 @@
 
     async def check(gate, upstream):
         upstream.behaviour = behaviour
-        async with asyncio.timeout(SOON_SECONDS):
-            outcome = await gate.run(request(remaining_ms=LONG_MS))
-            await closed(upstream)
+        with traced_peak() as peak:
+            async with asyncio.timeout(SOON_SECONDS):
+                outcome = await gate.run(request(remaining_ms=LONG_MS))
+                await closed(upstream)
         assert isinstance(outcome, CallFailed) and not outcome.is_timeout
         assert upstream.endless_bytes < MAX_WRITTEN_BYTES
+        assert peak.bytes < MAX_PEAK_BYTES
         await assert_later_calls_work(gate, upstream)
 
     with_gate(check)
