Bound the memory of all answers that a gate receives at a time

While a backend server answered many calls with bodies without end, the process beside it could be killed for its memory, and all calls of its VM broke off.

Cause: one answer is held whole up to 64 MiB, and nothing bounded the sum. Besides, the parts of an answer that ended with an error stayed until the next garbage collection: the connection keeps the error, its traceback the frame with the parts, and the frame the connection.

Why it works: each body adds its bytes to one sum, and beyond 64 MiB (the largest single answer, which is still taken) the connection of the largest body is closed, so that its call fails as one that may have run. Small answers of good calls arrive meanwhile, as the second test shows.

--- a/src/lacewingstair/backend_server/gate.py
+++ b/src/lacewingstair/backend_server/gate.py
@@ -11,10 +11,12 @@
 import attrs
 from aiohttp import ClientError
 from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.streams import StreamReader
 from result import Err
 
 from lacewingstair import events
 from lacewingstair.backend_server.admission import Admission, Offer, Place, Refused
+from lacewingstair.backend_server.answer_memory import AnswerMemory
 from lacewingstair.backend_server.connection import UpstreamConnection
 from lacewingstair.backend_server.pool import ConnectionPool
 from lacewingstair.errors import ConnectError
@@ -32,6 +34,8 @@
 from lacewingstair.vm.entries import UpstreamState
 
 MAX_ANSWER_BYTES = 64 << 20
+# All answers that are being received; the smallest VMs have 200 MB.
+MAX_HELD_ANSWER_BYTES = 64 << 20
 # The backend server answers at the deadline itself; its answer is worth this wait.
 LATE_ANSWER_SECONDS = 0.1
 FRESH_SECONDS = 4.0
@@ -121,6 +125,10 @@
         server made for it was not served.
     on_unreachable : callable
         Called when the backend server refuses connections.
+    pool : ConnectionPool, optional
+        Connections to it.
+    max_held_bytes : int
+        Bytes of all answers that are being received.
     """
 
     def __init__(
@@ -134,6 +142,7 @@
         on_outcome: OnOutcome = lambda route, status, ms, has_unserved_call: None,
         on_unreachable: Callable[[], None] = lambda: None,
         pool: ConnectionPool | None = None,
+        max_held_bytes: int = MAX_HELD_ANSWER_BYTES,
     ) -> None:
         self.service = service
         self._address = address
@@ -143,6 +152,7 @@
         self._on_outcome = on_outcome
         self._on_unreachable = on_unreachable
         self._pool = pool or ConnectionPool(clock, sharers=1)
+        self._answer_memory = AnswerMemory(max_held_bytes)
         self._idle_seconds = FRESH_SECONDS
         self._listeners: list[Callable[[LoadReport], None]] = []
         self._runs_by_request_id: dict[str, _Run] = {}
@@ -362,13 +372,9 @@
             message, payload = await connection.head()
             if message.code == 101:
                 return _Unusable("the upstream switched protocols", True)
-            parts: list[bytes] = []
-            size = 0
-            while chunk := await payload.readany():
-                parts.append(chunk)
-                size += len(chunk)
-                if size > MAX_ANSWER_BYTES:
-                    return _Unusable(f"the answer has over {size} bytes", True)
+            body = await self._receive_body(connection, payload)
+            if isinstance(body, _Unusable):
+                return body
             if connection.was_reset:
                 return _Unusable("the connection was reset within the answer", True)
             found = message.headers.get(headers.REQUEST_ID)
@@ -382,13 +388,30 @@
                     message.reason,
                     message.headers,
                     message.raw_headers,
-                    b"".join(parts),
+                    body,
                 )
             if found is None:
                 return _Unusable("an answer without the id of its call", True)
             events.warning("stray_answer", call=call.request_id, answer_of=found)
         return _Unusable("too many answers of other calls", True)
 
+    async def _receive_body(
+        self, connection: UpstreamConnection, payload: StreamReader
+    ) -> bytes | _Unusable:
+        parts: list[bytes] = []
+        try:
+            with self._answer_memory.receiving(connection) as held:
+                while chunk := await payload.readany():
+                    parts.append(chunk)
+                    self._answer_memory.add(held, len(chunk))
+                    if held.size > MAX_ANSWER_BYTES:
+                        return _Unusable(f"the answer has over {held.size} bytes", True)
+                return b"".join(parts)
+        finally:
+            # An error that the connection keeps refers to this frame, and the frame to
+            # the connection, so the parts would stay until the next collection.
+            parts.clear()
+
     def _learn_idle_time(self, fields: object) -> None:
         seconds = headers.keep_alive_seconds(fields)
         if seconds is not None:
--- a/tests/backend_server/harness.py
+++ b/tests/backend_server/harness.py
@@ -30,12 +30,12 @@
     return UpstreamIdentity(upstream_id, "v1", slots, state)
 
 
-def with_gate(check):
+def with_gate(check, slots=2, **options):
     async def main():
         upstream = UpstreamStandIn()
         await upstream.start()
-        gate = Gate("board", upstream.address, SystemClock())
-        gate.set_identity(identity())
+        gate = Gate("board", upstream.address, SystemClock(), **options)
+        gate.set_identity(identity(slots=slots))
         try:
             await check(gate, upstream)
         finally:
--- a/tests/backend_server/test_gate.py
+++ b/tests/backend_server/test_gate.py
@@ -10,6 +10,8 @@
 )
 from lacewingstair.vm.entries import UpstreamState
 from tests.backend_server.harness import identity, request, with_gate
+from tests.memory import traced_peak
+from tests.platform.upstream_standin import ENDLESS_BODIES
 
 
 def test_an_answer_is_passed_on_whole_and_the_request_is_bound_to_its_upstream():
@@ -184,3 +186,54 @@
         assert [(o[1], o[3]) for o in outcomes] == [(200, True), (200, False)]
 
     with_gate(check)
+
+
+ENDLESS_CALLS = 12
+MAX_HELD_BYTES = 8 << 20
+# Buffers of the loop and the stand-in for each connection, and copies within the loop.
+CONNECTION_BYTES = 1 << 20
+
+
+@pytest.mark.parametrize("behaviour", ENDLESS_BODIES)
+def test_endless_bodies_to_many_calls_take_a_bounded_memory_together(behaviour):
+    """Guards against a process killed for the memory of endless answers."""
+
+    async def check(gate, upstream):
+        upstream.behaviour = behaviour
+        with traced_peak() as peak:
+            async with asyncio.timeout(20.0):
+                calls = [
+                    gate.run(request(f"c{n}", 60_000.0)) for n in range(ENDLESS_CALLS)
+                ]
+                outcomes = await asyncio.gather(*calls)
+                while upstream.connections:  # noqa: ASYNC110 - it is plain state
+                    await asyncio.sleep(0.01)
+        assert all(isinstance(outcome, CallFailed) for outcome in outcomes)
+        assert not any(outcome.is_timeout for outcome in outcomes)
+        assert peak.bytes < MAX_HELD_BYTES + ENDLESS_CALLS * CONNECTION_BYTES
+        assert gate._answer_memory.held_bytes == 0
+        upstream.behaviour = "ok"
+        assert isinstance(await gate.run(request("later")), CallAnswer)
+
+    with_gate(check, ENDLESS_CALLS, max_held_bytes=MAX_HELD_BYTES)
+
+
+def test_good_answers_arrive_while_endless_bodies_fill_the_memory():
+    """Guards against good calls that fail for the answers of others."""
+
+    async def check(gate, upstream):
+        upstream.behaviour = "endless chunked body"
+        endless = [
+            asyncio.create_task(gate.run(request(f"e{n}", 60_000.0)))
+            for n in range(ENDLESS_CALLS)
+        ]
+        async with asyncio.timeout(20.0):
+            while not any(call.done() for call in endless):  # noqa: ASYNC110 - state
+                await asyncio.sleep(0)
+            upstream.behaviour = "small chunks"
+            outcome = await gate.run(request("good", 60_000.0))
+            await asyncio.gather(*endless)
+        assert isinstance(outcome, CallAnswer)
+        assert outcome.body == b"answer of good" * 30_000
+
+    with_gate(check, ENDLESS_CALLS + 1, max_held_bytes=MAX_HELD_BYTES)
