Bound the answers of the store

A store in trouble, or another server at its address, that answers without end let a process grow until it was killed for its memory, with all calls of its VM.

Cause: the client read the whole body without a bound; only its time ended that.

The new test of the three endless bodies asks for the bound; on the code before it can't run, as the constant is new.

Why it works: an answer may have 8 MiB, several times the 1 MiB that a read asks for and the 1 MB of a page of newest values, base64 included; beyond that the connection is closed and the outcome is unknown (may_be_done), as with a broken answer. The client of the log had such a reader; both use one now.

--- a/src/lacewingstair/platform/store.py
+++ b/src/lacewingstair/platform/store.py
@@ -10,6 +10,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 from result import Err, Ok, Result
 
+from lacewingstair.bounded_read import read_bounded
 from lacewingstair.errors import OffsetExpired, StoreConflict, StoreUnavailable
 from lacewingstair.sockets import keep_alive_socket
 
@@ -18,6 +19,8 @@
 MESH_TOPIC = "keyed.mesh"
 ONLY_PARTITION = 0
 MAX_READ_KB = 1024
+# Reads ask for 1 MiB and pages of the newest values hold 1 MB, before their encoding.
+MAX_ANSWER_BYTES = 8 << 20
 # The kernel repeats a lost opening packet after 1, 3, 7 and 15 s; a new attempt finds a
 # store that is back sooner.
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -180,7 +183,8 @@
                 data=body,
                 timeout=timeout,
             ) as answer:
-                return Ok((answer.status, await answer.read()))
+                data = await read_bounded(answer, MAX_ANSWER_BYTES)
+                return Ok((answer.status, data))
         except (
             ClientError,
             TimeoutError,
--- a/src/lacewingstair/ticket_log/http_log.py
+++ b/src/lacewingstair/ticket_log/http_log.py
@@ -8,6 +8,7 @@
 import aiohttp
 from result import Err, Ok, Result
 
+from lacewingstair.bounded_read import read_bounded
 from lacewingstair.errors import LogRefused, LogUnavailable, OffsetExpired
 from lacewingstair.ticket_log.log import LogBatch, LogRecord
 
@@ -16,7 +17,6 @@
 # first, short timeout.
 MAX_REQUEST_TIMEOUT_SECONDS = 40.0
 MAX_RESPONSE_BYTES = 16 << 20
-READ_CHUNK_BYTES = 64 << 10
 # Statuses that the same append would get again.
 REFUSED_STATUSES = frozenset({400, 401, 403, 404, 405, 413, 415, 422})
 
@@ -129,7 +129,9 @@
             ) as response:
                 status = response.status
                 self.bytes_received += _head_bytes(response)
-                data = await self._read_bounded(response)
+                data = await read_bounded(
+                    response, MAX_RESPONSE_BYTES, self._count_received
+                )
             body = json.loads(data)
         except TimeoutError:
             self._timeout.note_timeout()
@@ -141,15 +143,8 @@
             return Err(LogUnavailable(url, "the answer is not a JSON object"))
         return Ok((status, body))
 
-    async def _read_bounded(self, response: aiohttp.ClientResponse) -> bytes:
-        data = bytearray()
-        async for chunk in response.content.iter_chunked(READ_CHUNK_BYTES):
-            data += chunk
-            self.bytes_received += len(chunk)
-            if len(data) > MAX_RESPONSE_BYTES:
-                reason = f"the answer is larger than {MAX_RESPONSE_BYTES} bytes"
-                raise ValueError(reason)
-        return bytes(data)
+    def _count_received(self, size: int) -> None:
+        self.bytes_received += size
 
     def _trace(self) -> aiohttp.TraceConfig:
         async def on_head(_session, _context, params) -> None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,14 +3,26 @@
 import socket
 import time
 
+import pytest
 from aiohttp.test_utils import TestServer
 from result import Err, Ok
 
 from lacewingstair.errors import OffsetExpired, StoreConflict, StoreUnavailable
 from lacewingstair.metadata.tail import KeyedTail
-from lacewingstair.platform.store import KeyedRecord, MetadataStore
+from lacewingstair.platform.store import (
+    MAX_ANSWER_BYTES,
+    KeyedRecord,
+    MetadataStore,
+)
 from lacewingstair.runtime import SystemClock
+from tests.memory import traced_peak
 from tests.platform.store_standin import StoreStandIn
+from tests.platform.upstream_standin import (
+    ENDLESS_BODIES,
+    ENDLESS_FRAMING,
+    ENDLESS_HEADS,
+    UpstreamStandIn,
+)
 
 TOPIC = "keyed.test"
 
@@ -84,6 +96,51 @@
     with_store(check)
 
 
+def with_endless_store(behaviour, timeout_seconds, check):
+    async def main():
+        standin = UpstreamStandIn()
+        standin.behaviour = behaviour
+        await standin.start()
+        store = MetadataStore(f"http://{standin.address}", timeout_seconds)
+        try:
+            with traced_peak() as peak:
+                async with asyncio.timeout(20.0):
+                    await check(store)
+                    await until(lambda: not standin.connections)
+        finally:
+            await store.close()
+            standin.stop()
+        return peak.bytes
+
+    return asyncio.run(main())
+
+
+@pytest.mark.parametrize("behaviour", ENDLESS_BODIES)
+def test_an_endless_body_is_cut_off_at_a_bound(behaviour):
+    """Guards against a process killed for the memory of an answer of the store."""
+
+    async def check(store):
+        newest = await store.newest(TOPIC)
+        assert "larger than" in str(newest.unwrap_err())
+        written = (await store.append(TOPIC, "k", b"v")).unwrap_err()
+        assert "larger than" in str(written) and written.may_be_done
+
+    # Far more time than it takes, so that the bound alone ends the calls. A copy of the
+    # bytes may be made while they grow.
+    assert with_endless_store(behaviour, 60.0, check) < 3 * MAX_ANSWER_BYTES
+
+
+@pytest.mark.parametrize("behaviour", [*ENDLESS_HEADS, *ENDLESS_FRAMING])
+def test_endless_bytes_that_are_no_answer_end_with_the_time_of_the_call(behaviour):
+    """Guards against calls to the store that last and grow for ever."""
+
+    async def check(store):
+        read = (await store.read(TOPIC, 0, 0.1)).unwrap_err()
+        assert isinstance(read, StoreUnavailable)
+
+    assert with_endless_store(behaviour, 0.1, check) < MAX_ANSWER_BYTES
+
+
 class TestTail:
     def test_it_continues_after_an_outage_and_dropped_history(self):
         """Guards against a VM that serves an old configuration for ever."""
