--- a/tests/ticket_log/test_http_log.py
+++ b/tests/ticket_log/test_http_log.py
@@ -13,6 +13,13 @@
 from lacewingstair.ticket_log.http_log import HttpLogClient
 from lacewingstair.ticket_log.log import TICKET_STREAM
 from lacewingstair.ticket_log.publish import publish_ticket
+from tests.memory import traced_peak
+from tests.platform.upstream_standin import (
+    ENDLESS_BODIES,
+    ENDLESS_FRAMING,
+    ENDLESS_HEADS,
+    UpstreamStandIn,
+)
 from tests.ticket_texts import ticket
 
 
@@ -173,6 +180,45 @@
     assert "larger" in str(answer.unwrap_err())
 
 
+def read_from_endless_log(behaviour, timeout_seconds):
+    """Return the outcome of a read and the peak of its memory."""
+
+    async def main():
+        standin = UpstreamStandIn()
+        standin.behaviour = behaviour
+        await standin.start()
+        client = HttpLogClient(f"http://{standin.address}", timeout_seconds)
+        try:
+            with traced_peak() as peak:
+                async with asyncio.timeout(20.0):
+                    answer = await client.read("s", 0, 10, 0.0)
+                    while standin.connections:  # noqa: ASYNC110 - it is plain state
+                        await asyncio.sleep(0.01)
+        finally:
+            await client.close()
+            standin.stop()
+        return answer, peak.bytes
+
+    return asyncio.run(main())
+
+
+@pytest.mark.parametrize("behaviour", ENDLESS_BODIES)
+def test_an_endless_body_is_cut_off_at_a_bound(behaviour):
+    """Guards against a process killed for the memory of an answer of the log."""
+    answer, peak_bytes = read_from_endless_log(behaviour, 60.0)
+    assert "larger" in str(answer.unwrap_err())
+    # A copy of the bytes may be made while they grow.
+    assert peak_bytes < 3 * http_log.MAX_RESPONSE_BYTES
+
+
+@pytest.mark.parametrize("behaviour", [*ENDLESS_HEADS, *ENDLESS_FRAMING])
+def test_endless_bytes_that_are_no_answer_end_with_the_time_of_the_call(behaviour):
+    """Guards against calls to the log that last and grow for ever."""
+    answer, peak_bytes = read_from_endless_log(behaviour, 0.1)
+    assert isinstance(answer.unwrap_err(), LogUnavailable)
+    assert peak_bytes < http_log.MAX_RESPONSE_BYTES
+
+
 def test_the_timeout_grows_for_a_slow_log_and_returns_to_its_start():
     timeout = http_log.AdaptiveTimeout()
     start = timeout.seconds
