--- a/src/lacewingstair/platform/store.py
+++ b/src/lacewingstair/platform/store.py
@@ -11,6 +11,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 from result import Err, Ok, Result
 
+from lacewingstair.bounded_read import read_bounded
 from lacewingstair.errors import OffsetExpired, StoreConflict, StoreUnavailable
 from lacewingstair.sockets import keep_alive_socket
 
@@ -19,6 +20,8 @@
 MESH_TOPIC = "keyed.mesh"
 ONLY_PARTITION = 0
 MAX_READ_KB = 1024
+# Reads ask for 1 MiB and pages of the newest values hold 1 MB, before their encoding.
+MAX_ANSWER_BYTES = 8 << 20
 # The kernel repeats a lost opening packet after 1, 3, 7 and 15 s; a new attempt finds a
 # store that is back sooner.
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -190,7 +193,7 @@
                 data=body,
                 timeout=timeout,
             ) as answer:
-                received = await answer.read()
+                received = await read_bounded(answer, MAX_ANSWER_BYTES)
                 self.bytes_by_labels[operation, "received"] += len(received)
                 return Ok((answer.status, received))
         except (
