Repair the imports of two benches

Cause: calls_policy and rollouts import balancing and schedule from the package root, where they are no longer, so that every command of `python -m bench` ends with an ImportError; the command imports all modules.

Ruled out: an older copy of the package on the path; the import also fails with PYTHONPATH=src. Tests import no bench, so none fails.

Before: no command starts. The two benches themselves were imported, not run.

--- a/bench/calls_policy.py
+++ b/bench/calls_policy.py
@@ -9,8 +9,9 @@
 
 from bench.registry import benchmarks
 from bench.results import print_table, save_rows
-from lacewingstair import balancing, events
+from lacewingstair import events
 from lacewingstair.caller.dispatch import MAX_ATTEMPTS
+from lacewingstair.routing import balancing
 from lacewingstair.routing.balancing import Balancer, Group, Upstream
 from lacewingstair.routing.limits import Admission, ConcurrencyLimit, RetryBudget
 from lacewingstair.standins.load import EventQueue, SimulatedServer, Work
--- a/bench/rollouts.py
+++ b/bench/rollouts.py
@@ -13,7 +13,8 @@
 from bench.results import print_table, save_rows
 from bench.rollout_policies import Policy, policies
 from bench.rollout_servers import BEHAVIOURS, Servers
-from lacewingstair import events, schedule
+from lacewingstair import events
+from lacewingstair.rollouts import schedule
 from lacewingstair.routing.outcomes import CallOutcome, CallResult
 from lacewingstair.routing.splitting import RandomSplit, SmoothSplit
 from lacewingstair.standins.rollout_mesh import (
