Decode only the rows of a configuration that have changed

decode_configuration takes a previous configuration. Rows equal to those of the previous document keep their CallRoute, and RouteTable.replaced changes only the prefixes of the others. The same document is not decoded again. The caller in metadata/records.py does not pass a previous configuration yet.

Equal rows must mean equal routes, and 1 == 1.0 == True in Python, so the text fields of a route must now be text: a number as name, path_prefix, kind or service is refused, where path_prefix, kind and service were turned into text before, and a route without service and split is refused instead of sent to a service "None". Infinity as a number and a document nested too deeply raised OverflowError and RecursionError to the caller; they are refused now.

Ruled out: keeping no rows and comparing routes, which builds every route first; comparing by hash, which is not exact.

--- a/src/lacewingstair/metadata/configuration.py
+++ b/src/lacewingstair/metadata/configuration.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable, Mapping
+from typing import Any
 
 import attrs
 
@@ -97,6 +98,22 @@
     idle_timeout_ms: float = 15000.0
 
 
+@attrs.frozen
+class RouteRows:
+    """Routes as a document lists them, to compare with those of the next version.
+
+    Parameters
+    ----------
+    columns : tuple of str
+        Names of the values of each row.
+    by_name : mapping
+        Row of each route; the last one if the document repeats a name.
+    """
+
+    columns: tuple[str, ...] = ()
+    by_name: Mapping[str, list[Any]] = attrs.field(factory=dict)
+
+
 @attrs.frozen
 class Configuration:
     """One version of the whole configuration.
@@ -115,6 +132,8 @@
         The document from which it was decoded, as other VMs get it.
     table : RouteTable
         Compiled from the routes.
+    route_rows : RouteRows
+        Rows from which the routes were decoded; empty if they were not.
     """
 
     number: int = 0
@@ -123,6 +142,7 @@
     limits: RequestLimits = RequestLimits()
     source: bytes = attrs.field(default=b"", repr=False)
     table: RouteTable = attrs.field(factory=RouteTable, eq=False, repr=False)
+    route_rows: RouteRows = attrs.field(factory=RouteRows, eq=False, repr=False)
 
     @property
     def is_empty(self) -> bool:
--- a/src/lacewingstair/platform/configuration.py
+++ b/src/lacewingstair/platform/configuration.py
@@ -2,8 +2,10 @@
 
 import json
 from collections.abc import Mapping
+from collections.abc import Set as AbstractSet
 from typing import Any
 
+import attrs
 from result import Err, Ok, Result
 
 from lacewingstair.errors import ConfigurationError, Fault
@@ -11,11 +13,11 @@
     CallRoute,
     Configuration,
     RequestLimits,
+    RouteRows,
     ServiceTerms,
     SplitPart,
 )
 from lacewingstair.platform.durations import parse_duration
-from lacewingstair.routing.routes import RouteTable
 from lacewingstair.tickets.types import normal_host
 
 CONFIGURATION_KEY = "config"
@@ -23,32 +25,121 @@
 _LARGE_KINDS = frozenset({"download"})
 
 
-def decode_configuration(value: bytes) -> Result[Configuration, ConfigurationError]:
-    """Return the configuration in a document, or why it cannot be used."""
+# Everything that a document with values of the wrong kind raises while it is decoded.
+_DECODING_ERRORS = (
+    LookupError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
+
+def decode_configuration(
+    value: bytes, previous: Configuration | None = None
+) -> Result[Configuration, ConfigurationError]:
+    """Return the configuration in a document, or why it cannot be used.
+
+    Parameters
+    ----------
+    value : bytes
+        The document.
+    previous : Configuration or None
+        A configuration decoded before, which does not change. The result is the same
+        with and without it, but shares the routes that are the same in both.
+    """
+    if previous is None or not previous.route_rows.columns:
+        previous = Configuration()
+    elif value == previous.source:
+        return Ok(previous)
     try:
-        document = json.loads(value)
-        routes = {row["name"]: _route(row) for row in _rows(document["routes"])}
-        services = {row["name"]: _service(row) for row in _rows(document["services"])}
-        configuration = Configuration(
-            number=_version(document["version"]),
-            routes_by_name=routes,
-            services_by_name=services,
-            limits=_limits(document["limits"]),
-            source=value,
-            table=RouteTable.compile(routes),
-        )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        configuration = _decoded(value, previous)
+    except _DECODING_ERRORS as error:
         reason = f"{type(error).__name__}: {error!s:.200}"
         return Err(ConfigurationError((Fault(CONFIGURATION_KEY, reason),)))
     return Ok(configuration)
 
 
+def _decoded(value: bytes, previous: Configuration) -> Configuration:
+    document = json.loads(value)
+    routes = _decode_routes(document["routes"], previous)
+    services = {row["name"]: _service(row) for row in _rows(document["services"])}
+    return Configuration(
+        number=_version(document["version"]),
+        routes_by_name=routes.by_name,
+        services_by_name=services,
+        limits=_limits(document["limits"]),
+        source=value,
+        table=previous.table.replaced(
+            previous.routes_by_name, routes.by_name, routes.changed_names
+        ),
+        route_rows=routes.rows,
+    )
+
+
+@attrs.frozen
+class _DecodedRoutes:
+    """Routes of a document.
+
+    Parameters
+    ----------
+    by_name : mapping
+        All routes.
+    rows : RouteRows
+        Rows from which they were decoded.
+    changed_names : set of str
+        Names of all routes that differ from the previous configuration.
+    """
+
+    by_name: Mapping[str, CallRoute]
+    rows: RouteRows
+    changed_names: AbstractSet[str]
+
+
+def _decode_routes(
+    section: Mapping[str, Any], previous: Configuration
+) -> _DecodedRoutes:
+    columns = tuple(section["columns"])
+    place_by_column = {column: place for place, column in enumerate(columns)}
+    is_comparable = columns == previous.route_rows.columns
+    held_rows = previous.route_rows.by_name if is_comparable else {}
+    held_routes = previous.routes_by_name
+    routes: dict[str, CallRoute] = {}
+    rows: dict[str, list[Any]] = {}
+    changed: set[str] = set()
+    for row in section["rows"]:
+        name = _text("name", row[place_by_column["name"]])
+        held_row = held_rows.get(name)
+        # Equal rows may hold 1 for 1.0 or true, which the fields of numbers read alike;
+        # all other fields are text.
+        if row == held_row:
+            rows[name] = held_row
+            routes[name] = held_routes[name]
+            continue
+        route = _route(dict(zip(columns, row, strict=True)))
+        held_route = held_routes.get(name)
+        is_same = route == held_route
+        rows[name] = row
+        routes[name] = held_route if is_same else route
+        if not is_same:
+            changed.add(name)
+    changed |= held_routes.keys() - routes.keys()
+    return _DecodedRoutes(routes, RouteRows(columns, rows), changed)
+
+
 def _rows(section: Mapping[str, Any]) -> list[dict[str, Any]]:
     """Return the entries of a section written as column names and rows of values."""
     columns = section["columns"]
     return [dict(zip(columns, row, strict=True)) for row in section["rows"]]
 
 
+def _text(place: str, value: object) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"{place} {value!r:.40} is not text")
+    return value
+
+
 def _version(text: str) -> int:
     if not text.startswith("r"):
         raise ValueError(f"version {text!r:.40} does not begin with r")
@@ -65,23 +156,28 @@
 def _route(row: Mapping[str, Any]) -> CallRoute:
     split = row.get("traffic_split")
     if split:
-        parts = tuple(SplitPart(p["service"], float(p["weight"])) for p in split)
+        parts = tuple(_split_part(part) for part in split)
     else:
-        parts = (SplitPart(str(row["service"]), 1.0),)
+        parts = (SplitPart(_text("service", row["service"]), 1.0),)
+    kind = _text("kind", row["kind"])
     return CallRoute(
         hosts=(normal_host(row["host"]),),
-        path_prefix=str(row["path_prefix"]),
+        path_prefix=_text("path_prefix", row["path_prefix"]),
         parts=tuple(part for part in parts if part.weight > 0),
-        allows_repeat=row["kind"] in _REPEATABLE_KINDS,
-        has_large_answers=row["kind"] in _LARGE_KINDS,
+        allows_repeat=kind in _REPEATABLE_KINDS,
+        has_large_answers=kind in _LARGE_KINDS,
         max_attempts=int(row.get("attempts") or 1),
         timeout_ms=_milliseconds("timeout", row["timeout"]),
         target_latency_ms=_milliseconds("target_latency", row["target_latency"]),
         priority=int(row.get("priority") or 0),
-        kind=str(row["kind"]),
+        kind=kind,
     )
 
 
+def _split_part(part: Mapping[str, Any]) -> SplitPart:
+    return SplitPart(_text("service", part["service"]), float(part["weight"]))
+
+
 def _service(row: Mapping[str, Any]) -> ServiceTerms:
     return ServiceTerms(str(row["health_path"]), int(row["max_connections"]))
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -83,6 +83,13 @@
         lambda d: d["routes"]["rows"][0].__setitem__(4, 1200),
         lambda d: d.update(routes=[]),
         lambda d: d["limits"].update(idle_timeout=None),
+        lambda d: d["routes"]["rows"][0].__setitem__(0, ["r1"]),
+        lambda d: d["routes"]["rows"][0].__setitem__(2, 5),
+        lambda d: d["routes"]["rows"][0].__setitem__(3, True),
+        lambda d: d["routes"]["rows"][0].__setitem__(6, float("inf")),
+        lambda d: d["routes"]["rows"][0].__setitem__(7, None),
+        lambda d: d["routes"]["rows"][0].clear(),
+        lambda d: d["routes"]["rows"][1].__setitem__(9, [{"service": 1, "weight": 90}]),
     ],
 )
 def test_a_document_that_cannot_be_used_is_an_error(spoil):
@@ -93,7 +100,8 @@
 
 
 def test_bytes_that_are_no_document_are_an_error():
-    for value in (b"", b"\xff", b"[]", b"null", b'{"version": "r1"'):
+    deeply_nested = b"[" * 100_000
+    for value in (b"", b"\xff", b"[]", b"null", b'{"version": "r1"', deeply_nested):
         assert isinstance(decode_configuration(value), Err)
 
 
