--- a/src/lacewingstair/metadata/records.py
+++ b/src/lacewingstair/metadata/records.py
@@ -116,7 +116,7 @@
 
     def _take_configuration(self, value: bytes, origin: str) -> bool:
         """Take a configuration; return whether it is in force now."""
-        decoded = decode_configuration(value)
+        decoded = decode_configuration(value, self._configurations.current)
         if isinstance(decoded, Err):
             error = decoded.err_value
             events.warning("configuration_refused", origin=origin, error=error)
