--- a/tests/test_narrow_links.py
+++ b/tests/test_narrow_links.py
@@ -43,6 +43,10 @@
 WAY_SECONDS = 1.0
 # Callers note when an answer comes, and wait for late ones.
 LATE_SECONDS = 0.5
+SPREAD_SECONDS = 3.0
+CUT_SECONDS = 0.7
+# What a VM may receive in a storm, in sizes of the newest document.
+MAX_COPIES = 4.0
 CALL_PORT = 7110
 
 
@@ -135,12 +139,12 @@
             format="{message}",
             level="INFO",
         )
+        connector = aiohttp.TCPConnector(limit=0)
+        self.session = aiohttp.ClientSession(connector=connector)
         await self._server.start_server()
         await self.publish(routes=0)
         for number in range(VMS):
             await self._start_vm(number)
-        connector = aiohttp.TCPConnector(limit=0)
-        self.session = aiohttp.ClientSession(connector=connector)
         for vm in self.vms:
             assert await vm.report(self.session) == 200
         await until(self._is_linked, 10.0)
@@ -311,27 +315,24 @@
     return json.dumps(document(number, rows)).encode()
 
 
-@pytest.fixture
-def mesh_of(monkeypatch):
-    """Return a function that runs a check on a mesh of VMs with narrow links."""
-    monkeypatch.setattr(asyncio, "open_connection", link_standin.open_connection)
+def run_mesh(seed, check):
+    """Return the result of a check on a mesh of VMs with narrow links."""
 
-    def run(seed, check):
-        async def main():
-            mesh = NarrowMesh(seed)
-            try:
-                await mesh.start()
-                return await check(mesh)
-            finally:
-                await mesh.close()
+    async def main():
+        mesh = NarrowMesh(seed)
+        try:
+            await mesh.start()
+            return await check(mesh)
+        finally:
+            await mesh.close()
 
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(asyncio, "open_connection", link_standin.open_connection)
         return asyncio.run(main())
 
-    return run
-
 
 @pytest.mark.parametrize("seed", [1])
-def test_full_links_make_no_vm_give_up_a_call_that_runs(mesh_of, seed):
+def test_full_links_make_no_vm_give_up_a_call_that_runs(seed):
     """Guards against a live VM that is taken for dead behind a full link (issue 15)."""
 
     async def check(mesh):
@@ -349,7 +350,110 @@
         await stopping
         return mesh.report()
 
-    report = mesh_of(seed, check)
+    report = run_mesh(seed, check)
     assert report.given_up == [], report.summary()
     assert report.cut == [], report.summary()
     assert report.late == [], report.summary()
+
+
+@attrs.define
+class Spread:
+    """What a storm left behind.
+
+    Parameters
+    ----------
+    number : int
+        Newest version.
+    numbers_by_vm, healed_numbers_by_vm : dict
+        Versions in force `SPREAD_SECONDS` after the last write, and as long after the
+        end of a silence.
+    copies_by_vm : dict
+        Bytes received since the storm began, in sizes of the newest document.
+    """
+
+    number: int
+    numbers_by_vm: dict
+    copies_by_vm: dict
+    healed_numbers_by_vm: dict = attrs.field(factory=dict)
+
+    def outdated(self):
+        return self._older(self.numbers_by_vm)
+
+    def outdated_after_silence(self):
+        return self._older(self.healed_numbers_by_vm)
+
+    def overfilled(self):
+        return {vm: n for vm, n in self.copies_by_vm.items() if n > MAX_COPIES}
+
+    def _older(self, numbers_by_vm):
+        found = numbers_by_vm.items()
+        return {vm: number for vm, number in found if number < self.number}
+
+
+async def spread_of(mesh, inject):
+    """Write a storm while calls are under way, and wait for its spread."""
+    await mesh.grow()
+    mesh.begin_calls()
+    await asyncio.sleep(0.5)
+    before = {vm.name: vm.link.inward.sent_bytes for vm in mesh.vms}
+    storm = asyncio.create_task(mesh.storm())
+    excluded = await inject(mesh)
+    await storm
+    # The storm waits once more after its last write.
+    await asyncio.sleep(SPREAD_SECONDS - STORM_GAP_SECONDS)
+    copies_by_vm = {
+        vm.name: (vm.link.inward.sent_bytes - before[vm.name]) / mesh.document_bytes
+        for vm in mesh.vms
+    }
+    numbers = {vm.name: newest(vm) for vm in mesh.vms if vm not in excluded}
+    copies_by_vm = {vm: round(copies, 1) for vm, copies in copies_by_vm.items()}
+    return Spread(mesh.number, numbers, copies_by_vm)
+
+
+@pytest.mark.parametrize("seed", [1])
+def test_a_storm_neither_fills_the_links_nor_delays_its_newest_version(seed):
+    """Guards against VMs that receive each version, from each VM that has it."""
+
+    async def check(mesh):
+        async def no_faults(_):
+            return ()
+
+        return await spread_of(mesh, no_faults)
+
+    spread = run_mesh(seed, check)
+    assert spread.outdated() == {}, str(spread)
+    assert spread.overfilled() == {}, str(spread)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_faults_in_a_storm_keep_no_other_vm_from_the_newest_configuration(seed):
+    """Guards against a VM that waits for a document from one that is gone."""
+
+    async def check(mesh):
+        silenced, cut, leaving = mesh.rng.sample(mesh.vms, 3)
+        stops = []
+
+        async def inject(_):
+            for fault in mesh.rng.sample(("silence", "cut", "stop"), 3):
+                await asyncio.sleep(mesh.rng.uniform(0.5, 1.0))
+                if fault == "silence":
+                    silenced.link.silence()
+                elif fault == "cut":
+                    cut.link.cut()
+                    asyncio.get_running_loop().call_later(CUT_SECONDS, cut.link.heal)
+                else:
+                    stops.append(asyncio.create_task(leaving.sidecar.stop()))
+            return silenced, leaving
+
+        spread = await spread_of(mesh, inject)
+        await mesh.end_calls()
+        silenced.link.heal()
+        await asyncio.sleep(SPREAD_SECONDS)
+        spread.healed_numbers_by_vm[silenced.name] = newest(silenced)
+        await asyncio.gather(*stops)
+        return spread
+
+    spread = run_mesh(seed, check)
+    assert spread.outdated() == {}, str(spread)
+    assert spread.outdated_after_silence() == {}, str(spread)
+    assert spread.overfilled() == {}, str(spread)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -91,6 +91,7 @@
         self.text = text
         settings = parse_settings("test", text).unwrap()
         self.sidecar = build(settings, SystemClock(), random.Random(1))
+        # A proxy for the VM's link can listen at the address in its entry.
         self.sidecar.call_server._address = f"{self.host}:{self.call_port}"
         assert (await self.sidecar.start()).is_ok()
 
