Let VMs that start beside readers stop reading the store at once

What callers saw: nothing on a site by itself. For 5 s after its start a VM read every version from the store, whatever its link carries, beside three readers of its region with wider links.

Cause: the time for which a reader goes on beside enough others, so that roles do not alternate, also counted at the start.

--- a/src/lacewingstair/vm/store_readers.py
+++ b/src/lacewingstair/vm/store_readers.py
@@ -17,7 +17,7 @@
 # A VM that ranks higher has this long to begin before the next one reads as well.
 TAKEOVER_SECONDS = 1.0
 # A reader goes on for this long beside enough others, so that roles do not alternate.
-RELEASE_SECONDS = 5.0
+RELEASE_SECONDS = 2.0
 # A VM that has lacked records for this long reads them from the store itself.
 MAX_BEHIND_SECONDS = 1.0
 
@@ -54,6 +54,8 @@
 
     def __init__(self) -> None:
         self.reads = True
+        # At its start a VM reads what is there, and goes on only if it is needed.
+        self._is_starting = True
         self._enough_since: float | None = None
         self._short_since: float | None = None
 
@@ -86,8 +88,10 @@
             if self._short_since is None:
                 self._short_since = now
         if self.reads:
-            is_over = has_enough and now - self._enough_since >= RELEASE_SECONDS
+            release_seconds = 0.0 if self._is_starting else RELEASE_SECONDS
+            is_over = has_enough and now - self._enough_since >= release_seconds
             self.reads = not is_over or behind_seconds > MAX_BEHIND_SECONDS
+            self._is_starting = self._is_starting and self.reads
         else:
             self.reads = (
                 behind_seconds > MAX_BEHIND_SECONDS
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -163,6 +163,7 @@
 
 # The same of settings that only the root for a metadata store uses.
 SIDECAR_PARTS = {
+    "[vm] link_mbps": (5.5, lambda s: s.registration.entry.bandwidth_kbps / 1000),
     "[backend_server] own_address": ("10.0.0.1:7", lambda s: s.gate._address),
     "[backend_server] own_service": ("desk", lambda s: s.gate.service),
     "[operator] ready_address": (
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -62,6 +62,7 @@
         self.sidecar = None
         self.host = own_address()
         self.call_port = 7100
+        self.link_mbps = 0
         self.sequence = 0
 
     async def start(self):
@@ -80,6 +81,7 @@
 region = r
 availability_zone = {self.zone}
 address = {self.host}:7100
+link_mbps = {self.link_mbps}
 [caller]
 address = {self.host}:7101
 [backend_server]
--- a/tests/vm/test_store_readers.py
+++ b/tests/vm/test_store_readers.py
@@ -62,6 +62,13 @@
     assert wide.vm_id in region.reading()
 
 
+def test_vms_that_start_beside_readers_stop_reading_at_once():
+    """Guards against narrow links that a storm fills after each start."""
+    region = Region(entries(20))
+    region.step(3 * STEP_SECONDS)
+    assert len(region.reading()) == READERS_PER_REGION
+
+
 def test_lost_readers_are_replaced_at_once():
     """Guards against a region without configurations after its readers are killed."""
     region = Region(entries(20))
