--- a/src/lacewingstair/platform/configuration.py
+++ b/src/lacewingstair/platform/configuration.py
@@ -61,6 +61,14 @@
     return Ok(configuration)
 
 
+def version_of(value: bytes) -> int:
+    """Return the version of a document; 0 when it cannot be read."""
+    try:
+        return _version(json.loads(value)["version"])
+    except _DECODING_ERRORS:
+        return 0
+
+
 def _decoded(value: bytes, previous: Configuration) -> Configuration:
     document = json.loads(value)
     routes = _decode_routes(document["routes"], previous)
--- a/src/lacewingstair/platform/store.py
+++ b/src/lacewingstair/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+from collections import Counter
 from collections.abc import Iterator
 from typing import Any
 
@@ -10,6 +11,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 from result import Err, Ok, Result
 
+from lacewingstair.bounded_read import read_bounded
 from lacewingstair.errors import OffsetExpired, StoreConflict, StoreUnavailable
 from lacewingstair.sockets import keep_alive_socket
 
@@ -18,6 +20,8 @@
 MESH_TOPIC = "keyed.mesh"
 ONLY_PARTITION = 0
 MAX_READ_KB = 1024
+# Reads ask for 1 MiB and pages of the newest values hold 1 MB, before their encoding.
+MAX_ANSWER_BYTES = 8 << 20
 # The kernel repeats a lost opening packet after 1, 3, 7 and 15 s; a new attempt finds a
 # store that is back sooner.
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -65,6 +69,13 @@
         Base URL.
     timeout_seconds : float
         Time for an answer, in addition to the wait of a read.
+
+    Attributes
+    ----------
+    calls_by_operation : dict
+        Calls since the start.
+    bytes_by_labels : Counter
+        Bytes of bodies since the start by operation and direction.
     """
 
     def __init__(self, url: str, timeout_seconds: float) -> None:
@@ -72,6 +83,7 @@
         self._timeout_seconds = timeout_seconds
         self._session: ClientSession | None = None
         self.calls_by_operation: dict[str, int] = {}
+        self.bytes_by_labels: Counter[tuple[str, str]] = Counter()
 
     async def append(
         self, topic: str, key: str, value: bytes | None, at: int | None = None
@@ -168,6 +180,7 @@
     ) -> Result[tuple[int, bytes], StoreUnavailable]:
         calls = self.calls_by_operation
         calls[operation] = calls.get(operation, 0) + 1
+        self.bytes_by_labels[operation, "sent"] += len(body or b"")
         timeout = ClientTimeout(
             total=wait_seconds + self._timeout_seconds,
             sock_connect=CONNECT_TIMEOUT_SECONDS,
@@ -180,7 +193,9 @@
                 data=body,
                 timeout=timeout,
             ) as answer:
-                return Ok((answer.status, await answer.read()))
+                received = await read_bounded(answer, MAX_ANSWER_BYTES)
+                self.bytes_by_labels[operation, "received"] += len(received)
+                return Ok((answer.status, received))
         except (
             ClientError,
             TimeoutError,
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -7,8 +7,9 @@
 """
 
 import asyncio
+import itertools
 import random
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
 from aiohttp import web
@@ -26,9 +27,12 @@
 from lacewingstair.caller.ingress import Ingress
 from lacewingstair.errors import ConnectError, ListenError, SettingsError
 from lacewingstair.http_server import application_runner, listen_all
+from lacewingstair.loop_monitor import LoopMonitor
 from lacewingstair.metadata.configuration import ConfigurationStore
+from lacewingstair.metadata.operator_reading import OperatorReading
+from lacewingstair.metadata.record_transfer import TransferEncoder
 from lacewingstair.metadata.records import StoreRecords
-from lacewingstair.metadata.tail import KeyedTail
+from lacewingstair.metadata.tail import KeyedTail, Record
 from lacewingstair.metrics.sidecar import SidecarMetrics
 from lacewingstair.operator.sidecar_api import SidecarApi
 from lacewingstair.platform import store as platform_store
@@ -49,7 +53,10 @@
 )
 from lacewingstair.vm.call_server import CallStreamServer
 from lacewingstair.vm.entries import MeshView, UpstreamState, VmEntry
+from lacewingstair.vm.record_fetcher import RecordFetcher
+from lacewingstair.vm.record_sender import RecordSender
 from lacewingstair.vm.registration import Registration
+from lacewingstair.vm.stream_traffic import StreamTraffic
 
 # Waits of reads; the longest for which a connection gone silent can go unnoticed is
 # shorter, since the kernel probes it.
@@ -59,6 +66,7 @@
 CONFIGURATION_BATCH_SECONDS = 0.8
 MESH_BATCH_SECONDS = 1.5
 SWEEP_SECONDS = 1.0
+SWEEPS_PER_TRAFFIC_LINE = 10
 CONFIGURATION_CHECK_SECONDS = 0.05
 # The entry of an earlier process is waited for until so long after the start; the store
 # may not answer.
@@ -68,11 +76,15 @@
 # Part of the time to stop in which the gate stays open: the process waits for callers
 # to go elsewhere anyway, and its backend server's slots are missed meanwhile.
 GATE_OPEN_SHARE = 0.3
-# Left between the end of a planned stop and the platform's kill.
+# Left between the latest end of a call that is still taken and the platform's kill.
 STOP_MARGIN_SECONDS = 0.6
+# Left of it for closing, when calls that are still open are cut.
+CLOSE_SECONDS = 0.25
 STOP_CHECK_SECONDS = 0.05
 # While too few VMs of a zone are ready, the platform sends callers to one that leaves.
 CALLERS_GONE_SECONDS = 0.5
+# Calls that other VMs sent before they learned of the stop arrive until then.
+VMS_GONE_SECONDS = 0.4
 MAX_CALLER_CONNECTIONS = 2800
 
 
@@ -93,6 +105,9 @@
         own = settings.backend_servers
         self.bounds = parse_bounds(settings.platform.bounds).unwrap()
         self.metrics = SidecarMetrics()
+        self.traffic = StreamTraffic()
+        self.metrics.mesh_bytes.follow(self._mesh_bytes)
+        self.loop_monitor = LoopMonitor(clock, self.metrics.loop_lag_seconds.observe)
         self.configurations = ConfigurationStore()
         self.view = MeshView(settings.vm_id)
         self.register = UpstreamRegister(
@@ -113,7 +128,8 @@
             own.own_service,
             own.own_address,
             clock,
-            configuration_number=self._configuration_number,
+            records_position=lambda: self.records.operator.position,
+            reads_store=lambda: self.operator_reading.is_reading,
             max_connections=self._max_connections,
             on_outcome=self._count_run,
             on_unreachable=self._upstream_unreachable,
@@ -121,14 +137,21 @@
         self.registration = Registration(
             _own_entry(settings, clock), self.view, self._write_entry, clock, rng
         )
+        self.record_fetcher = RecordFetcher(
+            lambda: self.records.operator.position,
+            lambda: self.records.operator.remembered_offsets(),
+            self._take_transfer,
+            clock,
+            rng,
+        )
         self.links = CallLinks(
             self._entry,
             self.view,
             clock,
             rng,
-            lambda document: self.records.take_document(document),
+            self.record_fetcher,
             self._take_rollout_news,
-            self._configuration_number,
+            self.traffic,
         )
         self.rollouts = RolloutCoordinator(
             settings.vm_id,
@@ -140,13 +163,21 @@
             rng,
             self.bounds.trial_share,
         )
+        self.records = StoreRecords(
+            self.configurations, self.rollouts, self.registration, self.view
+        )
         self.call_server = CallStreamServer(
             settings.vm_address,
             self.gate,
             self._entry,
             self.view,
-            self.configurations,
+            RecordSender(
+                TransferEncoder(self.records.operator),
+                lambda: self._entry().bandwidth_kbps,
+                clock,
+            ),
             lambda: [MarkChanged(mark) for mark in self.rollouts.marks()],
+            self.traffic,
         )
         self.forwarder = Forwarder(
             self._entry,
@@ -167,19 +198,23 @@
             rng,
             self.metrics.count_call,
         )
-        self.records = StoreRecords(
-            self.configurations, self.rollouts, self.registration, self.view
-        )
         self.announcements = Announcements(self._take_report, self._take_leave)
         self.operator = SidecarApi(self.status, self.metrics.registry)
-        self._operator_tail = KeyedTail(
-            self.store,
-            platform_store.OPERATOR_TOPIC,
-            self.records.take_operator_records,
+        self.operator_reading = OperatorReading(
+            KeyedTail(
+                self.store,
+                platform_store.OPERATOR_TOPIC,
+                self._take_operator_records,
+                clock,
+                rng,
+                CONFIGURATION_WAIT_SECONDS,
+                CONFIGURATION_BATCH_SECONDS,
+            ),
+            self._entry,
+            self.links,
+            self.record_fetcher,
+            self.call_server.announce_load,
             clock,
-            rng,
-            CONFIGURATION_WAIT_SECONDS,
-            CONFIGURATION_BATCH_SECONDS,
         )
         self._mesh_tail = KeyedTail(
             self.store,
@@ -205,9 +240,10 @@
         served = await listen_all(self._interfaces(), self._runners)
         if isinstance(served, Err):
             return served
-        runs = [self._operator_tail.run(), self._mesh_tail.run()]
+        runs = [self.operator_reading.run(), self._mesh_tail.run()]
         runs += [self.registration.run(), self.links.run(), self._sweep()]
         runs += [self.rollouts.run(), self.confirmation.run()]
+        runs += [self.loop_monitor.run()]
         self._tasks.extend(asyncio.create_task(run) for run in runs)
         settings = self.settings
         events.info(
@@ -226,6 +262,8 @@
         self._is_leaving = True
         self.ingress.is_draining = True
         await self._wait_for_calls(started_at)
+        self._log_open_calls(started_at)
+        self.ingress.cut_calls()
         await self.close()
         events.info("daemon_stopped", vm=self.settings.vm_id)
 
@@ -235,6 +273,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await asyncio.gather(*(runner.cleanup() for runner in self._runners))
+        self.record_fetcher.close()
         self.links.close()
         self.call_server.close()
         self.gate.close()
@@ -274,20 +313,47 @@
         }
 
     async def _wait_for_calls(self, started_at: float) -> None:
+        """Wait until no call is open and none is to be expected, or for too long."""
         stop_seconds = self.bounds.stop_ms / 1000
         latest = started_at + stop_seconds - STOP_MARGIN_SECONDS
         has_upstream = self.gate.identity.state is not UpstreamState.ABSENT
         # Without one the VM is removed, and a later end keeps no slots waiting.
         earliest = started_at + LEAVING_SECONDS if has_upstream else latest
         self.ingress.closes_at = latest
+        gate_closes_at = started_at + GATE_OPEN_SHARE * stop_seconds
+        left_at: float | None = None
         while (now := self.clock.monotonic()) < latest:
-            if now >= started_at + GATE_OPEN_SHARE * stop_seconds:
-                self._leave_mesh()
-            is_idle = not self.ingress.open_calls and not self.call_server.open_calls
             is_quiet = now - self.ingress.newest_call_at >= CALLERS_GONE_SECONDS
-            if is_idle and is_quiet and now >= earliest:
-                return
+            is_done = self._is_idle() and is_quiet and now >= earliest
+            if left_at is None and (is_done or now >= gate_closes_at):
+                self._leave_mesh()
+                left_at = now
+            if is_done and now - left_at >= VMS_GONE_SECONDS:
+                break
             await self.clock.sleep(STOP_CHECK_SECONDS)
+        # What arrives from now on could not be answered before the end.
+        self.ingress.closes_at = self.clock.monotonic()
+        cut_at = started_at + stop_seconds - CLOSE_SECONDS
+        while not self._is_idle() and self.clock.monotonic() < cut_at:
+            await self.clock.sleep(STOP_CHECK_SECONDS)
+
+    def _is_idle(self) -> bool:
+        """Return whether no call is open here, and callers have all answers."""
+        if self.ingress.open_calls or self.call_server.open_calls:
+            return False
+        return not self.ingress.unsent_bytes
+
+    def _log_open_calls(self, started_at: float) -> None:
+        """Log what the end of the process cuts."""
+        waited = self.clock.monotonic() - started_at
+        events.info(
+            "stop_wait_ended",
+            waited_ms=round(waited * 1000),
+            stop_ms=round(self.bounds.stop_ms),
+            callers_calls=self.ingress.open_calls,
+            vms_calls=self.call_server.open_calls,
+            unsent_bytes=self.ingress.unsent_bytes,
+        )
 
     def _leave_mesh(self) -> None:
         """Let the calls of other VMs, and of this one, go to other gates."""
@@ -314,16 +380,41 @@
             yield address, application_runner(application, calls.max_header_bytes)
 
     async def _sweep(self) -> None:
-        while True:
+        for number in itertools.count(1):
             await self.clock.sleep(SWEEP_SECONDS)
             self.gate.sweep()
             self._apply_register()
+            if number % SWEEPS_PER_TRAFFIC_LINE == 0:
+                self._log_traffic()
+
+    def _log_traffic(self) -> None:
+        """Log the bytes since the start, one field for each set of labels."""
+        totals = self._mesh_bytes().items()
+        fields = {"_".join(labels): size for labels, size in sorted(totals) if size}
+        events.info(
+            "traffic_total", **{n.replace("-", "_"): s for n, s in fields.items()}
+        )
+
+    def _mesh_bytes(self) -> dict[tuple[str, str, str], int]:
+        """Return the bytes between VMs and with the store, by their labels."""
+        with_store = {
+            (operation, "store", direction): size
+            for (operation, direction), size in self.store.bytes_by_labels.items()
+        }
+        return {**self.traffic.bytes_by_labels, **with_store}
 
     def _entry(self) -> VmEntry:
         return self.registration.entry
 
-    def _configuration_number(self) -> int:
-        return self.configurations.current.number
+    def _take_operator_records(self, records: Iterable[Record], position: int) -> None:
+        """Take records from the store; the other VMs get them from this one."""
+        self.records.take_operator_records(records, position)
+        self.call_server.announce_load()
+
+    def _take_transfer(self, data: bytes) -> bool:
+        is_taken = self.records.take_transfer(data)
+        self.operator_reading.skip_to(self.records.operator.position + 1)
+        return is_taken
 
     def _max_connections(self) -> int:
         services = self.configurations.current.services_by_name
@@ -414,6 +505,7 @@
         address=settings.vm_address,
         service=settings.backend_servers.own_service,
         incarnation=int(clock.wall() * 1000),
+        bandwidth_kbps=round(settings.link_mbps * 1000),
     )
 
 
--- a/src/lacewingstair/vm/entries.py
+++ b/src/lacewingstair/vm/entries.py
@@ -8,8 +8,9 @@
 from result import Err, Ok, Result
 
 from lacewingstair.errors import FrameError
+from lacewingstair.vm import distances
 
-ENTRY_FORMAT = 1
+ENTRY_FORMAT = 2
 
 
 class UpstreamState(enum.Enum):
@@ -43,6 +44,8 @@
         Whether it takes calls.
     is_leaving : bool
         Whether the VM's process is stopping.
+    bandwidth_kbps : int
+        What the VM's link carries, in kilobits a second; 0 when it is not known.
     """
 
     vm_id: str
@@ -57,6 +60,7 @@
     slots: int = 0
     state: UpstreamState = UpstreamState.ABSENT
     is_leaving: bool = False
+    bandwidth_kbps: int = 0
 
     @property
     def order(self) -> tuple[int, int]:
@@ -70,7 +74,20 @@
 
 
 _FIELDS = tuple(field.name for field in attrs.fields(VmEntry))
-_TYPES = {"incarnation": int, "sequence": int, "slots": int, "is_leaving": bool}
+_TYPES = {
+    "incarnation": int,
+    "sequence": int,
+    "slots": int,
+    "is_leaving": bool,
+    "bandwidth_kbps": int,
+}
+
+
+def entry_distance(own: VmEntry, other: VmEntry) -> str:
+    """Return how far another VM is, as in `vm.distances`."""
+    return distances.distance(
+        own.region, own.availability_zone, other.region, other.availability_zone
+    )
 
 
 def encode_entry(entry: VmEntry) -> bytes:
