Decode no version that is older than the one in force

Cause: when the newest version of a read had come from another VM already, the older ones of the read were tried in turn. Ruled out: a wrong result, as none of them is taken. Before: versions 9, 7, 4 and 3 decoded after 9 was in force (the new test fails); now none.

--- a/src/lacewingstair/metadata/records.py
+++ b/src/lacewingstair/metadata/records.py
@@ -96,9 +96,13 @@
 
         Versions that are superseded already are not decoded.
         """
-        if len(records) > 1:
-            records.sort(key=lambda record: version_of(record.value), reverse=True)
-        for record in records:
+        current = self._configurations.current.number
+        found = [(version_of(record.value), record) for record in records]
+        found.sort(key=lambda pair: pair[0], reverse=True)
+        for number, record in found:
+            # A document without a version is decoded, so that its fault is logged.
+            if 0 < number <= current:
+                break
             if self._take_configuration(record.value, origin):
                 return [record]
         return []
--- a/tests/metadata/test_superseded_versions.py
+++ b/tests/metadata/test_superseded_versions.py
@@ -45,3 +45,16 @@
 
     with_records(check)
     assert decoded == [9]
+
+
+def test_versions_older_than_the_one_in_force_are_not_decoded(monkeypatch):
+    """Guards against a second decoding of what another VM has passed on already."""
+    decoded = versions_decoded(monkeypatch)
+
+    def check(records, _):
+        records.take_operator_records(storm(9), 0)
+        records.take_operator_records(storm(9, 3, 4, 7), 3)
+        assert records._configurations.current.number == 9
+
+    with_records(check)
+    assert decoded == [9]
