--- /dev/null
+++ b/tests/caller/test_dispatch_slow.py
@@ -0,0 +1,27 @@
+import pytest
+
+from lacewingstair.standins.memory_server import Fault
+from lacewingstair.standins.virtual_time import run_virtual
+from tests.caller.harness import Mesh
+
+# Over half of the 2 s that a call has.
+SLOW_SECONDS = 1.2
+
+
+@pytest.mark.parametrize("servers", [1, 3])
+def test_a_call_that_cannot_be_repeated_keeps_all_of_its_time(servers):
+    """Guards against a 504 at half the time, while the backend server is at work.
+
+    A repeat is not to be had without another backend server, or without budget.
+    """
+
+    async def main():
+        mesh = Mesh(*([Fault.NONE] for _ in range(servers)))
+        for server in mesh.servers.values():
+            server.seconds = SLOW_SECONDS
+        mesh.dispatcher._budget("board").take = lambda: False
+        status, body, _ = await mesh.send(mesh.call("/1", "GET"))
+        assert (status, body) == (200, b"/1")
+        assert mesh.runs["/1"] == 1
+
+    run_virtual(main())
--- /dev/null
+++ b/tests/caller/test_forwarding_silent.py
@@ -0,0 +1,107 @@
+"""Calls at a VM that goes silent while it has them."""
+
+import asyncio
+import random
+
+import attrs
+
+from lacewingstair.caller.forwarding import ForwardCall, Forwarder
+from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
+from lacewingstair.vm.call_link import SuspendedCall
+from lacewingstair.vm.entries import MeshView
+from tests.caller.test_forwarding import (
+    IDEMPOTENT,
+    LOAD,
+    ClosedGate,
+    Link,
+    Links,
+    answer,
+    entry,
+    refused,
+    rollouts_at,
+)
+
+# Calls that earn one repeat.
+CALLS_BEFORE = 20
+
+
+class SilentLink(Link):
+    """Link to a VM that answers some calls, and then takes one and says nothing."""
+
+    def __init__(self, vm_id):
+        super().__init__(vm_id, answer())
+
+    async def run(self, call):
+        if len(self.calls) < CALLS_BEFORE:
+            return await super().run(call)
+        self.calls.append(call)
+        self.is_connected = False
+        late = asyncio.get_running_loop().create_future()
+        return SuspendedCall(late, late.cancel)
+
+    def is_usable(self, now):
+        return self.is_connected
+
+
+def forward_until(seconds, *links, calls):
+    """Return the outcomes of calls; None for one that is cut at its deadline."""
+
+    async def main():
+        clock, view = VirtualClock(), MeshView("own")
+        view.merge(attrs.evolve(entry("own"), service="other"))
+        for link in links:
+            view.merge(entry(link.vm_id))
+        forwarder = Forwarder(
+            lambda: view.get("own"),
+            view,
+            Links({link.vm_id: link for link in links}),
+            ClosedGate(),
+            rollouts_at(None),
+            clock,
+            random.Random(1),
+        )
+        found = []
+        for number in range(calls):
+            now = clock.monotonic()
+            call = ForwardCall(
+                f"q{number}",
+                "r",
+                IDEMPOTENT,
+                "board",
+                "GET",
+                "/a/",
+                b"",
+                b"",
+                now + seconds / 2,
+                now + seconds,
+            )
+            try:
+                async with asyncio.timeout(seconds):
+                    found.append(await forwarder.forward(call))
+            except TimeoutError:
+                found.append(None)
+        return found
+
+    return run_virtual(main())
+
+
+def test_a_call_at_a_silent_vm_is_offered_on_when_the_second_one_refuses_it():
+    """Guards against a call that waits for a silent VM beside an idle one."""
+    silent, full, free = SilentLink("a"), Link("b", refused()), Link("c", answer())
+    # They are chosen in this order.
+    silent.load = attrs.evolve(LOAD, service_ms=1.0)
+    full.load = attrs.evolve(LOAD, service_ms=100.0)
+    free.load = attrs.evolve(LOAD, service_ms=400.0)
+    outcomes = forward_until(1.2, silent, full, free, calls=CALLS_BEFORE + 1)
+    assert len(silent.calls) == CALLS_BEFORE + 1 and len(full.calls) == 1
+    assert len(free.calls) == 1
+    assert outcomes[-1] is not None and outcomes[-1].body == b"ok"
+
+
+def test_a_failure_that_a_backend_server_has_given_is_passed_on_at_the_deadline():
+    """Guards against an answer of a backend server that is replaced by a time-out."""
+    silent, failing = SilentLink("a"), Link("b", answer(500))
+    silent.load = attrs.evolve(LOAD, service_ms=1.0)
+    outcomes = forward_until(1.2, silent, failing, calls=CALLS_BEFORE + 1)
+    assert len(failing.calls) == 1
+    assert outcomes[-1] is not None and outcomes[-1].status == 500
--- /dev/null
+++ b/tests/caller/test_hedging.py
@@ -0,0 +1,81 @@
+import asyncio
+
+from lacewingstair.caller.hedging import Hedge
+from lacewingstair.standins.virtual_time import run_virtual
+from lacewingstair.vm.call_link import SuspendedCall
+from tests.caller.test_forwarding import answer, failed
+
+
+class Suspended:
+    """A suspended call whose outcome the test decides."""
+
+    def __init__(self):
+        self.late = asyncio.get_running_loop().create_future()
+        self.cancelled = 0
+        self.call = SuspendedCall(self.late, self.cancel)
+
+    def cancel(self):
+        self.cancelled += 1
+
+
+async def returned(outcome):
+    return outcome
+
+
+def test_an_attempt_that_is_suspended_as_another_one_answers_is_given_up():
+    """Guards against a call that its VM runs on for nobody, and a link that keeps it.
+
+    A future that is done cannot be cancelled, so its result has to be looked at.
+    """
+
+    async def main():
+        first, second = Suspended(), Suspended()
+        hedge = Hedge({"a": first.call})
+        hedge.start("b", returned(second.call))
+        first.late.set_result(answer(200))
+        vm_id, outcome = await hedge.first_served()
+        assert (vm_id, outcome.status) == ("a", 200)
+        assert second.cancelled == 1
+
+    run_virtual(main())
+
+
+def test_an_attempt_that_is_suspended_as_the_caller_leaves_is_given_up():
+    """Guards against work that goes on after the caller has left."""
+
+    async def main():
+        first, second = Suspended(), Suspended()
+        hedge = Hedge({"a": first.call})
+        suspends = asyncio.get_running_loop().create_future()
+
+        async def attempt():
+            return await suspends
+
+        hedge.start("b", attempt())
+        waiting = asyncio.create_task(hedge.first_served())
+        await asyncio.sleep(0.1)
+        suspends.set_result(second.call)
+        # The attempt ends in the next step of the loop, as the caller leaves.
+        await asyncio.sleep(0)
+        waiting.cancel()
+        await asyncio.wait((waiting,))
+        assert first.cancelled == 1
+        assert second.cancelled == 1
+
+    run_virtual(main())
+
+
+def test_the_answer_of_a_backend_server_is_kept_when_the_silent_vm_fails_later():
+    """Guards against a 502 in place of an answer that a backend server has given."""
+
+    async def main():
+        first = Suspended()
+        hedge = Hedge({"a": first.call})
+        hedge.start("b", returned(answer(500)))
+        waiting = asyncio.create_task(hedge.first_served())
+        await asyncio.sleep(0.1)
+        first.late.set_result(failed())
+        vm_id, outcome = await waiting
+        assert (vm_id, getattr(outcome, "status", None)) == ("b", 500)
+
+    run_virtual(main())
--- /dev/null
+++ b/tests/staged_rollouts/test_coordinator_late_order.py
@@ -0,0 +1,46 @@
+import pytest
+
+from lacewingstair.staged_rollouts.marks import RolloutMark
+from lacewingstair.staged_rollouts.policy import Order, Stage
+from lacewingstair.standins.virtual_time import run_virtual
+from tests.caller import test_forwarding
+from tests.staged_rollouts.test_coordinator import Mesh
+
+ORDER = Order("board", "v2", 16.0, 7)
+
+
+@pytest.mark.parametrize("stage", [Stage.ROLLED_BACK, Stage.COMPLETED])
+def test_a_mark_that_comes_before_its_order_counts_once_the_order_is_there(stage):
+    """Guards against calls to a version that was taken back, from a VM that comes late.
+
+    A VM that has just been linked is told the marks with the greeting, and gets the
+    order from the same VM with a transfer that it asks for afterwards.
+    """
+
+    async def main():
+        late = Mesh(["a", "b"]).by_vm_id["b"]
+        late.take_mark(RolloutMark("board", ORDER.offset, stage, 9.0, True))
+        late.take_order(ORDER)
+        assert late.get("board").stage is stage
+        is_completed = stage is Stage.COMPLETED
+        assert late.allows("board", "x", "v2", True) is is_completed
+
+    run_virtual(main())
+
+
+def test_calls_go_to_the_new_version_when_its_rollout_ended_before_the_order_came(
+    monkeypatch,
+):
+    """Guards against 503s from a VM that comes late: the old version is stopped."""
+
+    def late(_):
+        found = Mesh(["a"]).by_vm_id["a"]
+        found.take_mark(RolloutMark("board", ORDER.offset, Stage.COMPLETED, 16.0, True))
+        found.take_order(ORDER)
+        return found
+
+    monkeypatch.setattr(test_forwarding, "rollouts_at", late)
+    new = test_forwarding.Link("b", test_forwarding.answer(), version="v2")
+    outcomes = test_forwarding.forward(new, calls=20)
+    refused = [o for o in outcomes if not hasattr(o, "status")]
+    assert refused == []
