Keep what other VMs say about a rollout until its order comes

What callers saw: 503s from a VM that had started after a rollout was completed, and calls to a bad version that was taken back.

Cause: a VM greets another with the marks of its rollouts, and sends the order when it is asked for records afterwards. A mark without its order was dropped, and nothing repeats it.

Evidence: the review's tests: with the store away a restarted VM stayed in the trial of a version that all others had taken back; after a completed rollout 20 of 20 calls found no backend server. Both failed before and pass now.

Why this works: the newest mark of each service waits for its order, and its elapsed time goes on meanwhile. Marks of older orders are dropped as before.

--- a/src/lacewingstair/staged_rollouts/coordinator.py
+++ b/src/lacewingstair/staged_rollouts/coordinator.py
@@ -37,6 +37,14 @@
 ]
 
 
+@attrs.frozen
+class _EarlyMark:
+    """What another VM says about an order that this one does not know yet."""
+
+    mark: RolloutMark
+    received_at: float
+
+
 @attrs.define
 class Rollout:
     """One order and what this VM knows of it."""
@@ -91,6 +99,7 @@
         self._rng = rng
         self._rollouts_by_service: dict[str, Rollout] = {}
         self._bad_versions_by_service: dict[str, set[str]] = {}
+        self._early_marks_by_service: dict[str, _EarlyMark] = {}
         self._own: GateEvidence | None = None
         self._has_news = False
         self._published_at = 0.0
@@ -117,11 +126,31 @@
             duration_seconds=order.duration_seconds,
             offset=order.offset,
         )
+        self._take_early_mark(order)
+
+    def _take_early_mark(self, order: Order) -> None:
+        early = self._early_marks_by_service.pop(order.service, None)
+        if early is None or early.mark.order_offset != order.offset:
+            return
+        elapsed_seconds = (
+            early.mark.elapsed_seconds + self._clock.monotonic() - early.received_at
+        )
+        self.take_mark(attrs.evolve(early.mark, elapsed_seconds=elapsed_seconds))
+
+    def _keep_early_mark(self, mark: RolloutMark) -> None:
+        """Keep a mark until its order comes, which may come another way."""
+        held = self._early_marks_by_service.get(mark.service)
+        if held is None or _mark_rank(mark) > _mark_rank(held.mark):
+            early = _EarlyMark(mark, self._clock.monotonic())
+            self._early_marks_by_service[mark.service] = early
 
     def take_mark(self, mark: RolloutMark) -> None:
         """Take what another VM says about a rollout."""
         rollout = self._rollouts_by_service.get(mark.service)
-        if rollout is None or rollout.order.offset != mark.order_offset:
+        if rollout is None or rollout.order.offset < mark.order_offset:
+            self._keep_early_mark(mark)
+            return
+        if rollout.order.offset != mark.order_offset:
             return
         started_at = self._clock.monotonic() - mark.elapsed_seconds
         rollout.started_at = min(rollout.started_at, started_at)
@@ -335,3 +364,9 @@
     def _rank(self) -> int:
         """Return the number of live VMs that act before this one."""
         return sum(vm_id < self._vm_id for vm_id in self._live_vm_ids())
+
+
+def _mark_rank(mark: RolloutMark) -> tuple[int, bool, Stage]:
+    """Return what decides which of two marks counts; a final report goes first."""
+    is_decided = mark.is_reported and mark.stage.is_final
+    return (mark.order_offset, is_decided, mark.stage)
