Offer calls at a silent VM on, and keep the answers that others give

Cause: a hedged call had one further try. A refusal ended it, an answer with a failure was held back for the silent VM, and a try that was suspended in the step in which another one ended was cancelled as a future that is done, which does nothing.

Why this works: each try that ends without an answer while others are under way lets the call be offered on, within its attempts, its refusals and the shared budget, of which an unsent try leaves its token; any answer of a backend server ends the wait; and a suspended try is given up by its own means.

--- a/src/lacewingstair/caller/forwarding.py
+++ b/src/lacewingstair/caller/forwarding.py
@@ -162,8 +162,9 @@
             try:
                 outcome = await self._run_at(vm_id, call)
                 if isinstance(outcome, SuspendedCall):
-                    hedge = Hedge({vm_id: outcome})
-                    vm_id, outcome = await self._hedge(call, hedge, progress, budget)
+                    vm_id, outcome = await self._hedge(
+                        call, {vm_id: outcome}, progress, budget
+                    )
             except asyncio.CancelledError:
                 self._log_abandoned(call, vm_id, progress)
                 raise
@@ -176,25 +177,54 @@
                 return self._final(progress)
 
     async def _hedge(
-        self, call: ForwardCall, hedge: Hedge, progress: _Progress, budget: RetryBudget
+        self,
+        call: ForwardCall,
+        suspended_by_vm_id: dict[str, SuspendedCall],
+        progress: _Progress,
+        budget: RetryBudget,
     ) -> tuple[str, CallOutcome]:
-        """Run a call whose VM is silent at another one too; the first answer counts.
+        """Run a call whose VM is silent elsewhere too; the first answer counts.
 
         The VM may only be slow, so that ending the call there could lose its answer.
         """
-        progress.tried.update(hedge.vm_ids)
-        left_ms = (call.end_at - self._clock.monotonic()) * 1000
-        progress.sent += 1
-        other = None
-        if left_ms >= LEAST_REPEAT_MS and progress.sent < call.route.max_attempts:
+        has_token = False
+
+        def offer_on() -> None:
+            nonlocal has_token
+            left_ms = (call.end_at - self._clock.monotonic()) * 1000
+            sent = progress.sent + len(hedge.vm_ids)
+            if left_ms < LEAST_REPEAT_MS or sent >= call.route.max_attempts:
+                return
+            if progress.refusals >= MAX_REFUSALS:
+                return
             other = self._choose(call, progress)
-        if other is not None and budget.take():
+            if other is None or not (has_token or budget.take()):
+                return
+            has_token = True
             progress.tried.add(other)
-            progress.may_have_run = True
             hedge.start(other, self._run_at(other, call))
-        else:
-            progress.sent -= 1
-        return await hedge.first_served()
+
+        def ended(outcome: CallOutcome | None) -> None:
+            nonlocal has_token
+            was_sent = True
+            if isinstance(outcome, CallRefused):
+                progress.refusals += 1
+                was_sent = outcome.was_sent
+            if outcome is not None:
+                progress.sent += was_sent
+            if isinstance(outcome, CallFailed):
+                progress.may_have_run = True
+            # A try that was not sent leaves its token to the next one.
+            has_token = has_token and not was_sent
+            offer_on()
+
+        hedge = Hedge(suspended_by_vm_id, ended)
+        progress.tried.update(hedge.vm_ids)
+        offer_on()
+        served = await hedge.first_served()
+        progress.sent += hedge.given_up
+        progress.may_have_run = progress.may_have_run or hedge.given_up > 0
+        return served
 
     def _goes_on(
         self,
--- a/src/lacewingstair/caller/hedging.py
+++ b/src/lacewingstair/caller/hedging.py
@@ -1,7 +1,7 @@
 """Waits for the first answer of a call that runs at more than one VM."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from lacewingstair.vm.call_link import SuspendedCall
@@ -11,19 +11,33 @@
 
 
 class Hedge:
-    """Attempts of one call of which the first that is served counts.
+    """Attempts of one call of which the first that is answered counts.
 
     Parameters
     ----------
     suspended_by_vm_id : dict
         Attempts at VMs that are silent.
+    on_ended : callable, optional
+        Takes the outcome of an attempt that has ended without an answer, or None for
+        one that is suspended, while others are under way; may start a further one.
+
+    Attributes
+    ----------
+    given_up : int
+        Attempts that were under way when the first one was answered.
     """
 
-    def __init__(self, suspended_by_vm_id: dict[str, SuspendedCall]) -> None:
+    def __init__(
+        self,
+        suspended_by_vm_id: dict[str, SuspendedCall],
+        on_ended: Callable[[CallOutcome | None], None] = lambda outcome: None,
+    ) -> None:
+        self._on_ended = on_ended
         self._suspended_by_vm_id = dict(suspended_by_vm_id)
         self._attempts_by_vm_id: dict[str, _Attempt] = {
             vm_id: suspended.late for vm_id, suspended in suspended_by_vm_id.items()
         }
+        self.given_up = 0
 
     @property
     def vm_ids(self) -> set[str]:
@@ -37,22 +51,22 @@
         self._attempts_by_vm_id[vm_id] = asyncio.ensure_future(attempt)
 
     async def first_served(self) -> tuple[str, CallOutcome]:
-        """Return the first good answer and its VM, or else what ends last.
+        """Return the first answer and its VM, or else what ends last.
 
         The other attempts are given up.
         """
         try:
             while True:
-                waiting = self._attempts_by_vm_id.values()
-                await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+                attempts = self._attempts_by_vm_id.values()
+                await asyncio.wait(attempts, return_when=asyncio.FIRST_COMPLETED)
                 for vm_id, attempt in list(self._attempts_by_vm_id.items()):
                     if not attempt.done():
                         continue
                     outcome = self._taken(vm_id, attempt)
-                    if outcome is None:
-                        continue
-                    if _is_served(outcome) or not self._attempts_by_vm_id:
+                    is_last = not self._attempts_by_vm_id
+                    if isinstance(outcome, CallAnswer) or is_last:
                         return vm_id, outcome
+                    self._on_ended(outcome)
         finally:
             self._give_up_others()
 
@@ -70,12 +84,18 @@
         return outcome
 
     def _give_up_others(self) -> None:
-        for suspended in self._suspended_by_vm_id.values():
-            suspended.cancel()
+        self.given_up = len(self._attempts_by_vm_id)
         for vm_id, attempt in self._attempts_by_vm_id.items():
-            if vm_id not in self._suspended_by_vm_id:
+            suspended = self._suspended_by_vm_id.get(vm_id) or _suspended(attempt)
+            if suspended is not None:
+                suspended.cancel()
+            else:
                 attempt.cancel()
 
 
-def _is_served(outcome: CallOutcome) -> bool:
-    return isinstance(outcome, CallAnswer) and outcome.status < 500
+def _suspended(attempt: _Attempt) -> SuspendedCall | None:
+    """Return the suspended call that an attempt has ended with, if it has."""
+    if not attempt.done() or attempt.cancelled() or attempt.exception() is not None:
+        return None
+    outcome = attempt.result()
+    return outcome if isinstance(outcome, SuspendedCall) else None
