Close a stream that is given up without calls on it

Cause: only the end of a call closed a stream that was given up. One that went silent after its own calls had ended, while a call on an older stream kept the watch going, stayed open, and its VM sent every broadcast on it after a freeze. The review's test failed before and passes now. No caller sees it.

--- a/src/lacewingstair/vm/call_link.py
+++ b/src/lacewingstair/vm/call_link.py
@@ -213,7 +213,9 @@
     def _forget(self, pending: _Pending) -> None:
         """End the wait for a call; a stream that was given up ends with its last."""
         self._pending_by_call_id.pop(pending.call.call_id, None)
-        stream = pending.stream
+        self._close_if_unused(pending.stream)
+
+    def _close_if_unused(self, stream: CallStream) -> None:
         if stream is self._stream:
             return
         if all(p.stream is not stream for p in self._pending_by_call_id.values()):
@@ -393,3 +395,4 @@
             if not pending.outcome.done():
                 give_up = functools.partial(self._give_up, pending)
                 pending.outcome.set_result(SuspendedCall(pending.late, give_up))
+        self._close_if_unused(stream)
