Let a planned stop wait for answers that are queued for other VMs

What callers saw: a 502 for an answer that their backend server had given, when the VM beside it stopped while its link was full.

Cause: a call of another VM counts as ended once its answer is queued on the stream; the stop looked only at what callers of its own had not taken.

--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -338,10 +338,10 @@
             await self.clock.sleep(STOP_CHECK_SECONDS)
 
     def _is_idle(self) -> bool:
-        """Return whether no call is open here, and callers have all answers."""
+        """Return whether no call is open here, and all answers have left."""
         if self.ingress.open_calls or self.call_server.open_calls:
             return False
-        return not self.ingress.unsent_bytes
+        return not self.ingress.unsent_bytes and not self.call_server.unsent_bytes
 
     def _log_open_calls(self, started_at: float) -> None:
         """Log what the end of the process cuts."""
@@ -352,7 +352,7 @@
             stop_ms=round(self.bounds.stop_ms),
             callers_calls=self.ingress.open_calls,
             vms_calls=self.call_server.open_calls,
-            unsent_bytes=self.ingress.unsent_bytes,
+            unsent_bytes=self.ingress.unsent_bytes + self.call_server.unsent_bytes,
         )
 
     def _leave_mesh(self) -> None:
--- a/src/lacewingstair/vm/call_server.py
+++ b/src/lacewingstair/vm/call_server.py
@@ -74,6 +74,11 @@
         """Calls of other VMs that are not answered yet."""
         return len(self._tasks)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes for other VMs that the kernel has not taken yet."""
+        return sum(stream.queued_bytes for stream in self._streams)
+
     async def listen(self) -> Result[None, ListenError]:
         """Accept connections."""
         host, _, port = self._address.rpartition(":")
