Notice readers of the store that go silent without calls

Cause: silence was watched only while calls were open, so that a frozen reader counted as one for VMs that send it no calls. If all readers that a VM hears of were frozen, nobody else would read. The review's test failed before and passes now: the readers of the own region are asked after 2 s without a message.

--- a/src/lacewingstair/vm/call_link.py
+++ b/src/lacewingstair/vm/call_link.py
@@ -30,7 +30,7 @@
     RefusalReason,
 )
 from lacewingstair.vm.call_streams import CallStream, connect
-from lacewingstair.vm.distances import UNKNOWN
+from lacewingstair.vm.distances import REGION, UNKNOWN, ZONE
 from lacewingstair.vm.entries import VmEntry, entry_distance
 from lacewingstair.vm.record_fetcher import Source
 from lacewingstair.vm.stream_traffic import StreamTraffic
@@ -38,6 +38,8 @@
 # A peer that has open calls and was silent for this long is asked whether it runs.
 PING_AFTER_SECONDS = 0.5
 PONG_SECONDS = 1.0
+# Without calls a peer is asked this many times later, if its silence matters here.
+IDLE_PING_FACTOR = 4
 # A check that runs this late says more about this process than about the peer.
 LATE_CHECK_SECONDS = 0.2
 # A call waits this long for a stream that is being opened.
@@ -311,6 +313,8 @@
         self._sent_since_load = 0
         self._source.position = load.records_position
         self._on_offer(self._source)
+        if load.reads_store and self._is_watched():
+            self._watch()
 
     def _ended(self, stream: CallStream) -> None:
         """Note that a stream is gone, and fail the calls on it: they may have run."""
@@ -345,6 +349,19 @@
             loop = asyncio.get_running_loop()
             loop.call_later(PING_AFTER_SECONDS, self._check_silence)
 
+    def _is_watched(self) -> bool:
+        """Return whether the silence of the peer matters here.
+
+        It has calls of this VM, or reads the store for the VMs of this region.
+        """
+        is_near = self._source.distance in (ZONE, REGION)
+        return bool(self._pending_by_call_id) or (is_near and self.load.reads_store)
+
+    def _ping_after_seconds(self) -> float:
+        if self._pending_by_call_id:
+            return PING_AFTER_SECONDS
+        return IDLE_PING_FACTOR * PING_AFTER_SECONDS
+
     def _log_silence(self, stream: CallStream, now: float) -> None:
         """Log what tells a silent peer from a full link and from a late check."""
         events.warning(
@@ -360,7 +377,7 @@
     def _check_silence(self) -> None:
         self._is_watching = False
         stream = self._stream
-        if stream is None or not self._pending_by_call_id:
+        if stream is None or not self._is_watched():
             self._pinged_at = None
             return
         now = self._clock.monotonic()
@@ -370,7 +387,7 @@
             self._heard()
         pinged_at = self._pinged_at
         if pinged_at is None or self._heard_at >= pinged_at:
-            if now - self._heard_at >= PING_AFTER_SECONDS:
+            if now - self._heard_at >= self._ping_after_seconds():
                 self._pinged_at = now
                 stream.send(Ping(0))
         elif stream.queued_bytes or now - self._check_due_at >= LATE_CHECK_SECONDS:
