Test endless answers on the streaming path

Callers of the product's own path got 502 for an endless head or framing only since the connection cuts these off.

--- a/tests/caller/test_server.py
+++ b/tests/caller/test_server.py
@@ -10,6 +10,12 @@
 from lacewingstair.tickets.acceptance import TicketRecord
 from lacewingstair.tickets.state_store import StateStore
 from lacewingstair.vm.directory import Directory, Endpoint, VmRecord
+from tests.memory import traced_peak
+from tests.platform.upstream_standin import (
+    ENDLESS_FRAMING,
+    ENDLESS_HEADS,
+    UpstreamStandIn,
+)
 
 TICKET = {
     "number": 1,
@@ -290,6 +296,95 @@
     assert b"Lacewingstair-Outcome: unknown" in received
 
 
+def endless_exchange(behaviour, request_bytes, trickle_seconds=0.0):
+    """Return what the caller receives, and the peak of the memory until the end."""
+
+    async def main():
+        upstream = UpstreamStandIn()
+        upstream.behaviour = behaviour
+        upstream.trickle_seconds = trickle_seconds
+        async with Site().running(upstream.serve) as site:
+            with traced_peak() as peak:
+                async with asyncio.timeout(10.0):
+                    received = await site.exchange(request_bytes)
+                    while upstream.connections:  # noqa: ASYNC110 - it is plain state
+                        await asyncio.sleep(0.01)
+        return received, peak.bytes
+
+    return asyncio.run(main())
+
+
+MAX_ENDLESS_PEAK_BYTES = 4 << 20
+
+
+@pytest.mark.parametrize(
+    "behaviour",
+    # Strays cannot be told from answers here, as calls have no ids.
+    [name for name in ENDLESS_HEADS if "stray" not in name],
+)
+def test_an_endless_head_is_answered_as_unknown_before_the_deadline(behaviour):
+    """Guards against calls that wait for their whole time, and false not-runs."""
+    received, peak_bytes = endless_exchange(behaviour, get("/read", method="POST"))
+    assert received.split(b" ")[1] == b"502"
+    assert b"Lacewingstair-Outcome: unknown" in received
+    assert peak_bytes < MAX_ENDLESS_PEAK_BYTES
+
+
+@pytest.mark.parametrize("behaviour", ENDLESS_FRAMING)
+def test_endless_framing_never_looks_whole_and_ends_before_the_deadline(behaviour):
+    """Guards against streams that last for their whole time without a byte."""
+    received, peak_bytes = endless_exchange(behaviour, get("/read", method="POST"))
+    assert not received.endswith(b"0\r\n\r\n")
+    assert peak_bytes < MAX_ENDLESS_PEAK_BYTES
+
+
+@pytest.mark.parametrize(
+    "behaviour", ["endless chunked body", "endless body of a large length"]
+)
+def test_an_endless_body_ends_with_the_time_of_the_call_and_never_looks_whole(
+    behaviour,
+):
+    """Guards against streams that last for ever."""
+    request = get("/read", "Lacewingstair-Deadline-Ms: 500", method="POST")
+    received, _ = endless_exchange(behaviour, request, 0.01)
+    assert received.startswith(b"HTTP/1.1 200")
+    assert not received.endswith(b"0\r\n\r\n")
+
+
+def test_a_caller_that_does_not_read_an_endless_body_costs_no_memory():
+    """Guards against bodies that pile up in the process until the deadline."""
+
+    async def main():
+        upstream = UpstreamStandIn()
+        upstream.behaviour = "endless chunked body"
+        async with Site().running(upstream.serve) as site:
+            with traced_peak() as peak:
+                _, writer = await asyncio.open_connection("127.0.0.1", site.port)
+                writer.write(get("/read"))
+                written = -1
+                while written != upstream.endless_bytes or written <= 0:
+                    written = upstream.endless_bytes
+                    await asyncio.sleep(0.1)
+            writer.transport.abort()
+            async with asyncio.timeout(10.0):
+                while upstream.connections:  # noqa: ASYNC110 - it is plain state
+                    await asyncio.sleep(0.01)
+        return peak.bytes
+
+    assert asyncio.run(main()) < MAX_ENDLESS_PEAK_BYTES
+
+
+@pytest.mark.parametrize(
+    "behaviour", ["endless header line", "endless interim answers"]
+)
+def test_a_head_that_trickles_in_ends_with_the_time_of_the_call(behaviour):
+    """Guards against calls and connections that a slow trickle keeps for ever."""
+    request = get("/read", "Lacewingstair-Deadline-Ms: 500", method="POST")
+    received, _ = endless_exchange(behaviour, request, 0.01)
+    assert received.split(b" ")[1] == b"504"
+    assert b"Lacewingstair-Outcome: unknown" in received
+
+
 def test_a_stop_finishes_the_call_in_flight_and_closes_kept_connections():
     """Guards against calls cut by a planned stop."""
 
