Release the bytes of failed calls at once

A process beside a backend server in trouble grew with each failed call and could be killed for its memory, as the daemon collects garbage rarely.

Cause: a connection keeps the error that ended it. The traceback of the error, or of its cause in the parser, holds frames with up to 256 KiB of received bytes, and the frames hold the connection: a cycle that only a collection frees.

Why it works: when a call has ended, nobody reads its errors any more, so the connection drops them and their tracebacks.

--- a/src/lacewingstair/backend_server/connection.py
+++ b/src/lacewingstair/backend_server/connection.py
@@ -92,6 +92,8 @@
         """Note an end with an error before the body of an answer ends with it."""
         self.was_reset = exc is not None
         super().connection_lost(exc)
+        if self.is_idle:
+            self._release_errors()
 
     def is_reusable(self) -> bool:
         """Return whether an idle connection can take another call.
@@ -174,7 +176,22 @@
         self.is_idle = True
         self.used_at = now
         self._drop_timeout()
-        return self.is_connected() and not self.should_close
+        is_reusable = self.is_connected() and not self.should_close
+        self._release_errors()
+        return is_reusable
+
+    def _release_errors(self) -> None:
+        """Drop what the errors of an ended call refer to.
+
+        Their tracebacks hold frames, with received bytes, that refer to the connection
+        and so to the errors. Such cycles would stay until the next collection.
+        """
+        errors = [self._exception]
+        if self._last_payload is not None:
+            errors.append(self._last_payload.exception())
+        self._exception = self._last_payload = None
+        for error in errors:
+            _drop_tracebacks(error)
 
     def _is_reading_body(self) -> bool:
         return self._payload is not None and not self._payload.is_eof()
@@ -207,3 +224,11 @@
         has_grown = body_bytes > self._last_body_bytes
         self._last_body_bytes = body_bytes
         return has_grown
+
+
+def _drop_tracebacks(error: BaseException | None) -> None:
+    seen: list[BaseException] = []
+    while error is not None and error not in seen:
+        seen.append(error)
+        error.__traceback__ = None
+        error = error.__cause__ or error.__context__
--- a/src/lacewingstair/backend_server/gate.py
+++ b/src/lacewingstair/backend_server/gate.py
@@ -399,18 +399,13 @@
         self, connection: UpstreamConnection, payload: StreamReader
     ) -> bytes | _Unusable:
         parts: list[bytes] = []
-        try:
-            with self._answer_memory.receiving(connection) as held:
-                while chunk := await payload.readany():
-                    parts.append(chunk)
-                    self._answer_memory.add(held, len(chunk))
-                    if held.size > MAX_ANSWER_BYTES:
-                        return _Unusable(f"the answer has over {held.size} bytes", True)
-                return b"".join(parts)
-        finally:
-            # An error that the connection keeps refers to this frame, and the frame to
-            # the connection, so the parts would stay until the next collection.
-            parts.clear()
+        with self._answer_memory.receiving(connection) as held:
+            while chunk := await payload.readany():
+                parts.append(chunk)
+                self._answer_memory.add(held, len(chunk))
+                if held.size > MAX_ANSWER_BYTES:
+                    return _Unusable(f"the answer has over {held.size} bytes", True)
+        return b"".join(parts)
 
     def _learn_idle_time(self, fields: object) -> None:
         seconds = headers.keep_alive_seconds(fields)
--- a/tests/backend_server/test_connection.py
+++ b/tests/backend_server/test_connection.py
@@ -1,4 +1,5 @@
 import asyncio
+import gc
 
 import pytest
 
@@ -94,6 +95,42 @@
     with_gate(check)
 
 
+@pytest.fixture
+def without_collections():
+    gc.collect()
+    gc.disable()
+    yield
+    gc.enable()
+
+
+FAILED_CALLS = 30
+MAX_KEPT_BYTES = 1 << 20
+
+
+@endless(
+    [
+        "endless bytes that are no HTTP",
+        "endless bytes that are no chunk",
+        "endless chunk extension",
+        "endless chunked body",
+    ]
+)
+def test_calls_that_failed_keep_no_bytes(behaviour, without_collections):
+    """Guards against memory that grows with each call until a rare collection."""
+
+    async def check(gate, upstream):
+        upstream.behaviour = behaviour
+        with traced_peak() as peak:
+            for number in range(FAILED_CALLS):
+                outcome = await gate.run(request(f"c{number}", LONG_MS))
+                assert isinstance(outcome, CallFailed)
+                await closed(upstream)
+            await asyncio.sleep(0.01)
+        assert peak.kept_bytes < MAX_KEPT_BYTES
+
+    with_gate(check, max_held_bytes=1 << 20)
+
+
 def test_some_interim_answers_come_before_the_final_one():
     """Guards against a bound that refuses good answers."""
 
--- a/tests/platform/upstream_standin.py
+++ b/tests/platform/upstream_standin.py
@@ -1,6 +1,7 @@
 """Stand-in for a backend server of the platform, as its published protocol says."""
 
 import asyncio
+import functools
 import socket
 import struct
 
@@ -148,9 +149,7 @@
         start, repeated = _ENDLESS[self.behaviour]
         start = start.replace(b"{request}", request_id.encode())
         writer.write(start.replace(b"{upstream}", self.upstream_id.encode()))
-        piece = repeated
-        if not self.trickle_seconds:
-            piece *= _PIECE_BYTES // len(repeated)
+        piece = repeated if self.trickle_seconds else _piece(repeated)
         while True:
             writer.write(piece)
             self.endless_bytes += len(piece)
@@ -212,6 +211,12 @@
         return True
 
 
+@functools.cache
+def _piece(repeated):
+    """Return one object for all connections, so that they do not count as memory."""
+    return repeated * (_PIECE_BYTES // len(repeated))
+
+
 def _reset(writer):
     sock = writer.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
