Test a call whose answer never ends across the mesh

With the connection of the code before, the caller got a 504 when its second was over, for endless 1xx answers and for an endless chunk extension; now a 502 without a statement that the call did not run, and the next call is served.

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -7,6 +7,7 @@
 import random
 
 import aiohttp
+import pytest
 from aiohttp.test_utils import TestServer
 
 from lacewingstair.runtime import SystemClock
@@ -196,6 +197,25 @@
     with_mesh(check)
 
 
+@pytest.mark.parametrize(
+    "behaviour", ["endless interim answers", "endless chunk extension"]
+)
+def test_a_call_whose_answer_never_ends_may_have_run(behaviour):
+    """Guards against a success or a false not-run for bytes that are no answer."""
+
+    async def check(_, vms, session):
+        for vm in vms[:2]:
+            vm.upstream.behaviour = behaviour
+        status, _, headers = await vms[2].call(session, "/load/1", "POST")
+        assert status == 502
+        assert "Not-Executed" not in headers and "Retry-After" not in headers
+        for vm in vms[:2]:
+            vm.upstream.behaviour = "ok"
+        assert (await vms[2].call(session, "/load/2", "POST", "q2"))[0] == 200
+
+    with_mesh(check)
+
+
 def test_a_call_refused_by_all_says_when_to_come_back():
     async def check(_, vms, session):
         for vm in vms[:2]:
