Read the entries of VMs less often where others read the store

A VM learns of entries on its links first: each one greets all that it finds in the store.

VMs that do not read the store for their region collect changes for 6 s. Ruled out: not reading them at all, as an entry that a late write has replaced is corrected by its own VM, which has to see it.

--- a/src/lacewingstair/metadata/tail.py
+++ b/src/lacewingstair/metadata/tail.py
@@ -43,6 +43,8 @@
 
     Attributes
     ----------
+    batch_seconds : float
+        Time after a change in which further ones are collected; it may be changed.
     is_up : bool
         Whether the last call was answered.
     has_read : bool
@@ -65,7 +67,7 @@
         self._clock = clock
         self._rng = rng
         self._wait_seconds = wait_seconds
-        self._batch_seconds = batch_seconds
+        self.batch_seconds = batch_seconds
         self._offsets_by_key: dict[str, int] = {}
         self._next_offset: int | None = None
         self._failures = 0
@@ -104,7 +106,7 @@
         self.skip_to(page.ok_value.next_offset)
         if page.ok_value.records:
             self._deliver(page.ok_value.records, page.ok_value.next_offset)
-            await self._clock.sleep(self._batch_seconds)
+            await self._clock.sleep(self.batch_seconds)
 
     async def _read_newest(self) -> None:
         newest = await self._store.newest(self._topic)
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -65,6 +65,8 @@
 # Versions and entries in quick succession are read together.
 CONFIGURATION_BATCH_SECONDS = 0.8
 MESH_BATCH_SECONDS = 1.5
+# VMs that do not read the store for others learn of entries on their links first.
+RELAXED_MESH_BATCH_SECONDS = 6.0
 SWEEP_SECONDS = 1.0
 SWEEPS_PER_TRAFFIC_LINE = 10
 CONFIGURATION_CHECK_SECONDS = 0.05
@@ -213,7 +215,7 @@
             self._entry,
             self.links,
             self.record_fetcher,
-            self.call_server.announce_load,
+            self._reading_changed,
             clock,
         )
         self._mesh_tail = KeyedTail(
@@ -411,6 +413,14 @@
         self.records.take_operator_records(records, position)
         self.call_server.announce_load()
 
+    def _reading_changed(self) -> None:
+        """Tell the others whether this VM reads the store for them."""
+        is_reading = self.operator_reading.is_reading
+        self._mesh_tail.batch_seconds = (
+            MESH_BATCH_SECONDS if is_reading else RELAXED_MESH_BATCH_SECONDS
+        )
+        self.call_server.announce_load()
+
     def _take_transfer(self, data: bytes) -> bool:
         is_taken = self.records.take_transfer(data)
         self.operator_reading.skip_to(self.records.operator.position + 1)
