Count the time to stop from the signal, not from when it is handled

What callers saw: calls that the kill of the platform cut, on a process whose event loop was busy as SIGTERM came.

Cause: the event loop handles a signal between callbacks, and the stop counted its time from then. A loop that was a second late let the stop plan for a second that it did not have, while 0.6 s are left between the last call and the kill.

The test under uvloop blocks the loop for 0.3 s as the signal comes.

The interpreter's own handler notes the time; it runs between two instructions even while a callback runs. The time in which callers and other VMs go elsewhere still counts from the start of the stop, since they learn of it only then. daemon_leaving says how late the stop began.

--- a/src/lacewingstair/process.py
+++ b/src/lacewingstair/process.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 from collections.abc import Callable
+from types import FrameType
 from typing import Any, Protocol
 
 import aiomisc
@@ -85,7 +86,9 @@
         super().__init__(**options)
         self.exit_code = EXIT_OK
         self._daemon: Process | None = None
+        self._clock = SystemClock()
         self._signals = 0
+        self._signalled_at: float | None = None
         self._has_started = True
 
     async def start(self) -> None:
@@ -94,8 +97,11 @@
         self._stopping_now = asyncio.Event()
         for number in STOP_SIGNALS:
             self.loop.add_signal_handler(number, self._on_signal, number)
+            # The interpreter calls this one at once, even while the loop is busy.
+            signal.signal(number, self._note_signal)
+            signal.siginterrupt(number, False)
         build = builder_of(self.settings)
-        self._daemon = build(self.settings, SystemClock(), random.Random())
+        self._daemon = build(self.settings, self._clock, random.Random())
         if self.settings_path and hasattr(self._daemon, "reload"):
             self.loop.add_signal_handler(signal.SIGHUP, self._on_reload)
         started = await self._daemon.start()
@@ -116,7 +122,7 @@
         if not self._has_started:
             await self._daemon.close()
             return
-        planned = asyncio.create_task(self._daemon.stop())
+        planned = asyncio.create_task(self._planned_stop())
         at_once = asyncio.create_task(self._stopping_now.wait())
         await asyncio.wait((planned, at_once), return_when=asyncio.FIRST_COMPLETED)
         at_once.cancel()
@@ -130,6 +136,16 @@
         """Whether the platform kills the process some time after its signal."""
         return self.settings.platform.interface == METADATA_STORE
 
+    async def _planned_stop(self) -> None:
+        if self._is_killed_after_signal:
+            await self._daemon.stop(self._signalled_at)
+        else:
+            await self._daemon.stop()
+
+    def _note_signal(self, number: int, frame: FrameType | None) -> None:
+        if self._signalled_at is None:
+            self._signalled_at = self._clock.monotonic()
+
     def _on_reload(self) -> None:
         events.info("signal_received", signal=signal.SIGHUP.name)
         self._daemon.reload(self.settings_path)
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -223,14 +223,27 @@
         )
         return Ok(None)
 
-    async def stop(self) -> None:
-        """Let others know, finish all calls and stop."""
+    async def stop(self, signalled_at: float | None = None) -> None:
+        """Let others know, finish all calls and stop.
+
+        Parameters
+        ----------
+        signalled_at : float, optional
+            When the signal came after which the platform kills the process, monotonic
+            seconds; now by default.
+        """
         started_at = self.clock.monotonic()
-        events.info("daemon_leaving", vm=self.settings.vm_id)
+        signalled_at = started_at if signalled_at is None else signalled_at
+        events.info(
+            "daemon_leaving",
+            vm=self.settings.vm_id,
+            late_ms=round((started_at - signalled_at) * 1000),
+        )
         self._is_leaving = True
         self.ingress.is_draining = True
-        await self._wait_for_calls(started_at)
-        self._log_open_calls(started_at)
+        killed_at = signalled_at + self.bounds.stop_ms / 1000
+        await self._wait_for_calls(started_at, killed_at)
+        self._log_open_calls(started_at, killed_at)
         self.ingress.cut_calls()
         await self.close()
         events.info("daemon_stopped", vm=self.settings.vm_id)
@@ -279,14 +292,23 @@
             "store_calls": self.store.calls_by_operation,
         }
 
-    async def _wait_for_calls(self, started_at: float) -> None:
+    async def _wait_for_calls(self, started_at: float, killed_at: float) -> None:
         """Wait until no call is open and none is to be expected, or for too long."""
-        stop_seconds = self.bounds.stop_ms / 1000
-        latest = started_at + stop_seconds - STOP_MARGIN_SECONDS
+        latest = killed_at - STOP_MARGIN_SECONDS
+        self.ingress.closes_at = latest
+        await self._wait_until_quiet(started_at, latest)
+        # What arrives from now on could not be answered before the end.
+        self.ingress.closes_at = self.clock.monotonic()
+        cut_at = killed_at - CLOSE_SECONDS
+        while not self._is_idle() and self.clock.monotonic() < cut_at:
+            await self.clock.sleep(STOP_CHECK_SECONDS)
+
+    async def _wait_until_quiet(self, started_at: float, latest: float) -> None:
+        """Wait until callers and other VMs have gone elsewhere; close the gate."""
         has_upstream = self.gate.identity.state is not UpstreamState.ABSENT
         # Without one the VM is removed, and a later end keeps no slots waiting.
         earliest = started_at + LEAVING_SECONDS if has_upstream else latest
-        self.ingress.closes_at = latest
+        stop_seconds = self.bounds.stop_ms / 1000
         gate_closes_at = started_at + GATE_OPEN_SHARE * stop_seconds
         left_at: float | None = None
         while (now := self.clock.monotonic()) < latest:
@@ -296,12 +318,7 @@
                 self._leave_mesh()
                 left_at = now
             if is_done and now - left_at >= VMS_GONE_SECONDS:
-                break
-            await self.clock.sleep(STOP_CHECK_SECONDS)
-        # What arrives from now on could not be answered before the end.
-        self.ingress.closes_at = self.clock.monotonic()
-        cut_at = started_at + stop_seconds - CLOSE_SECONDS
-        while not self._is_idle() and self.clock.monotonic() < cut_at:
+                return
             await self.clock.sleep(STOP_CHECK_SECONDS)
 
     def _is_idle(self) -> bool:
@@ -310,13 +327,13 @@
             return False
         return not self.ingress.unsent_bytes
 
-    def _log_open_calls(self, started_at: float) -> None:
+    def _log_open_calls(self, started_at: float, killed_at: float) -> None:
         """Log what the end of the process cuts."""
-        waited = self.clock.monotonic() - started_at
+        now = self.clock.monotonic()
         events.info(
             "stop_wait_ended",
-            waited_ms=round(waited * 1000),
-            stop_ms=round(self.bounds.stop_ms),
+            waited_ms=round((now - started_at) * 1000),
+            left_ms=round((killed_at - now) * 1000),
             callers_calls=self.ingress.open_calls,
             vms_calls=self.call_server.open_calls,
             unsent_bytes=self.ingress.unsent_bytes,
--- a/tests/test_sidecar_stop.py
+++ b/tests/test_sidecar_stop.py
@@ -2,16 +2,21 @@
 
 import asyncio
 import contextlib
+import os
 import signal
+import time
 
 import aiohttp
 import attrs
 import pytest
+import uvloop
 from aiohttp.test_utils import TestServer
 from loguru import logger
+from result import Ok
 
-from lacewingstair import sidecar
+from lacewingstair import process, sidecar
 from lacewingstair.events import parse_event
+from lacewingstair.settings.reader import parse_settings
 from tests.platform.store_standin import StoreStandIn
 from tests.platform.upstream_standin import UpstreamStandIn
 from tests.processes import LIMIT_SECONDS, Processes
@@ -279,6 +284,8 @@
     with_mesh(check)
 
 
+# The loop handles no signal in this time.
+BUSY_SECONDS = 0.3
 # More than the kernel buffers on both ends of a connection.
 LARGE_ANSWER_BYTES = 32 << 20
 
@@ -379,3 +386,54 @@
         writer.close()
 
     with_process(processes, tmp_path, upstream, check)
+
+
+def test_the_time_to_stop_counts_from_a_signal_that_a_busy_loop_handles_late(
+    monkeypatch,
+):
+    """Guards against a stop that takes calls which the kill of the platform cuts."""
+
+    class Daemon:
+        async def start(self):
+            return Ok(None)
+
+        async def stop(self, signalled_at):
+            self.late_seconds = time.monotonic() - signalled_at
+
+    daemon = Daemon()
+    monkeypatch.setattr(process, "builder_of", lambda settings: lambda *_: daemon)
+    text = Vm("vm", "board", "http://127.0.0.1:1").settings_text()
+    settings = parse_settings(
+        "test", text.replace("own_address = ", "own_address = 127.0.0.1:2")
+    ).unwrap()
+
+    async def main():
+        service = process.DaemonService(settings=settings)
+        service.set_loop(asyncio.get_running_loop())
+        await service.start()
+        os.kill(os.getpid(), signal.SIGTERM)
+        time.sleep(BUSY_SECONDS)  # noqa: ASYNC251 - this is the busy loop
+        await service.run_until_signal()
+        await service.stop()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(main())
+    assert daemon.late_seconds >= BUSY_SECONDS
+
+
+@pytest.mark.usefixtures("early_cut")
+def test_a_stop_that_begins_late_ends_before_the_kill():
+    """Guards against a stop that takes calls which the kill of the platform cuts."""
+
+    async def check(store, vms, session):
+        await allow_long_calls(store, vms)
+        vms[0].upstream.seconds = vms[1].upstream.seconds = 30.0
+        _, writer = await open_call(vms[2], "long", 30_000)
+        await until(lambda: all_runs(vms) == ["long"])
+        set_stop(vms[2], 2.6)
+        signalled_at = time.monotonic() - 1.0
+        await vms[2].sidecar.stop(signalled_at)
+        assert time.monotonic() - signalled_at < 2.6
+        writer.close()
+
+    with_mesh(check)
