Close the gate when a planned stop has ended its wait

What callers saw: a call of another VM that reached this one as its stop ended began to run at the backend server, was cut, and failed as if it had run.

Cause: the gate stayed open until the links were closed, some steps after the wait had found no open call.

Evidence: in the test such a call ended with "the stream has ended"; now the gate refuses it, not run, so its caller's VM sends it elsewhere. Calls that still wait for a slot when the time is over are refused in the same way instead of being cut. VMs that stop together finish the calls between them, before the change and with it.

--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
+import attrs
 from aiohttp import web
 from result import Err, Ok, Result
 
@@ -299,9 +300,12 @@
         await self._wait_until_quiet(started_at, latest)
         # What arrives from now on could not be answered before the end.
         self.ingress.closes_at = self.clock.monotonic()
+        self._close_gate()
         cut_at = killed_at - CLOSE_SECONDS
         while not self._is_idle() and self.clock.monotonic() < cut_at:
             await self.clock.sleep(STOP_CHECK_SECONDS)
+            # A report of the backend server opens it again.
+            self._close_gate()
 
     async def _wait_until_quiet(self, started_at: float, latest: float) -> None:
         """Wait until callers and other VMs have gone elsewhere; close the gate."""
@@ -321,6 +325,11 @@
                 return
             await self.clock.sleep(STOP_CHECK_SECONDS)
 
+    def _close_gate(self) -> None:
+        """Refuse the calls that have not begun to run, here and of other VMs."""
+        closed = attrs.evolve(self.gate.identity, state=UpstreamState.ABSENT)
+        self.gate.set_identity(closed)
+
     def _is_idle(self) -> bool:
         """Return whether no call is open here, and callers have all answers."""
         if self.ingress.open_calls or self.call_server.open_calls:
