--- a/tests/test_sidecar_stop.py
+++ b/tests/test_sidecar_stop.py
@@ -17,7 +17,16 @@
 from lacewingstair import process, sidecar
 from lacewingstair.events import parse_event
 from lacewingstair.settings.reader import parse_settings
-from lacewingstair.vm.call_messages import CallRefused, CallRequest
+from lacewingstair.vm.call_messages import (
+    CallAnswer,
+    CallRefused,
+    CallRequest,
+    Hello,
+    decode,
+    encode,
+    unpacker,
+)
+from lacewingstair.vm.entries import VmEntry
 from tests.platform.store_standin import StoreStandIn
 from tests.platform.upstream_standin import UpstreamStandIn
 from tests.processes import LIMIT_SECONDS, Processes
@@ -526,3 +535,30 @@
         writer.close()
 
     with_mesh(check)
+
+
+def test_another_vm_that_reads_slowly_gets_its_whole_answer(processes, tmp_path):
+    """Guards against answers to other VMs that are dropped as the process ends.
+
+    The link between the VMs can be full of other messages.
+    """
+
+    async def check(vm, daemon):
+        reader, writer = await asyncio.open_connection(vm.host, 7100)
+        entry = VmEntry("peer", "r", "z", "127.0.0.1:1", "book", incarnation=1)
+        writer.write(encode(Hello(entry)) + encode(call_of_vm()))
+        await until(lambda: vm.upstream.runs == ["late"], LIMIT_SECONDS)
+        daemon.send_signal(signal.SIGTERM)
+        unpacked = unpacker()
+        loop = asyncio.get_running_loop()
+        # A process without calls ends in this time.
+        slow_until = loop.time() + 2.7
+        while data := await reader.read(64 << 10):
+            unpacked.feed(data)
+            await asyncio.sleep(0.05 if loop.time() < slow_until else 0.0)
+        writer.close()
+        messages = [decode(array).unwrap() for array in unpacked]
+        answers = [found for found in messages if isinstance(found, CallAnswer)]
+        assert [len(answer.body) for answer in answers] == [LARGE_ANSWER_BYTES]
+
+    with_process(processes, tmp_path, LargeUpstream(), check)
