--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -12,7 +12,6 @@
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
-import attrs
 from aiohttp import web
 from result import Err, Ok, Result
 
@@ -36,6 +35,7 @@
 from lacewingstair.metadata.tail import KeyedTail, Record
 from lacewingstair.metrics.sidecar import SidecarMetrics
 from lacewingstair.operator.sidecar_api import SidecarApi
+from lacewingstair.planned_stop import PlannedStop
 from lacewingstair.platform import store as platform_store
 from lacewingstair.platform.announcements import Announcements
 from lacewingstair.platform.bounds import parse_bounds
@@ -53,7 +53,7 @@
     MarkChanged,
 )
 from lacewingstair.vm.call_server import CallStreamServer
-from lacewingstair.vm.entries import MeshView, UpstreamState, VmEntry
+from lacewingstair.vm.entries import MeshView, VmEntry
 from lacewingstair.vm.record_fetcher import RecordFetcher
 from lacewingstair.vm.record_sender import RecordSender
 from lacewingstair.vm.registration import Registration
@@ -74,20 +74,6 @@
 # The entry of an earlier process is waited for until so long after the start; the store
 # may not answer.
 FORMER_ENTRY_SECONDS = 0.3
-# The platform sends no callers after two missed checks, one each second.
-LEAVING_SECONDS = 2.2
-# Part of the time to stop in which the gate stays open: the process waits for callers
-# to go elsewhere anyway, and its backend server's slots are missed meanwhile.
-GATE_OPEN_SHARE = 0.3
-# Left between the latest end of a call that is still taken and the platform's kill.
-STOP_MARGIN_SECONDS = 0.6
-# Left of it for closing, when calls that are still open are cut.
-CLOSE_SECONDS = 0.25
-STOP_CHECK_SECONDS = 0.05
-# While too few VMs of a zone are ready, the platform sends callers to one that leaves.
-CALLERS_GONE_SECONDS = 0.5
-# Calls that other VMs sent before they learned of the stop arrive until then.
-VMS_GONE_SECONDS = 0.4
 MAX_CALLER_CONNECTIONS = 2800
 
 
@@ -229,6 +215,9 @@
             MESH_BATCH_SECONDS,
         )
         self.registration.subscribe(self._announce_entry)
+        self.planned_stop = PlannedStop(
+            self.ingress, self.gate, self.call_server, self.registration, clock
+        )
         self._started_at = clock.monotonic()
         self._is_leaving = False
         self._cold_until = 0.0
@@ -275,11 +264,8 @@
             late_ms=round((started_at - signalled_at) * 1000),
         )
         self._is_leaving = True
-        self.ingress.is_draining = True
         killed_at = signalled_at + self.bounds.stop_ms / 1000
-        await self._wait_for_calls(started_at, killed_at)
-        self._log_open_calls(started_at, killed_at)
-        self.ingress.cut_calls()
+        await self.planned_stop.run(started_at, killed_at)
         await self.close()
         events.info("daemon_stopped", vm=self.settings.vm_id)
 
@@ -328,67 +314,6 @@
             "store_calls": self.store.calls_by_operation,
         }
 
-    async def _wait_for_calls(self, started_at: float, killed_at: float) -> None:
-        """Wait until no call is open and none is to be expected, or for too long."""
-        latest = killed_at - STOP_MARGIN_SECONDS
-        self.ingress.closes_at = latest
-        await self._wait_until_quiet(started_at, latest)
-        # What arrives from now on could not be answered before the end.
-        self.ingress.closes_at = self.clock.monotonic()
-        self._close_gate()
-        cut_at = killed_at - CLOSE_SECONDS
-        while not self._is_idle() and self.clock.monotonic() < cut_at:
-            await self.clock.sleep(STOP_CHECK_SECONDS)
-            # A report of the backend server opens it again.
-            self._close_gate()
-
-    async def _wait_until_quiet(self, started_at: float, latest: float) -> None:
-        """Wait until callers and other VMs have gone elsewhere; close the gate."""
-        has_upstream = self.gate.identity.state is not UpstreamState.ABSENT
-        # Without one the VM is removed, and a later end keeps no slots waiting.
-        earliest = started_at + LEAVING_SECONDS if has_upstream else latest
-        stop_seconds = self.bounds.stop_ms / 1000
-        gate_closes_at = started_at + GATE_OPEN_SHARE * stop_seconds
-        left_at: float | None = None
-        while (now := self.clock.monotonic()) < latest:
-            is_quiet = now - self.ingress.newest_call_at >= CALLERS_GONE_SECONDS
-            is_done = self._is_idle() and is_quiet and now >= earliest
-            if left_at is None and (is_done or now >= gate_closes_at):
-                self._leave_mesh()
-                left_at = now
-            if is_done and now - left_at >= VMS_GONE_SECONDS:
-                return
-            await self.clock.sleep(STOP_CHECK_SECONDS)
-
-    def _close_gate(self) -> None:
-        """Refuse the calls that have not begun to run, here and of other VMs."""
-        closed = attrs.evolve(self.gate.identity, state=UpstreamState.ABSENT)
-        self.gate.set_identity(closed)
-
-    def _is_idle(self) -> bool:
-        """Return whether no call is open here, and all answers have left."""
-        if self.ingress.open_calls or self.call_server.open_calls:
-            return False
-        return not self.ingress.unsent_bytes and not self.call_server.unsent_bytes
-
-    def _log_open_calls(self, started_at: float, killed_at: float) -> None:
-        """Log what the end of the process cuts."""
-        now = self.clock.monotonic()
-        events.info(
-            "stop_wait_ended",
-            waited_ms=round((now - started_at) * 1000),
-            left_ms=round((killed_at - now) * 1000),
-            callers_calls=self.ingress.open_calls,
-            vms_calls=self.call_server.open_calls,
-            unsent_bytes=self.ingress.unsent_bytes,
-            vms_unsent_bytes=self.call_server.unsent_bytes,
-        )
-
-    def _leave_mesh(self) -> None:
-        """Let the calls of other VMs, and of this one, go to other gates."""
-        self.gate.is_stopping = True
-        self.registration.change(is_leaving=True)
-
     def _interfaces(self) -> Iterator[tuple[str, web.AppRunner | web.ServerRunner]]:
         settings = self.settings
         calls = settings.calls
--- a/tests/test_sidecar_stop.py
+++ b/tests/test_sidecar_stop.py
@@ -14,7 +14,7 @@
 from loguru import logger
 from result import Ok
 
-from lacewingstair import process, sidecar
+from lacewingstair import process
 from lacewingstair.events import parse_event
 from lacewingstair.settings.reader import parse_settings
 from lacewingstair.vm.call_messages import (
@@ -93,15 +93,15 @@
 @pytest.fixture
 def early_end(monkeypatch):
     """Let a stop without calls end soon."""
-    monkeypatch.setattr(sidecar, "LEAVING_SECONDS", 0.2)
-    monkeypatch.setattr(sidecar, "CALLERS_GONE_SECONDS", 0.1)
+    monkeypatch.setattr(planned_stop, "LEAVING_SECONDS", 0.2)
+    monkeypatch.setattr(planned_stop, "CALLERS_GONE_SECONDS", 0.1)
 
 
 @pytest.fixture
 def early_cut(monkeypatch):
     """Leave time between the cut and the kill, as a busy machine needs it."""
-    monkeypatch.setattr(sidecar, "STOP_MARGIN_SECONDS", 1.4)
-    monkeypatch.setattr(sidecar, "CLOSE_SECONDS", 0.9)
+    monkeypatch.setattr(planned_stop, "STOP_MARGIN_SECONDS", 1.4)
+    monkeypatch.setattr(planned_stop, "CLOSE_SECONDS", 0.9)
 
 
 @pytest.mark.usefixtures("early_cut")
--- a/tests/test_sidecar_unsent.py
+++ b/tests/test_sidecar_unsent.py
@@ -21,9 +21,9 @@
 
     async def check(_, vms, session):
         sidecar = vms[0].sidecar
-        await until(sidecar._is_idle)
+        await until(sidecar.planned_stop.is_idle)
         sidecar.call_server._streams.add(FullStream())
-        assert not sidecar._is_idle()
+        assert not sidecar.planned_stop.is_idle()
 
     with_mesh(check)
 
