--- a/tests/test_sidecar_stop.py
+++ b/tests/test_sidecar_stop.py
@@ -14,7 +14,7 @@
 from loguru import logger
 from result import Ok
 
-from lacewingstair import process
+from lacewingstair import planned_stop, process
 from lacewingstair.events import parse_event
 from lacewingstair.settings.reader import parse_settings
 from lacewingstair.vm.call_messages import (
