Close the gate only when no connection to the backend server works

Callers saw their calls refused, and all VMs saw a closed gate until the next report, although the backend server was answering other calls.

Cause: each connect that failed counted as the end of the backend server: one that was reset beyond its bound of connections, or that took over a second. Calls in the queue were refused with it.

The kernel closes all connections of a process that ends, so the gate stays open while one with a call on it works. Without one, a refused connect closes it at once; resets and time-outs, which also come from a live server, are repeated and close it after 1.5 s without a connection. The calls that wait are started only on the connections that work for a second, since otherwise each failed connect frees a slot in which the next call fails as well. The call whose connect failed is refused unsent, as before.

--- a/src/lacewingstair/backend_server/admission.py
+++ b/src/lacewingstair/backend_server/admission.py
@@ -16,6 +16,8 @@
 * Calls that are late already, for instance after a slow upstream: they run when nothing
   that can still be in time waits, so that the lateness does not spread. During a
   lasting overload they are refused on arrival, as they would wait until their end.
+* A backend server that accepts fewer connections than it has slots: the calls wait for
+  the connections that work, since each one started without a connection would fail.
 """
 
 import heapq
@@ -139,6 +141,8 @@
     def __init__(self, slots: int = 0) -> None:
         self.slots = slots
         self.running = 0
+        self._limit = 0
+        self._limited_until = 0.0
         self._queue: list[tuple[tuple[int, bool, float, int], Place]] = []
         self._numbers = itertools.count()
         self._waiting = 0
@@ -164,11 +168,17 @@
 
     def expected_wait_ms(self, now: float) -> float:
         """Return the time that a further call of the lowest rank would wait."""
-        if self.running < self.slots and not self._waiting:
+        capacity = self._capacity(now)
+        if self.running < capacity and not self._waiting:
             return 0.0
         # The running calls are on average half done.
         ahead = self._waiting_ms + self.mean_service_ms(now) / 2
-        return ahead / max(1, self.slots)
+        return ahead / max(1, capacity)
+
+    def limit(self, running: int, until: float) -> None:
+        """Start no call beyond `running` ones until a time, for lack of connections."""
+        self._limit = running
+        self._limited_until = until
 
     def offer(
         self, offer: Offer, now: float, decide: Callable[[Refused | None], None]
@@ -178,7 +188,7 @@
         left_ms = (offer.end_at - now) * 1000
         if left_ms < service_ms * LEAST_SERVICE_SHARE:
             return Refused(RefusalReason.NO_TIME, 0.0)
-        if self.running < self.slots and not self._waiting:
+        if self.running < self._capacity(now) and not self._waiting:
             place = Place(offer, service_ms, decide, is_decided=True)
             self._start(place, now)
             return place
@@ -225,7 +235,7 @@
 
     def start_waiting(self, now: float) -> None:
         """Start calls in the queue while there are free slots."""
-        while self.running < self.slots and self._queue:
+        while self.running < self._capacity(now) and self._queue:
             _, waiter = heapq.heappop(self._queue)
             if waiter.is_decided:
                 continue
@@ -258,7 +268,13 @@
         for key, waiter in self._queue:
             if not waiter.is_decided and key[:3] <= own:
                 ahead_ms += waiter.service_ms
-        return ahead_ms / max(1, self.slots)
+        return ahead_ms / max(1, self._capacity(now))
+
+    def _capacity(self, now: float) -> int:
+        """Return how many calls may run now."""
+        if now >= self._limited_until:
+            return self.slots
+        return min(self.slots, self._limit)
 
     def _settle(self, waiter: Place) -> None:
         waiter.is_decided = True
--- a/src/lacewingstair/backend_server/gate.py
+++ b/src/lacewingstair/backend_server/gate.py
@@ -12,14 +12,14 @@
 from aiohttp import ClientError
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import StreamReader
-from result import Err
+from result import Err, Ok, Result
 
 from lacewingstair import events
 from lacewingstair.backend_server.admission import Admission, Offer, Place, Refused
 from lacewingstair.backend_server.answer_memory import AnswerMemory
 from lacewingstair.backend_server.connection import UpstreamConnection
 from lacewingstair.backend_server.pool import ConnectionPool
-from lacewingstair.errors import ConnectError
+from lacewingstair.errors import ConnectError, ConnectionsBusy
 from lacewingstair.platform import headers
 from lacewingstair.runtime import Clock
 from lacewingstair.vm.call_messages import (
@@ -42,6 +42,13 @@
 # Idle connections are given up this long before the backend server closes them.
 CLOSE_MARGIN_SECONDS = 1.0
 DEFAULT_CONNECTIONS = 64
+# For so long after a failed connect, calls start only on the connections that work.
+CONNECTION_LIMIT_SECONDS = 1.0
+# A connect that fails while no connection is in use is repeated after this.
+RECONNECT_SECONDS = 0.1
+# Connects that time out or are reset say that the backend server has gone once they
+# have failed for so long; a single lost packet takes a connect a second.
+GONE_AFTER_SECONDS = 1.5
 # An answer of another call is passed over; more of them close the connection.
 MAX_STRAY_ANSWERS = 3
 
@@ -124,7 +131,7 @@
         server of each call that may have run, and whether a call that the backend
         server made for it was not served.
     on_unreachable : callable
-        Called when the backend server refuses connections.
+        Called when the backend server has gone, judged by its connections.
     pool : ConnectionPool, optional
         Connections to it.
     max_held_bytes : int
@@ -158,6 +165,9 @@
         self._idle_seconds = FRESH_SECONDS
         self._listeners: list[Callable[[LoadReport], None]] = []
         self._runs_by_request_id: dict[str, _Run] = {}
+        self._in_use: set[UpstreamConnection] = set()
+        # Since when no connect has succeeded; None after one that has.
+        self._failing_since: float | None = None
         self.identity = UpstreamIdentity()
         self.admission = Admission()
         self.is_stopping = False
@@ -221,8 +231,9 @@
             run.has_unserved_call = True
 
     def sweep(self) -> None:
-        """Close connections that were idle for long."""
+        """Close connections that were idle for long; start calls after a limit."""
         self._pool.sweep()
+        self.admission.start_waiting(self._clock.monotonic())
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -293,14 +304,9 @@
         )
 
     async def _perform(self, call: CallRequest, end_at: float) -> CallOutcome:
-        acquired = await self._pool.acquire(
-            self._address, self._max_connections(), self._idle_seconds
-        )
+        acquired = await self._acquire(end_at)
         if isinstance(acquired, Err):
-            error = acquired.err_value
-            if isinstance(error, ConnectError):
-                self._on_unreachable()
-            events.warning("upstream_unreachable", call=call.request_id, error=error)
+            self._not_connected(call, acquired.err_value)
             return CallRefused(
                 call.call_id, RefusalReason.UNREACHABLE, 0.0, False, self.load()
             )
@@ -321,6 +327,72 @@
             self.load(),
         )
 
+    async def _acquire(
+        self, end_at: float
+    ) -> Result[UpstreamConnection, ConnectError | ConnectionsBusy]:
+        acquired = await self._acquire_once()
+        if isinstance(acquired, Ok) or self._connections_in_use():
+            return acquired
+        error = acquired.err_value
+        is_certain = isinstance(error, ConnectError) and error.is_refused
+        has_time = self._clock.monotonic() + RECONNECT_SECONDS < end_at
+        if is_certain or not has_time:
+            return acquired
+        await self._clock.sleep(RECONNECT_SECONDS)
+        return await self._acquire_once()
+
+    async def _acquire_once(
+        self,
+    ) -> Result[UpstreamConnection, ConnectError | ConnectionsBusy]:
+        started_at = self._clock.monotonic()
+        acquired = await self._pool.acquire(
+            self._address, self._max_connections(), self._idle_seconds
+        )
+        if isinstance(acquired, Ok):
+            self._failing_since = None
+        elif self._failing_since is None:
+            self._failing_since = started_at
+        return acquired
+
+    def _not_connected(
+        self, call: CallRequest, error: ConnectError | ConnectionsBusy
+    ) -> None:
+        """Close the gate if the backend server has gone, or start fewer calls."""
+        in_use = self._connections_in_use()
+        has_gone = isinstance(error, ConnectError) and self._has_gone(error, in_use)
+        events.warning(
+            "upstream_unreachable",
+            call=call.request_id,
+            error=error,
+            connections_in_use=in_use,
+            has_gone=has_gone,
+        )
+        if has_gone:
+            self._on_unreachable()
+            return
+        until = self._clock.monotonic() + CONNECTION_LIMIT_SECONDS
+        # One call goes on to try while none has a connection.
+        self.admission.limit(max(1, in_use), until)
+
+    def _has_gone(self, error: ConnectError, in_use: int) -> bool:
+        """Return whether a failed connect shows that the backend server has gone.
+
+        It also resets connections beyond its bound, and may be slow to accept them. The
+        kernel closes all of its connections when it ends, so one that works shows that
+        it has not gone.
+        """
+        if in_use:
+            return False
+        if error.is_refused:
+            return True
+        since = self._failing_since
+        failing_seconds = 0.0 if since is None else self._clock.monotonic() - since
+        return failing_seconds >= GONE_AFTER_SECONDS
+
+    def _connections_in_use(self) -> int:
+        """Return how many connections with a call on them are not broken."""
+        return sum(connection.is_connected() for connection in self._in_use)
+
     def _unusable(self, call: CallRequest, unusable: _Unusable) -> CallOutcome:
         events.warning(
             "upstream_failed",
@@ -350,6 +422,7 @@
             _framing(call),
         )
         connection.begin(is_head=call.method == "HEAD")
+        self._in_use.add(connection)
         is_whole = False
         try:
             async with asyncio.timeout(remaining_ms / 1000 + LATE_ANSWER_SECONDS):
@@ -363,6 +436,7 @@
         except (ClientError, HttpProcessingError, OSError) as error:
             return _Unusable(str(error) or type(error).__name__, True)
         finally:
+            self._in_use.discard(connection)
             if is_whole:
                 self._pool.release(self._address, connection)
             else:
--- a/src/lacewingstair/backend_server/pool.py
+++ b/src/lacewingstair/backend_server/pool.py
@@ -178,7 +178,8 @@
             if slots.open > 1:
                 # It answers on other connections, so its accept limit is reached.
                 slots.share = max(1.0, slots.share / 2)
-            return Err(ConnectError(address, str(error) or "timeout"))
+            is_refused = isinstance(error, ConnectionRefusedError)
+            return Err(ConnectError(address, str(error) or "timeout", is_refused))
         finally:
             slots.open -= not is_open
         self._grow(slots)
--- a/src/lacewingstair/errors.py
+++ b/src/lacewingstair/errors.py
@@ -108,10 +108,14 @@
 
 @attrs.frozen
 class ConnectError:
-    """A connection to a peer could not be made. It is tried again with backoff."""
+    """A connection to a peer could not be made. It is tried again with backoff.
+
+    `is_refused` tells that nothing listens at the address; other errors leave it open.
+    """
 
     address: str
     reason: str
+    is_refused: bool = False
 
     def __str__(self) -> str:
         return f"cannot connect to {self.address!r}: {self.reason}"
--- /dev/null
+++ b/tests/backend_server/test_gate_accept_limit.py
@@ -0,0 +1,113 @@
+import asyncio
+
+from lacewingstair.vm.call_messages import CallAnswer, CallFailed, CallRefused
+from tests.backend_server.harness import request, with_gate
+
+
+async def at_work(upstream, calls):
+    while len(upstream.runs) < calls:  # noqa: ASYNC110 - it is plain state
+        await asyncio.sleep(0.005)
+
+
+async def reset(address):
+    raise ConnectionResetError("reset by the accept limit")
+
+
+async def refuse(address):
+    raise ConnectionRefusedError
+
+
+def count_unreachable(gate):
+    unreachable = []
+    gate._on_unreachable = lambda: unreachable.append(True)
+    return unreachable
+
+
+def test_calls_that_wait_run_on_the_connections_that_work():
+    """Guards against a queue that is refused one by one while connects fail.
+
+    Each call that fails to connect frees its slot; the next one must not be started
+    in it only to fail as well.
+    """
+
+    async def check(gate, upstream):
+        unreachable = count_unreachable(gate)
+        upstream.seconds = 0.1
+        first = [
+            asyncio.create_task(gate.run(request(f"r{n}", 3000.0))) for n in range(2)
+        ]
+        await at_work(upstream, 2)
+        connect, gate._pool._connect = gate._pool._connect, reset
+        assert isinstance(await gate.run(request("refused", 3000.0)), CallRefused)
+        outcomes = await asyncio.gather(
+            *(gate.run(request(f"w{n}", 3000.0)) for n in range(6)), *first
+        )
+        assert all(isinstance(outcome, CallAnswer) for outcome in outcomes)
+        assert unreachable == []
+        gate._pool._connect = connect
+        await asyncio.sleep(1.1)
+        upstream.runs.clear()
+        later = [
+            asyncio.create_task(gate.run(request(f"l{n}", 3000.0))) for n in range(4)
+        ]
+        await asyncio.sleep(0.05)
+        assert len(upstream.runs) == 4
+        await asyncio.gather(*later)
+
+    with_gate(check, slots=4)
+
+
+def test_a_backend_server_that_ends_at_work_closes_the_gate():
+    """Guards against calls that are offered to a backend server that has gone."""
+
+    async def check(gate, upstream):
+        unreachable = count_unreachable(gate)
+        upstream.seconds = 5.0
+        tasks = [
+            asyncio.create_task(gate.run(request(f"c{n}", 9000.0))) for n in range(4)
+        ]
+        await at_work(upstream, 2)
+        gate._pool._connect = refuse
+        upstream.stop()
+        async with asyncio.timeout(1.0):
+            outcomes = await asyncio.gather(*tasks)
+        kinds = [type(outcome) for outcome in outcomes]
+        assert kinds == [CallFailed, CallFailed, CallRefused, CallRefused]
+        assert unreachable
+
+    with_gate(check)
+
+
+def test_one_connect_that_is_reset_while_nothing_runs_is_repeated():
+    """Guards against a gate closed by a single reset."""
+
+    async def check(gate, upstream):
+        unreachable = count_unreachable(gate)
+        connect = gate._pool._connect
+
+        async def reset_once(address):
+            gate._pool._connect = connect
+            await reset(address)
+
+        gate._pool._connect = reset_once
+        assert isinstance(await gate.run(request("a")), CallAnswer)
+        assert unreachable == []
+
+    with_gate(check)
+
+
+def test_connects_that_fail_for_long_while_nothing_runs_close_the_gate():
+    """Guards against a gate that stays open beside a server that accepts nothing."""
+
+    async def check(gate, upstream):
+        unreachable = count_unreachable(gate)
+        gate._pool._connect = reset
+        for number in range(20):
+            outcome = await gate.run(request(f"c{number}"))
+            assert isinstance(outcome, CallRefused) and not outcome.was_sent
+            if unreachable:
+                break
+        assert unreachable == [True]
+        assert upstream.runs == []
+
+    with_gate(check)
