Send waiting calls on no connection beyond the backend server's bound

Callers got failures for calls that were waiting in the queue while the backend server was answering others.

Cause: the kernel accepts a connection before the backend server resets it, so the call has been written and may have run. Its failure freed a slot, and the next call of the queue failed in the same way.

A new connection that ends within 50 ms without a byte, while others work, limits the calls for a second to the connections that work, as a failed connect does. The limit by time keeps calls that fail at work from lowering it.

--- a/src/lacewingstair/backend_server/gate.py
+++ b/src/lacewingstair/backend_server/gate.py
@@ -46,6 +46,9 @@
 CONNECTION_LIMIT_SECONDS = 1.0
 # A connect that fails while no connection is in use is repeated after this.
 RECONNECT_SECONDS = 0.1
+# A new connection that ends so soon without an answer was beyond the bound of the
+# backend server; a call at work on it would mostly take longer.
+RESET_ON_ACCEPT_SECONDS = 0.05
 # Connects that time out or are reset say that the backend server has gone once they
 # have failed for so long; a single lost packet takes a connect a second.
 GONE_AFTER_SECONDS = 1.5
@@ -370,9 +373,8 @@
         if has_gone:
             self._on_unreachable()
             return
-        until = self._clock.monotonic() + CONNECTION_LIMIT_SECONDS
         # One call goes on to try while none has a connection.
-        self.admission.limit(max(1, in_use), until)
+        self._limit_calls(max(1, in_use))
 
     def _has_gone(self, error: ConnectError, in_use: int) -> bool:
         """Return whether a failed connect shows that the backend server has gone.
@@ -389,6 +391,18 @@
         failing_seconds = 0.0 if since is None else self._clock.monotonic() - since
         return failing_seconds >= GONE_AFTER_SECONDS
 
+    def _limit_calls(self, running: int) -> None:
+        until = self._clock.monotonic() + CONNECTION_LIMIT_SECONDS
+        self.admission.limit(running, until)
+
+    def _note_broken(self, connection: UpstreamConnection) -> None:
+        """Start fewer calls if a connection was closed as soon as it was accepted."""
+        age = self._clock.monotonic() - connection.used_at
+        is_new = connection.calls == 1 and not connection.has_received
+        in_use = self._connections_in_use()
+        if is_new and age < RESET_ON_ACCEPT_SECONDS and in_use:
+            self._limit_calls(in_use)
+
     def _connections_in_use(self) -> int:
         """Return how many connections with a call on them are not broken."""
         return sum(connection.is_connected() for connection in self._in_use)
@@ -427,6 +441,7 @@
         try:
             async with asyncio.timeout(remaining_ms / 1000 + LATE_ANSWER_SECONDS):
                 if not connection.write(head + call.body):
+                    self._note_broken(connection)
                     return _Unusable("the connection was closed", False)
                 received = await self._receive(call, connection)
                 is_whole = isinstance(received, _Received)
@@ -434,6 +449,7 @@
         except TimeoutError:
             return _Unusable("no answer in time", True, is_timeout=True)
         except (ClientError, HttpProcessingError, OSError) as error:
+            self._note_broken(connection)
             return _Unusable(str(error) or type(error).__name__, True)
         finally:
             self._in_use.discard(connection)
--- a/tests/backend_server/test_gate_accept_limit.py
+++ b/tests/backend_server/test_gate_accept_limit.py
@@ -111,3 +111,35 @@
         assert upstream.runs == []
 
     with_gate(check)
+
+
+def test_calls_that_wait_are_not_sent_on_connections_that_are_reset_at_once():
+    """Guards against a queue that fails call by call on connections beyond the bound.
+
+    The kernel accepts these before the backend server resets them, so that the call on
+    such a connection may have run.
+    """
+
+    async def check(gate, upstream):
+        def reset_on_accept(reader, writer):
+            writer.transport.abort()
+
+        beyond = await asyncio.start_server(reset_on_accept, "127.0.0.1", 0)
+        host, port = beyond.sockets[0].getsockname()
+        upstream.seconds = 0.1
+        first = [
+            asyncio.create_task(gate.run(request(f"r{n}", 3000.0))) for n in range(2)
+        ]
+        await at_work(upstream, 2)
+        connect = gate._pool._connect
+        gate._pool._connect = lambda address: connect(f"{host}:{port}")
+        tasks = [
+            asyncio.create_task(gate.run(request(f"w{n}", 3000.0))) for n in range(6)
+        ]
+        outcomes = await asyncio.gather(*first, *tasks)
+        served = sum(isinstance(outcome, CallAnswer) for outcome in outcomes)
+        # Only the calls that found a free slot met the bound.
+        assert served == len(outcomes) - 2
+        beyond.close()
+
+    with_gate(check, slots=4)
