Keep the whole time of a call that cannot be repeated

Callers got 504 at half of their time, while a backend server was at work on their call.

Cause: the dispatcher cut each call that may run twice at half of its time, also when no repeat could follow for lack of another upstream or of budget.

Evidence: both cases of tests/caller/test_dispatch_slow.py failed before.

At half of the time the dispatcher now looks for another upstream and takes the budget of the repeat; only if it gets both, it gives the attempt up. The repeat then takes no budget of its own.

--- a/src/lacewingstair/caller/attempts.py
+++ b/src/lacewingstair/caller/attempts.py
@@ -63,7 +63,10 @@
 
 @attrs.define(eq=False)
 class Attempt:
-    """One attempt at an upstream; it holds a slot until it is settled."""
+    """One attempt at an upstream; it holds a slot until it is settled.
+
+    `is_given_up` tells that a repeat takes its place, which the budget has allowed.
+    """
 
     call: Call
     group: Group
@@ -76,6 +79,7 @@
     was_reused: bool = False
     idle_seconds: float = 0.0
     is_settled: bool = False
+    is_given_up: bool = False
 
     def open_connection(self) -> UpstreamConnection:
         """Return the connection, which an attempt has from its sending to its end."""
@@ -130,6 +134,8 @@
     is_timeout, is_stale, is_busy : bool
         The time ran out; a kept-alive connection was closed while idle; the share of
         connections is used up.
+    has_budget : bool
+        Whether the attempt was given up for a repeat that the budget has allowed.
     status : int
         Status for the caller when nothing better comes.
     """
@@ -140,6 +146,7 @@
     is_stale: bool = False
     is_busy: bool = False
     status: int = 502
+    has_budget: bool = False
 
 
 def fault_of(message: RawResponseMessage, method: str) -> str:
--- a/src/lacewingstair/caller/dispatch.py
+++ b/src/lacewingstair/caller/dispatch.py
@@ -1,8 +1,10 @@
 """Sends a call to backend servers, again only where it cannot run twice."""
 
 import asyncio
+import contextlib
+import functools
 import random
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 from aiohttp import ClientError
 from aiohttp.http_exceptions import HttpProcessingError
@@ -29,10 +31,14 @@
 from lacewingstair.runtime import Clock
 
 MAX_ATTEMPTS = 3
+# Part of the time left after which a silent attempt is given up for a repeat.
+GIVE_UP_SHARE = 0.5
 STALE_IDLE_SECONDS = 1.0
 REPEATABLE_STATUSES = (502, 503, 504)
 _RETRY_NO_LINE = f"{headers.RETRY}: {headers.RETRY_NO}\r\n".encode()
 
+TakesRepeat = Callable[[], bool]
+
 
 class Dispatcher:
     """Chooses upstreams for calls and sends the calls.
@@ -123,7 +129,8 @@
             is_last = len(tried) >= MAX_ATTEMPTS
             attempt = Attempt(call, group, upstream, self._clock.monotonic())
             attempt.is_repeat = len(tried) > 1
-            outcome = await self._attempt(attempt, is_last)
+            takes_repeat = functools.partial(self._takes_repeat, call, tried)
+            outcome = await self._attempt(attempt, None if is_last else takes_repeat)
             if isinstance(outcome, Failure):
                 may_have_run = may_have_run or outcome.is_sent
                 last = Refusal(outcome.status, outcome.reason, not may_have_run, 1)
@@ -203,18 +210,35 @@
         reason = f"all endpoints of {call.service} are busy"
         return Refusal(503, reason, True, 1, is_short=True)
 
-    async def _attempt(self, attempt: Attempt, is_last: bool) -> Answer | Failure:
+    def _takes_repeat(self, call: Call, tried: list[Upstream]) -> bool:
+        """Return whether a silent attempt may be repeated, and take the budget for it.
+
+        Without another upstream or budget the attempt keeps its time: its upstream may
+        be at work on it.
+        """
+        if not call.allows_repeat or not call.allows_retry:
+            return False
+        if not call.body.is_replayable:
+            return False
+        version = self._fallback(call, tried[-1].endpoint.version)
+        if self._choose(call, version, tried) is None:
+            return False
+        return self._budget(call.service).take()
+
+    async def _attempt(
+        self, attempt: Attempt, takes_repeat: TakesRepeat | None
+    ) -> Answer | Failure:
         self._balancer.started(attempt.upstream)
         self._log(attempt.call, attempt.upstream)
         try:
-            return await self._connect_and_send(attempt, is_last)
+            return await self._connect_and_send(attempt, takes_repeat)
         except asyncio.CancelledError:
             self._settle(attempt, CallResult.CANCELLED)
             self._discard(attempt)
             raise
 
     async def _connect_and_send(
-        self, attempt: Attempt, is_last: bool
+        self, attempt: Attempt, takes_repeat: TakesRepeat | None
     ) -> Answer | Failure:
         call, endpoint = attempt.call, attempt.upstream.endpoint
         max_idle = self._options.idle_reuse_seconds
@@ -235,16 +259,14 @@
             self._settle(attempt, CallResult.CANCELLED)
             self._discard(attempt)
             return Failure("the deadline has passed", False, status=504)
-        can_repeat = call.allows_repeat and call.allows_retry and not is_last
-        seconds = remaining / 2 if can_repeat else remaining
-        return await self._send(attempt, connection, remaining, seconds)
+        return await self._send(attempt, connection, remaining, takes_repeat)
 
     async def _send(
         self,
         attempt: Attempt,
         connection: UpstreamConnection,
         remaining: float,
-        seconds: float,
+        takes_repeat: TakesRepeat | None,
     ) -> Answer | Failure:
         call = attempt.call
         # Layers behind a repeat do not repeat in turn.
@@ -259,7 +281,7 @@
             max(1, int(remaining * 1000)),
         )
         try:
-            async with asyncio.timeout(seconds):
+            async with _timeout(attempt, remaining, takes_repeat):
                 if call.body.rest is None:
                     connection.write(head + call.body.start)
                 else:
@@ -310,14 +332,23 @@
         if fault is not None:
             return fault
         status = 504 if is_timeout else 502
-        return Failure(reason, is_sent, is_timeout, is_stale, status=status)
+        return Failure(
+            reason,
+            is_sent,
+            is_timeout,
+            is_stale,
+            status=status,
+            has_budget=attempt.is_given_up,
+        )
 
     def _may_repeat(self, call: Call, failure: Failure, budget: RetryBudget) -> bool:
         if not call.body.is_replayable or failure.status < 500:
             return False
         if not failure.is_sent or failure.is_stale:
             return True
-        return call.allows_repeat and call.allows_retry and budget.take()
+        if not call.allows_repeat or not call.allows_retry:
+            return False
+        return failure.has_budget or budget.take()
 
     def _wants_repeat(self, call: Call, answer: Answer, is_trial: bool) -> bool:
         if answer.forbids_retry or not call.allows_retry:
@@ -423,6 +454,29 @@
         )
 
 
+@contextlib.asynccontextmanager
+async def _timeout(
+    attempt: Attempt, remaining: float, takes_repeat: TakesRepeat | None
+) -> AsyncIterator[None]:
+    """Raise TimeoutError at the deadline, or earlier if a repeat follows."""
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(remaining) as timeout:
+        if takes_repeat is None:
+            yield
+            return
+
+        def give_up() -> None:
+            if not timeout.expired() and takes_repeat():
+                attempt.is_given_up = True
+                timeout.reschedule(loop.time())
+
+        handle = loop.call_later(remaining * GIVE_UP_SHARE, give_up)
+        try:
+            yield
+        finally:
+            handle.cancel()
+
+
 async def _write(body: Body, connection: UpstreamConnection) -> None:
     try:
         async for frame in body.frames():
