Keep the share of connections at those that work

Callers were refused for tens of seconds after a burst of connects had failed, while slots of the backend server were free.

Cause: each failed connect halved the VM's share, so that a burst that met the accept limit once took it to 1, below the connections that worked; it grows by one in 10 s.

Evidence: the new test, in which the share was 1 beside 8 connections.

The backend server accepts at least as many connections as work, so the share does not fall below these.

--- a/src/lacewingstair/backend_server/pool.py
+++ b/src/lacewingstair/backend_server/pool.py
@@ -176,8 +176,9 @@
             is_open = True
         except (OSError, TimeoutError) as error:
             if slots.open > 1:
-                # It answers on other connections, so its accept limit is reached.
-                slots.share = max(1.0, slots.share / 2)
+                # It answers on other connections, so its accept limit is reached. The
+                # limit is not below those; a burst of connects fails all at once.
+                slots.share = max(1.0, slots.share / 2, slots.open - 1)
             is_refused = isinstance(error, ConnectionRefusedError)
             return Err(ConnectError(address, str(error) or "timeout", is_refused))
         finally:
--- a/tests/backend_server/test_pool.py
+++ b/tests/backend_server/test_pool.py
@@ -49,6 +49,28 @@
     run_virtual(main())
 
 
+def test_the_share_does_not_fall_below_the_connections_that_work():
+    """Guards against calls refused for seconds after some connects have failed."""
+
+    async def main():
+        server = MemoryServer()
+        pool = ConnectionPool(VirtualClock(), server.connect, sharers=1)
+        held = [(await pool.acquire(ADDRESS, 16)).unwrap() for _ in range(8)]
+
+        async def refuse(address):
+            await asyncio.sleep(0.01)
+            raise ConnectionResetError
+
+        pool._connect = refuse
+        await asyncio.gather(*(pool.acquire(ADDRESS, 16) for _ in range(4)))
+        pool._connect = server.connect
+        pool.discard(ADDRESS, held.pop())
+        assert (await pool.acquire(ADDRESS, 16)).unwrap().is_connected()
+        assert isinstance((await pool.acquire(ADDRESS, 16)).err_value, ConnectionsBusy)
+
+    run_virtual(main())
+
+
 def test_idle_connections_are_closed_after_their_time_and_when_an_endpoint_leaves():
     """Guards against connections that are held for nothing."""
 
