End a transfer of records that its receiver has given up

A VM on a slow link got the parts of transfers that it had abandoned, each to its end, beside the one that it waited for: after 0.5 s without a part it asked again, and every part that waited behind calls added one more transfer to the link.

Cause: the sender kept no relation between a stream and its transfer, and a receiver that asked another VM had no way to say so.

Now a new request on a stream ends the earlier transfer on it. A receiver that has gone to another VM answers the first late part with a request for nothing, which ends the transfer after the parts that are under way.

--- a/src/lacewingstair/vm/record_fetcher.py
+++ b/src/lacewingstair/vm/record_fetcher.py
@@ -24,6 +24,8 @@
 PAUSE_SECONDS = 0.3
 # Another VM is asked when no further part has come for this long.
 PART_TIMEOUT_SECONDS = 0.5
+# Offset in a request for nothing, which ends the earlier transfer on its stream.
+BEYOND_ALL_RECORDS = 2**63 - 1
 MAX_TRANSFER_BYTES = 32 << 20
 _RANKS_BY_DISTANCE = {
     distances.ZONE: 0,
@@ -92,6 +94,8 @@
         self._numbers = itertools.count(1)
         self._transfer_id = 0
         self._asked: Source | None = None
+        # Transfers that were given up, and that their senders may still go on with.
+        self._abandoned_by_vm_id: dict[str, tuple[int, Source]] = {}
         self._parts: list[bytes] = []
         self._received_bytes = 0
         self._progress = asyncio.Event()
@@ -120,6 +124,7 @@
         asked = self._asked
         is_asked = asked is not None and asked.vm_id == vm_id
         if not is_asked or part.transfer_id != self._transfer_id or self._is_whole:
+            self._end_abandoned(vm_id, part)
             return
         self._received_bytes += len(part.data)
         if self._received_bytes > MAX_TRANSFER_BYTES:
@@ -128,6 +133,15 @@
         self._is_whole = part.is_last
         self._progress.set()
 
+    def _end_abandoned(self, vm_id: str, part: RecordsPart) -> None:
+        """Tell a VM that goes on with an abandoned transfer to stop it."""
+        transfer_id, source = self._abandoned_by_vm_id.get(vm_id, (0, None))
+        if source is None or part.transfer_id != transfer_id:
+            return
+        del self._abandoned_by_vm_id[vm_id]
+        if not part.is_last:
+            source.send(RecordsRequest(transfer_id, BEYOND_ALL_RECORDS, []))
+
     def close(self) -> None:
         """End the transfer under way."""
         if self._fetching is not None:
@@ -177,6 +191,8 @@
         request = RecordsRequest(
             self._transfer_id, self._position(), self._remembered()
         )
+        # The new request ends an earlier transfer on the same stream.
+        self._abandoned_by_vm_id.pop(source.vm_id, None)
         source.send(request)
         try:
             while not self._is_whole:
@@ -184,6 +200,7 @@
                 async with asyncio.timeout(PART_TIMEOUT_SECONDS):
                     await self._progress.wait()
         except TimeoutError:
+            self._abandoned_by_vm_id[source.vm_id] = (self._transfer_id, source)
             events.info(
                 "records_not_sent",
                 vm=source.vm_id,
--- a/src/lacewingstair/vm/record_sender.py
+++ b/src/lacewingstair/vm/record_sender.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from lacewingstair import events
 from lacewingstair.metadata.record_transfer import TransferEncoder
 from lacewingstair.runtime import Clock
 from lacewingstair.vm.call_messages import RecordsPart, RecordsRequest
@@ -35,13 +36,16 @@
         self._encoder = encoder
         self._bandwidth_kbps = bandwidth_kbps
         self._clock = clock
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks_by_stream: dict[CallStream, asyncio.Task[None]] = {}
 
     def answer(
         self, stream: CallStream, request: RecordsRequest, peer_kbps: int
     ) -> None:
         """Send what a peer lacks, in the background.
 
+        A receiver waits for one transfer at a time, so that a further request on a
+        stream ends the earlier transfer on it.
+
         Parameters
         ----------
         stream : CallStream
@@ -51,6 +55,9 @@
         peer_kbps : int
             What the peer's link carries; 0 when it is not known.
         """
+        earlier = self._tasks_by_stream.pop(stream, None)
+        if earlier is not None:
+            earlier.cancel()
         data = self._encoder.pack(request.after, request.remembered)
         if len(data) <= PART_BYTES:
             stream.send(RecordsPart(request.transfer_id, True, data))
@@ -59,12 +66,12 @@
         kbps = min(own_kbps, peer_kbps or DEFAULT_BANDWIDTH_KBPS)
         sending = self._send(stream, request.transfer_id, data, kbps)
         task = asyncio.create_task(sending)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks_by_stream[stream] = task
+        task.add_done_callback(lambda done: self._ended(stream, done))
 
     def close(self) -> None:
         """End all transfers."""
-        for task in self._tasks:
+        for task in self._tasks_by_stream.values():
             task.cancel()
 
     async def _send(
@@ -80,3 +87,9 @@
             if not is_last:
                 await self._clock.sleep(pause_seconds)
                 await stream.sent()
+
+    def _ended(self, stream: CallStream, task: asyncio.Task[None]) -> None:
+        if self._tasks_by_stream.get(stream) is task:
+            del self._tasks_by_stream[stream]
+        if not task.cancelled() and task.exception() is not None:
+            events.error("records_send_crashed", error=repr(task.exception()))
--- a/tests/vm/test_record_fetcher.py
+++ b/tests/vm/test_record_fetcher.py
@@ -6,6 +6,7 @@
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
 from lacewingstair.vm.call_messages import RecordsPart
 from lacewingstair.vm.record_fetcher import (
+    BEYOND_ALL_RECORDS,
     GATHER_SECONDS,
     PART_TIMEOUT_SECONDS,
     PAUSE_SECONDS,
@@ -144,3 +145,24 @@
         assert vms.position == 9
 
     run_virtual(main())
+
+
+def test_a_vm_that_goes_on_with_an_abandoned_transfer_is_told_to_end_it():
+    """Guards against links full of transfers whose receivers asked another VM."""
+
+    async def main():
+        vms = Vms()
+        requests = []
+        near = Source("near", "zone", requests.append, lambda: True, 9)
+        vms.fetcher.offered(near)
+        vms.offer("far", 9, "other_region")
+        await asyncio.sleep(2 * GATHER_SECONDS + PART_TIMEOUT_SECONDS)
+        assert vms.requests == [] and len(requests) == 1
+        for _ in range(3):
+            part = RecordsPart(requests[0].transfer_id, False, b"late")
+            vms.fetcher.take("near", part)
+        assert [request.after for request in requests] == [0, BEYOND_ALL_RECORDS]
+        await asyncio.sleep(2.0)
+        assert vms.position == 9
+
+    run_virtual(main())
--- a/tests/vm/test_record_sender.py
+++ b/tests/vm/test_record_sender.py
@@ -7,6 +7,7 @@
 from lacewingstair.metadata.record_transfer import TransferEncoder
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
 from lacewingstair.vm.call_messages import RecordsRequest
+from lacewingstair.vm.record_fetcher import BEYOND_ALL_RECORDS
 from lacewingstair.vm.record_sender import BANDWIDTH_SHARE, PART_BYTES, RecordSender
 
 KBPS = 5_000
@@ -74,3 +75,18 @@
         assert sent <= allowed + PART_BYTES * receivers
 
     run_virtual(main())
+
+
+def test_a_request_for_nothing_ends_a_transfer():
+    """Guards against a transfer that goes on after its receiver asked another VM."""
+
+    async def main():
+        records, stream = sender(), Stream()
+        records.answer(stream, RecordsRequest(1, -1, []), KBPS)
+        await asyncio.sleep(0.5)
+        before = stream.bytes_of(1)
+        records.answer(stream, RecordsRequest(1, BEYOND_ALL_RECORDS, []), KBPS)
+        await asyncio.sleep(1.0)
+        assert stream.bytes_of(1) - before <= PART_BYTES
+
+    run_virtual(main())
