Keep the pace of record transfers for the link of the sending VM

A VM that sent records to its region filled its own link with them, and calls waited behind the parts.

Cause: each transfer was paced to a quarter of the narrower link by itself, so that eight transfers took twice the link of the sender.

All transfers now reserve their turns on one schedule, a part each, which keeps them together within a quarter of the sender's link; each keeps within a quarter of its receiver's as before. A request whose first turn is more than 0.25 s away is refused at once with an empty last part, and the receiver asks another VM after its usual pause. A round is thus shorter than the receivers' time-out of 0.5 s. That time-out and the pause double with failures of the same VM in a row, up to eight times, so that a full link gets fewer requests rather than more.

--- a/src/lacewingstair/vm/record_fetcher.py
+++ b/src/lacewingstair/vm/record_fetcher.py
@@ -22,8 +22,11 @@
 GATHER_SECONDS = 0.05
 # Versions in quick succession are fetched together.
 PAUSE_SECONDS = 0.3
-# Another VM is asked when no further part has come for this long.
+# Another VM is asked when no further part has come for this long; doubled with each
+# failure of the same VM in a row, as are the pauses, so that slow senders are not
+# flooded with new requests.
 PART_TIMEOUT_SECONDS = 0.5
+MAX_DOUBLINGS = 3
 # Offset in a request for nothing, which ends the earlier transfer on its stream.
 BEYOND_ALL_RECORDS = 2**63 - 1
 MAX_TRANSFER_BYTES = 32 << 20
@@ -157,7 +160,8 @@
                 source.failures = 0 if is_done else source.failures + 1
                 if is_done:
                     self._behind_since = None
-                await self._clock.sleep(PAUSE_SECONDS * self._rng.uniform(0.75, 1.0))
+                pause_seconds = _doubled(PAUSE_SECONDS, source.failures - 1)
+                await self._clock.sleep(pause_seconds * self._rng.uniform(0.75, 1.0))
         finally:
             self._behind_since = None
             self._fetching = None
@@ -194,10 +198,11 @@
         # The new request ends an earlier transfer on the same stream.
         self._abandoned_by_vm_id.pop(source.vm_id, None)
         source.send(request)
+        timeout_seconds = _doubled(PART_TIMEOUT_SECONDS, source.failures)
         try:
             while not self._is_whole:
                 self._progress.clear()
-                async with asyncio.timeout(PART_TIMEOUT_SECONDS):
+                async with asyncio.timeout(timeout_seconds):
                     await self._progress.wait()
         except TimeoutError:
             self._abandoned_by_vm_id[source.vm_id] = (self._transfer_id, source)
@@ -210,4 +215,11 @@
             return None
         finally:
             self._asked = None
+        if not self._received_bytes:
+            events.info("records_refused_by_vm", vm=source.vm_id, after=request.after)
+            return None
         return b"".join(self._parts)
+
+
+def _doubled(seconds: float, failures: int) -> float:
+    return seconds * 2 ** min(max(failures, 0), MAX_DOUBLINGS)
--- a/src/lacewingstair/vm/record_sender.py
+++ b/src/lacewingstair/vm/record_sender.py
@@ -1,4 +1,8 @@
-"""Sends the operators' records to other VMs in parts that give way to calls."""
+"""Sends the operators' records to other VMs in parts that give way to calls.
+
+Transfers take turns on this VM's link, a part each. A request that would wait too long
+for its turn is refused with an empty last part, so that the receiver asks another VM.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -11,10 +15,14 @@
 
 # What waits behind one part on a link of 5 Mbit/s waits for 7 ms.
 PART_BYTES = 4 << 10
-# Transfers use at most this share of the narrower of the two links.
+# All transfers together use at most this share of the own link, and each one at most
+# this share of its receiver's link.
 BANDWIDTH_SHARE = 0.25
 # For VMs that do not know their link.
 DEFAULT_BANDWIDTH_KBPS = 100_000
+# Longest wait for the first part. It is half of the time after which a receiver gives a
+# silent sender up, which leaves the other half to calls on the same links.
+MAX_TURN_SECONDS = 0.25
 
 
 class RecordSender:
@@ -37,6 +45,7 @@
         self._bandwidth_kbps = bandwidth_kbps
         self._clock = clock
         self._tasks_by_stream: dict[CallStream, asyncio.Task[None]] = {}
+        self._link_free_at = 0.0
 
     def answer(
         self, stream: CallStream, request: RecordsRequest, peer_kbps: int
@@ -58,13 +67,20 @@
         earlier = self._tasks_by_stream.pop(stream, None)
         if earlier is not None:
             earlier.cancel()
-        data = self._encoder.pack(request.after, request.remembered)
-        if len(data) <= PART_BYTES:
-            stream.send(RecordsPart(request.transfer_id, True, data))
+        if self._link_free_at - self._clock.monotonic() > MAX_TURN_SECONDS:
+            events.info("records_refused", transfers=len(self._tasks_by_stream))
+            stream.send(RecordsPart(request.transfer_id, True, b""))
             return
-        own_kbps = self._bandwidth_kbps() or DEFAULT_BANDWIDTH_KBPS
-        kbps = min(own_kbps, peer_kbps or DEFAULT_BANDWIDTH_KBPS)
-        sending = self._send(stream, request.transfer_id, data, kbps)
+        data = self._encoder.pack(request.after, request.remembered)
+        # The first turn is reserved here, so that the next request sees the queue.
+        turn_at = self._reserve_turn(min(len(data), PART_BYTES))
+        sending = self._send(
+            stream,
+            request.transfer_id,
+            data,
+            peer_kbps or DEFAULT_BANDWIDTH_KBPS,
+            turn_at,
+        )
         task = asyncio.create_task(sending)
         self._tasks_by_stream[stream] = task
         task.add_done_callback(lambda done: self._ended(stream, done))
@@ -75,21 +91,45 @@
             task.cancel()
 
     async def _send(
-        self, stream: CallStream, transfer_id: int, data: bytes, kbps: int
+        self,
+        stream: CallStream,
+        transfer_id: int,
+        data: bytes,
+        peer_kbps: int,
+        turn_at: float,
     ) -> None:
-        pause_seconds = PART_BYTES * 8 / (kbps * 1000 * BANDWIDTH_SHARE)
         for start in range(0, len(data), PART_BYTES):
             part = data[start : start + PART_BYTES]
-            is_last = start + PART_BYTES >= len(data)
+            if start:
+                turn_at = self._reserve_turn(len(part))
+            await self._sleep_until(turn_at)
             if stream.is_closing:
                 return
+            is_last = start + PART_BYTES >= len(data)
             stream.send(RecordsPart(transfer_id, is_last, part))
             if not is_last:
-                await self._clock.sleep(pause_seconds)
+                await self._clock.sleep(_paced_seconds(len(part), peer_kbps))
                 await stream.sent()
 
+    def _reserve_turn(self, size: int) -> float:
+        """Reserve the own link for a part; return when it may be sent."""
+        own_kbps = self._bandwidth_kbps() or DEFAULT_BANDWIDTH_KBPS
+        turn_at = max(self._clock.monotonic(), self._link_free_at)
+        self._link_free_at = turn_at + _paced_seconds(size, own_kbps)
+        return turn_at
+
+    async def _sleep_until(self, time: float) -> None:
+        seconds = time - self._clock.monotonic()
+        if seconds > 0:
+            await self._clock.sleep(seconds)
+
     def _ended(self, stream: CallStream, task: asyncio.Task[None]) -> None:
         if self._tasks_by_stream.get(stream) is task:
             del self._tasks_by_stream[stream]
         if not task.cancelled() and task.exception() is not None:
             events.error("records_send_crashed", error=repr(task.exception()))
+
+
+def _paced_seconds(size: int, kbps: int) -> float:
+    """Return how long a part takes at the share of a link that transfers use."""
+    return size * 8 / (kbps * 1000 * BANDWIDTH_SHARE)
--- a/tests/vm/test_record_fetcher.py
+++ b/tests/vm/test_record_fetcher.py
@@ -8,6 +8,7 @@
 from lacewingstair.vm.record_fetcher import (
     BEYOND_ALL_RECORDS,
     GATHER_SECONDS,
+    MAX_DOUBLINGS,
     PART_TIMEOUT_SECONDS,
     PAUSE_SECONDS,
     RecordFetcher,
@@ -166,3 +167,38 @@
         assert vms.position == 9
 
     run_virtual(main())
+
+
+def test_another_vm_is_asked_soon_when_one_refuses():
+    """Guards against a wait for a VM that has said that it sends nothing."""
+
+    async def main():
+        vms = Vms()
+        refusals = []
+
+        def refuse(request):
+            refusals.append(request)
+            part = RecordsPart(request.transfer_id, True, b"")
+            asyncio.get_running_loop().call_soon(vms.fetcher.take, "near", part)
+
+        vms.fetcher.offered(Source("near", "zone", refuse, lambda: True, 9))
+        vms.offer("far", 9, "other_region")
+        await asyncio.sleep(2 * GATHER_SECONDS + PAUSE_SECONDS + 10 * vms.part_seconds)
+        assert len(refusals) == 1
+        assert vms.position == 9
+
+    run_virtual(main())
+
+
+def test_vms_that_do_not_send_are_asked_ever_more_rarely():
+    """Guards against a storm of requests behind a link that is full."""
+
+    async def main():
+        vms = Vms()
+        vms.mute = {"only"}
+        vms.offer("only", 9)
+        await asyncio.sleep(20.0)
+        longest = (PART_TIMEOUT_SECONDS + PAUSE_SECONDS) * 2**MAX_DOUBLINGS
+        assert len(vms.requests) <= MAX_DOUBLINGS + 1 + 20.0 / (0.75 * longest)
+
+    run_virtual(main())
--- a/tests/vm/test_record_sender.py
+++ b/tests/vm/test_record_sender.py
@@ -7,7 +7,10 @@
 from lacewingstair.metadata.record_transfer import TransferEncoder
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
 from lacewingstair.vm.call_messages import RecordsRequest
-from lacewingstair.vm.record_fetcher import BEYOND_ALL_RECORDS
+from lacewingstair.vm.record_fetcher import (
+    BEYOND_ALL_RECORDS,
+    PART_TIMEOUT_SECONDS,
+)
 from lacewingstair.vm.record_sender import BANDWIDTH_SHARE, PART_BYTES, RecordSender
 
 KBPS = 5_000
@@ -77,6 +80,29 @@
     run_virtual(main())
 
 
+def test_a_request_that_would_wait_long_for_its_turn_is_refused():
+    """Guards against receivers that ask anew while they are in the queue."""
+
+    async def main():
+        records = sender()
+        streams = [Stream() for _ in range(40)]
+        for stream in streams:
+            records.answer(stream, RecordsRequest(1, -1, []), 100_000)
+        refused = [s for s in streams if [p.data for p in s.parts] == [b""]]
+        assert all(stream.parts[0].is_last for stream in refused)
+        served = [stream for stream in streams if stream not in refused]
+        assert refused and served
+        await asyncio.sleep(PART_TIMEOUT_SECONDS)
+        assert all(stream.bytes_of(1) for stream in served)
+        # The gap between the parts of one transfer is a round of all.
+        before = [stream.bytes_of(1) for stream in served]
+        await asyncio.sleep(PART_TIMEOUT_SECONDS)
+        for stream, sent in zip(served, before, strict=True):
+            assert stream.bytes_of(1) > sent
+
+    run_virtual(main())
+
+
 def test_a_request_for_nothing_ends_a_transfer():
     """Guards against a transfer that goes on after its receiver asked another VM."""
 
