Return an error for store answers of an unexpected form

The task that reads the operators' records ended with an exception when log-newest answered with items that are no objects, or with an infinite offset.

Cause: AttributeError and OverflowError were not among what is caught while an answer is decoded.

The answer now counts as unreadable, like any other that cannot be decoded, and the reader tries again.

--- a/src/lacewingstair/platform/store.py
+++ b/src/lacewingstair/platform/store.py
@@ -28,6 +28,15 @@
 _LENGTH_BYTES = 4
 _OFFSETS_BYTES = 16
 _MAX_KEY_BYTES = 255
+# Everything that JSON of an unexpected form raises while it is decoded.
+_DECODING_ERRORS = (
+    LookupError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 @attrs.frozen
@@ -135,7 +144,7 @@
                 if next_offset is None:
                     next_offset = int(page["end_offset"])
                 has_more = bool(page.get("has_more"))
-            except (ValueError, KeyError, TypeError) as error:
+            except _DECODING_ERRORS as error:
                 return Err(
                     StoreUnavailable("log-newest", f"unreadable: {error!r:.100}")
                 )
@@ -257,7 +266,7 @@
     """Return a whole number of a JSON answer."""
     try:
         return Ok(int(json.loads(body)[field]))
-    except (ValueError, KeyError, TypeError) as error:
+    except _DECODING_ERRORS as error:
         return Err(StoreUnavailable(operation, f"unreadable: {error!r:.100}", True))
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,6 +4,7 @@
 import time
 
 import pytest
+from aiohttp import web
 from aiohttp.test_utils import TestServer
 from result import Err, Ok
 
@@ -96,6 +97,40 @@
     with_store(check)
 
 
+@pytest.mark.parametrize(
+    "answer",
+    [
+        "[]",
+        "1",
+        '{"items": 1, "end_offset": 1}',
+        '{"items": ["a"], "end_offset": 1}',
+        '{"items": [[]], "end_offset": 1}',
+        '{"items": {"a": 1}, "end_offset": 1}',
+        '{"items": [{"key": "a", "value": 1, "offset": 1}], "end_offset": 1}',
+        '{"items": [], "end_offset": Infinity}',
+    ],
+)
+def test_an_answer_of_an_unexpected_form_is_an_error_and_no_exception(answer):
+    """Guards against a task that ends by an exception and is not started again."""
+
+    async def main():
+        async def answered(_):
+            return web.Response(text=answer)
+
+        app = web.Application()
+        app.router.add_get("/log-newest", answered)
+        app.router.add_post("/log-append", answered)
+        async with TestServer(app) as server:
+            store = MetadataStore(str(server.make_url("")), 1.0)
+            newest = await store.newest(TOPIC)
+            written = await store.append(TOPIC, "k", b"v")
+            await store.close()
+        assert isinstance(newest.unwrap_err(), StoreUnavailable)
+        assert isinstance(written.unwrap_err(), StoreUnavailable)
+
+    asyncio.run(main())
+
+
 def with_endless_store(behaviour, timeout_seconds, check):
     async def main():
         standin = UpstreamStandIn()
