Start the reading of operators' records again after an exception

A VM whose reading task ended by an exception never read the store again, while it counted itself as a reader, and the exception was not logged.

Cause: the task was kept and never looked at once it had ended.

Evidence: test_a_reading_that_ended_by_an_error_is_started_again failed.

The end of the task is now noted: its exception is logged as store_reading_crashed, and the next decision starts it again, 0.5 s later at the earliest so that an answer that always fails does not flood the store. The pause applies after each stop, so that a cancelled run and its successor do not overlap.

--- a/src/lacewingstair/metadata/operator_reading.py
+++ b/src/lacewingstair/metadata/operator_reading.py
@@ -12,6 +12,9 @@
 from lacewingstair.vm.store_readers import Peer, StoreReaders
 
 CHECK_SECONDS = 0.25
+# Pause after a reading has ended, so that an answer that always makes it fail does not
+# flood the store with reads.
+RESTART_SECONDS = 0.5
 
 
 class OperatorReading:
@@ -55,6 +58,7 @@
         self._clock = clock
         self._readers = StoreReaders()
         self._reading: asyncio.Task[None] | None = None
+        self._restart_at = 0.0
         self.is_reading = False
 
     async def run(self) -> None:
@@ -71,14 +75,13 @@
         self._tail.skip_to(offset)
 
     def _decide(self) -> None:
+        now = self._clock.monotonic()
         reads = self._readers.decide(
-            self._own_entry(),
-            self._peers(),
-            self._fetcher.behind_seconds(),
-            self._clock.monotonic(),
+            self._own_entry(), self._peers(), self._fetcher.behind_seconds(), now
         )
-        if reads and self._reading is None:
+        if reads and self._reading is None and now >= self._restart_at:
             self._reading = asyncio.create_task(self._tail.run())
+            self._reading.add_done_callback(self._ended)
             events.info("store_reading", is_reader=True)
         elif not reads and self._reading is not None:
             self._stop()
@@ -88,6 +91,14 @@
             self.is_reading = is_reading
             self._on_change()
 
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        """Let the next decision start a reading that has failed again."""
+        if task is self._reading:
+            self._reading = None
+            self._restart_at = self._clock.monotonic() + RESTART_SECONDS
+        if not task.cancelled() and task.exception() is not None:
+            events.error("store_reading_crashed", error=repr(task.exception()))
+
     def _peers(self) -> Iterator[Peer]:
         region = self._own_entry().region
         for link in self._links:
@@ -99,3 +110,5 @@
         if self._reading is not None:
             self._reading.cancel()
             self._reading = None
+            # The cancelled run is not over yet, and two must not overlap.
+            self._restart_at = self._clock.monotonic() + RESTART_SECONDS
