Do not wait for new records in the first read of a run

A VM that took over as a reader said so only when its first long read ended, up to 20 s later. Until then three more VMs of its region began to read after each second.

Cause: a long read tells whether the store answers only at its end.

Evidence: test_a_vm_that_follows_the_store_again_counts_as_a_reader_soon failed.

While the state of the store is unknown, at the begin of a run and after a failed call, a read asks for no wait, so that its answer comes at once. It costs one call for each such begin.

--- a/src/lacewingstair/metadata/tail.py
+++ b/src/lacewingstair/metadata/tail.py
@@ -88,9 +88,10 @@
         if self._next_offset is None:
             await self._read_newest()
             return
-        page = await self._store.read(
-            self._topic, self._next_offset, self._wait_seconds
-        )
+        # While nothing is written a long read tells nothing about the store, so that
+        # the first one of a run, or after a failure, does not wait.
+        wait_seconds = self._wait_seconds if self.is_up else 0.0
+        page = await self._store.read(self._topic, self._next_offset, wait_seconds)
         if isinstance(page, Err):
             error = page.err_value
             if isinstance(error, OffsetExpired):
