Forget failures of a source of records after ten seconds

After one time-out of a near VM, all further records came from far ones, across regions, for as long as the process ran.

Cause: the count of failures, the first criterion of the choice, was only reset by a transfer from the same VM, which was not asked while another one had fewer failures.

A failure now counts for ten seconds after the last one. A near VM that stays silent costs one time-out in that time.

--- a/src/lacewingstair/vm/record_fetcher.py
+++ b/src/lacewingstair/vm/record_fetcher.py
@@ -27,6 +27,10 @@
 # flooded with new requests.
 PART_TIMEOUT_SECONDS = 0.5
 MAX_DOUBLINGS = 3
+# Failures are forgotten after this long without a further one, so that transfers from
+# far VMs do not go on once a near one has recovered; one that stays silent costs a
+# time-out as often.
+FAILURE_MEMORY_SECONDS = 10.0
 # Offset in a request for nothing, which ends the earlier transfer on its stream.
 BEYOND_ALL_RECORDS = 2**63 - 1
 MAX_TRANSFER_BYTES = 32 << 20
@@ -54,7 +58,9 @@
     position : int
         Offset up to which it holds the records.
     failures : int
-        Transfers in a row that it did not complete.
+        Transfers in a row that it did not complete lately.
+    failed_at : float
+        When the last of them ended, monotonic seconds.
     """
 
     vm_id: str
@@ -63,6 +69,7 @@
     is_usable: Callable[[], bool]
     position: int = -1
     failures: int = 0
+    failed_at: float = 0.0
 
 
 class RecordFetcher:
@@ -157,9 +164,12 @@
             while (source := self._choose()) is not None:
                 data = await self._ask(source)
                 is_done = data is not None and self._on_transfer(data)
-                source.failures = 0 if is_done else source.failures + 1
                 if is_done:
+                    source.failures = 0
                     self._behind_since = None
+                else:
+                    source.failures += 1
+                    source.failed_at = self._clock.monotonic()
                 pause_seconds = _doubled(PAUSE_SECONDS, source.failures - 1)
                 await self._clock.sleep(pause_seconds * self._rng.uniform(0.75, 1.0))
         finally:
@@ -175,6 +185,10 @@
             if source.position > position and source.is_usable()
         ]
         self._sources_by_vm_id = {source.vm_id: source for source in sources}
+        forgotten_before = self._clock.monotonic() - FAILURE_MEMORY_SECONDS
+        for source in sources:
+            if source.failed_at <= forgotten_before:
+                source.failures = 0
         return min(
             sources,
             key=lambda source: (
