Repeat the health check after a start until it is answered

After a restart, the slots beside a process stayed idle until the next report, and its calls were refused, if the backend server was full at the first moment.

Cause: one that is full rejects health checks like calls, and the check before the first report was made once.

A failed check is repeated each 0.5 s, as the one after a report is, up to four times, since there may be no backend server at all. A check that was answered is not repeated, and a report ends them.

--- a/src/lacewingstair/backend_server/confirmation.py
+++ b/src/lacewingstair/backend_server/confirmation.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 from result import Ok, Result
@@ -20,6 +21,8 @@
 
 # One that is full rejects health checks like calls, so it is asked again.
 ASK_AGAIN_SECONDS = 0.5
+# Without a report for so many checks, there may be no backend server at all.
+MAX_RESTORE_CHECKS = 4
 
 Ask = Callable[[], Awaitable[Result[HealthAnswer, ConnectError]]]
 
@@ -66,21 +69,32 @@
 
     async def run(self) -> None:
         """Restore or confirm the backend server, until cancelled."""
-        if not self._register.is_reported:
-            await self._restore()
+        for _ in range(MAX_RESTORE_CHECKS):
+            if self._register.is_reported or await self._restore():
+                break
+            await self._wait_for_report(ASK_AGAIN_SECONDS)
         while True:
             await self._is_reported.wait()
             self._is_reported.clear()
             while self._register.needs_confirmation and not await self._confirm():
                 await self._clock.sleep(ASK_AGAIN_SECONDS)
 
-    async def _restore(self) -> None:
-        """Let a healthy backend server count without waiting for its next report."""
+    async def _wait_for_report(self, seconds: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._is_reported.wait()
+
+    async def _restore(self) -> bool:
+        """Let a healthy backend server count without waiting for its next report.
+
+        Returns whether it is of no use to ask again.
+        """
         asked = await self._ask()
         is_restored = isinstance(asked, Ok) and self._take_healthy(asked.ok_value)
         events.info("upstream_asked", outcome=str(asked), is_restored=is_restored)
         if is_restored:
             self._on_change()
+        return isinstance(asked, Ok)
 
     def _take_healthy(self, answer: HealthAnswer) -> bool:
         former = self._former_of(answer.upstream_id)
--- a/tests/backend_server/test_confirmation.py
+++ b/tests/backend_server/test_confirmation.py
@@ -93,6 +93,27 @@
     played(Started(HEALTHY), play)
 
 
+def test_one_that_fails_its_first_health_check_is_restored_by_the_next():
+    """Guards against a backend server left idle as it was full at one moment."""
+
+    async def play(started):
+        assert started.state is UpstreamState.ABSENT
+        await started.clock.sleep(0.6)
+        assert started.state is UpstreamState.READY
+
+    played(Started(LEAVING, HEALTHY), play)
+
+
+def test_one_that_stays_unhealthy_is_asked_a_few_times_before_its_report():
+    """Guards against checks without end where there is no backend server."""
+
+    async def play(started):
+        await started.clock.sleep(30.0)
+        assert (started.state, started.asked) == (UpstreamState.ABSENT, 4)
+
+    played(Started(LEAVING), play)
+
+
 def test_none_is_restored_while_its_version_matters():
     async def play(started):
         assert started.state is UpstreamState.ABSENT
