--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -376,7 +376,7 @@
         self._mesh_tail.batch_seconds = (
             MESH_BATCH_SECONDS if is_reading else RELAXED_MESH_BATCH_SECONDS
         )
-        self.call_server.announce_load()
+        self.call_server.announce_load_to_all()
 
     def _take_transfer(self, data: bytes) -> bool:
         before = self.records.operator.position
--- a/src/lacewingstair/vm/call_server.py
+++ b/src/lacewingstair/vm/call_server.py
@@ -9,6 +9,7 @@
 from lacewingstair import events
 from lacewingstair.backend_server.gate import Gate
 from lacewingstair.errors import ListenError
+from lacewingstair.vm import distances
 from lacewingstair.vm.call_messages import (
     CallCancel,
     CallRequest,
@@ -97,7 +98,21 @@
             stream.close()
 
     def announce_load(self) -> None:
-        """Tell all VMs the load and up to where the operators' records are held."""
+        """Tell the load and up to where the operators' records are held.
+
+        A VM that reads the store tells all VMs. The others tell those of their zone,
+        since messages from each VM to each other one grow with the square of the VMs.
+        """
+        load = self._gate.load()
+        if load.reads_store:
+            self._broadcast_load(load)
+            return
+        for stream in self._streams:
+            if stream.distance == distances.ZONE:
+                stream.send(LoadChanged(load))
+
+    def announce_load_to_all(self) -> None:
+        """Tell all VMs the load, as others rely on what it says about this one."""
         self._broadcast_load(self._gate.load())
 
     def broadcast(self, message: Any) -> None:
--- a/src/lacewingstair/vm/records_announcer.py
+++ b/src/lacewingstair/vm/records_announcer.py
@@ -5,8 +5,8 @@
 
 from lacewingstair.runtime import Clock
 
-# Each VM tells all others, so that announcements after transfers are the square of the
-# number of VMs; in a storm of versions one for several versions is enough.
+# Each VM tells all others of its zone, so that announcements after transfers grow with
+# the square of these; in a storm of versions one for several versions is enough.
 MIN_INTERVAL_SECONDS = 0.5
 
 
@@ -16,7 +16,7 @@
     Parameters
     ----------
     announce : callable
-        Tells all VMs the offset.
+        Tells other VMs the offset.
     clock : Clock
         Time.
     """
