--- a/tests/vm/test_records_announcer.py
+++ b/tests/vm/test_records_announcer.py
@@ -8,9 +8,10 @@
     """Guards against a message from each VM to each other one for each version."""
 
     async def main():
-        position, told = 0, []
-        announcer = RecordsAnnouncer(lambda: told.append(position), VirtualClock())
-        for position in range(1, 51):
+        taken, told = [], []
+        announcer = RecordsAnnouncer(lambda: told.append(len(taken)), VirtualClock())
+        for position in range(50):
+            taken.append(position)
             announcer.got_from_vm()
             await asyncio.sleep(0.1)
         await asyncio.sleep(2 * MIN_INTERVAL_SECONDS)
