Use a backend server whose start time lies before the last one's

After the clock of a VM was set back, a backend server that started there got no calls: all of its reports were stale for as long as the clock had been set back.

Cause: the register orders runs by their start time alone, and kept a run that had lapsed as the newest one.

A run that has not reported within the announcement TTL can be replaced by a run with an earlier start time. As its report may be a late one of an earlier run, it counts only once it is confirmed by a health check or by further reports, and the lapsed run is remembered as gone only then.

--- a/src/lacewingstair/backend_server/register.py
+++ b/src/lacewingstair/backend_server/register.py
@@ -8,6 +8,9 @@
 late report can say that it is ready. So the first run that is reported here counts only
 once it is confirmed: by a health check, which one that leaves does not pass, or by new
 reports for longer than late ones arrive.
+
+A clock that was set back gives a new run an earlier start time than the one before.
+Such a run is taken once the one before has lapsed, and has to be confirmed as well.
 """
 
 import enum
@@ -92,6 +95,9 @@
         # Ids that signed off before any of their reports was taken here.
         self._signed_off_ids: list[str] = []
         self._is_unreachable = False
+        # Run that has lapsed and was replaced by one with an earlier start time. It is
+        # gone only once that one is confirmed, as that one's report may be a late one.
+        self._lapsed_run: tuple[int, str] | None = None
         # Since when an unconfirmed run has been reported; None when it is confirmed.
         self._unconfirmed_since: float | None = None
 
@@ -115,7 +121,7 @@
         """
         if not self.needs_confirmation or self._newest.upstream_id != upstream_id:
             return False
-        self._unconfirmed_since = None
+        self._set_confirmed()
         return True
 
     def restore(
@@ -149,15 +155,16 @@
         if report.run in self._gone_runs:
             return Verdict.STALE
         held = self._newest
-        if held is not None and not _is_newer(report, held):
+        is_newer = held is None or _is_newer(report, held)
+        if not is_newer and not self._may_replace_lapsed(report, held, now):
             return Verdict.STALE
         is_restored = held is not None and held.sequence == RESTORED_SEQUENCE
         if not self._follows_known_run(report):
             self._unconfirmed_since = now
         elif self._is_confirmed_by_time(report, now):
-            self._unconfirmed_since = None
+            self._set_confirmed()
         if held is not None and held.run != report.run and not is_restored:
-            self._remember_gone(held.run)
+            self._replace(held, is_newer)
         self._newest = report
         self._reported_at = now
         self._is_unreachable = False
@@ -183,14 +190,35 @@
         if held is None:
             return UpstreamIdentity()
         state = held.state
-        is_lapsed = now - self._reported_at > self._ttl_seconds
         is_unconfirmed = (
             state is UpstreamState.READY and self._unconfirmed_since is not None
         )
-        if self._is_unreachable or is_lapsed or is_unconfirmed:
+        if self._is_unreachable or self._has_lapsed(now) or is_unconfirmed:
             state = UpstreamState.ABSENT
         return UpstreamIdentity(held.upstream_id, held.version, held.slots, state)
 
+    def _has_lapsed(self, now: float) -> bool:
+        return now - self._reported_at > self._ttl_seconds
+
+    def _may_replace_lapsed(
+        self, report: UpstreamReport, held: UpstreamReport, now: float
+    ) -> bool:
+        return held.run != report.run and self._has_lapsed(now)
+
+    def _replace(self, held: UpstreamReport, is_newer: bool) -> None:
+        """Note that another run takes the place of the one that is held."""
+        if is_newer or held.state is not UpstreamState.READY:
+            self._remember_gone(held.run)
+            self._lapsed_run = None
+        else:
+            self._lapsed_run = held.run
+
+    def _set_confirmed(self) -> None:
+        self._unconfirmed_since = None
+        if self._lapsed_run is not None:
+            self._remember_gone(self._lapsed_run)
+            self._lapsed_run = None
+
     def _follows_known_run(self, report: UpstreamReport) -> bool:
         """Return whether a report is of a run known here or of a later one."""
         held = self._newest
