Keep a call whose backend server reads its long body late

Callers got a failure after about 2 s for a call with a long body, while its backend server lived and had time left.

Cause: TCP_USER_TIMEOUT of 1.5 s also drops a connection whose peer acknowledges all probes but has no room for more, as it reads nothing for a while.

The backend server of a gate is on the same VM, where no packets are lost and the kernel closes the connections of a process that ends. So the gate leaves the time-out to the kernel; the root daemon, which connects to other VMs, keeps it.

--- a/src/lacewingstair/backend_server/connection.py
+++ b/src/lacewingstair/backend_server/connection.py
@@ -21,7 +21,8 @@
 # become an answer of a kilobyte.
 PARSE_BYTES = 8 << 10
 # The kernel drops a connection whose bytes stay unacknowledged for this long, so that
-# one that went silent fails before the deadline of most calls.
+# one that went silent fails before the deadline of most calls. It also drops one whose
+# peer acknowledges but reads nothing of a long body.
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
 
 
@@ -40,6 +41,9 @@
         Time in monotonic seconds.
     buffer_bytes : int
         Bytes buffered in each direction.
+    unacknowledged_timeout_ms : int
+        Time after which the kernel drops the connection while bytes that were sent are
+        not acknowledged; 0 leaves it to the kernel.
 
     Attributes
     ----------
@@ -61,8 +65,10 @@
         loop: asyncio.AbstractEventLoop,
         now: float,
         buffer_bytes: int = BUFFER_BYTES,
+        unacknowledged_timeout_ms: int = UNACKNOWLEDGED_TIMEOUT_MS,
     ) -> None:
         super().__init__(loop)
+        self._unacknowledged_timeout_ms = unacknowledged_timeout_ms
         self._buffer_bytes = buffer_bytes
         self.used_at = now
         self.calls = 0
@@ -86,7 +92,8 @@
         self._poll.register(sock.fileno(), select.POLLIN)
         option = getattr(socket, "TCP_USER_TIMEOUT", None)
         if option is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, option, UNACKNOWLEDGED_TIMEOUT_MS)
+            timeout_ms = self._unacknowledged_timeout_ms
+            sock.setsockopt(socket.IPPROTO_TCP, option, timeout_ms)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Note an end with an error before the body of an answer ends with it."""
--- a/src/lacewingstair/backend_server/gate.py
+++ b/src/lacewingstair/backend_server/gate.py
@@ -163,7 +163,11 @@
         self._max_connections = max_connections
         self._on_outcome = on_outcome
         self._on_unreachable = on_unreachable
-        self._pool = pool or ConnectionPool(clock, sharers=1)
+        # No packets are lost on the way to a backend server on the same VM, and its
+        # kernel acknowledges while it lives: a late acknowledgement tells nothing.
+        self._pool = pool or ConnectionPool(
+            clock, sharers=1, unacknowledged_timeout_ms=0
+        )
         self._answer_memory = AnswerMemory(max_held_bytes)
         self._idle_seconds = FRESH_SECONDS
         self._listeners: list[Callable[[LoadReport], None]] = []
--- a/src/lacewingstair/backend_server/pool.py
+++ b/src/lacewingstair/backend_server/pool.py
@@ -9,6 +9,7 @@
 
 from lacewingstair.backend_server.connection import (
     BUFFER_BYTES,
+    UNACKNOWLEDGED_TIMEOUT_MS,
     UpstreamConnection,
 )
 from lacewingstair.errors import ConnectError, ConnectionsBusy
@@ -46,6 +47,8 @@
         Bytes buffered in each direction of a connection.
     sharers : int
         VMs that share the connections which an upstream announces.
+    unacknowledged_timeout_ms : int
+        As for `UpstreamConnection`.
     """
 
     def __init__(
@@ -54,7 +57,9 @@
         connect: Connect | None = None,
         buffer_bytes: int = BUFFER_BYTES,
         sharers: int = SHARE_OF_CONNECTIONS,
+        unacknowledged_timeout_ms: int = UNACKNOWLEDGED_TIMEOUT_MS,
     ) -> None:
+        self._unacknowledged_timeout_ms = unacknowledged_timeout_ms
         self._buffer_bytes = buffer_bytes
         self._sharers = sharers
         self.opened = 0
@@ -197,7 +202,9 @@
         host, _, port = address.rpartition(":")
         now = self._clock.monotonic()
         _, connection = await loop.create_connection(
-            lambda: UpstreamConnection(loop, now, self._buffer_bytes),
+            lambda: UpstreamConnection(
+                loop, now, self._buffer_bytes, self._unacknowledged_timeout_ms
+            ),
             host.strip("[]"),
             int(port),
         )
--- /dev/null
+++ b/tests/backend_server/test_gate_slow_reader.py
@@ -0,0 +1,39 @@
+import asyncio
+
+from lacewingstair.backend_server.gate import Gate
+from lacewingstair.runtime import SystemClock
+from lacewingstair.vm.call_messages import CallAnswer
+from tests.backend_server.harness import identity, request
+
+# More than the buffers of the kernel hold, so that the window of the reader is closed.
+BODY_BYTES = 16 << 20
+# Longer than the kernel waits for acknowledgements on a connection between VMs.
+PAUSE_SECONDS = 2.5
+ANSWER = (
+    b"HTTP/1.1 200 X\r\nRequest-Id: a\r\nResponse-Signature: s\r\n"
+    b"Content-Length: 2\r\n\r\nok"
+)
+
+
+def test_a_backend_server_that_reads_a_long_body_late_keeps_its_call():
+    """Guards against a call that is cut as its backend server pauses for 2 s."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        await asyncio.sleep(PAUSE_SECONDS)
+        await reader.readexactly(BODY_BYTES)
+        writer.write(ANSWER)
+        writer.close()
+
+    async def main():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        gate = Gate("board", f"{host}:{port}", SystemClock())
+        gate.set_identity(identity())
+        call = request(remaining_ms=20_000.0, method="POST", body=b"x" * BODY_BYTES)
+        outcome = await gate.run(call)
+        assert isinstance(outcome, CallAnswer), outcome
+        gate.close()
+        server.close()
+
+    asyncio.run(main())
