Announce records that came from another VM

A VM that reached no reader of the store stayed behind, although VMs that it reached had got the records from others.

Cause: only what came from the store was announced. What came from another VM showed in answers to calls and in pongs alone, which a VM without calls never gets.

Evidence: test_records_that_came_from_another_vm_are_offered_on failed.

A transfer that moves the offset on is now announced, at most once each half second, with a last announcement after a burst. What was read from the store is announced at once as before, and replaces an announcement that is due.

--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -55,6 +55,7 @@
 from lacewingstair.vm.entries import MeshView, UpstreamState, VmEntry
 from lacewingstair.vm.record_fetcher import RecordFetcher
 from lacewingstair.vm.record_sender import RecordSender
+from lacewingstair.vm.records_announcer import RecordsAnnouncer
 from lacewingstair.vm.registration import Registration
 from lacewingstair.vm.stream_traffic import StreamTraffic
 
@@ -179,6 +180,9 @@
             lambda: [MarkChanged(mark) for mark in self.rollouts.marks()],
             self.traffic,
         )
+        self._records_announcer = RecordsAnnouncer(
+            lambda: self.call_server.announce_load(), clock
+        )
         self.forwarder = Forwarder(
             self._entry,
             self.view,
@@ -274,6 +278,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await asyncio.gather(*(runner.cleanup() for runner in self._runners))
         self.record_fetcher.close()
+        self._records_announcer.close()
         self.links.close()
         self.call_server.close()
         self.gate.close()
@@ -409,11 +414,15 @@
     def _take_operator_records(self, records: Iterable[Record], position: int) -> None:
         """Take records from the store; the other VMs get them from this one."""
         self.records.take_operator_records(records, position)
-        self.call_server.announce_load()
+        self._records_announcer.read_from_store()
 
     def _take_transfer(self, data: bytes) -> bool:
+        before = self.records.operator.position
         is_taken = self.records.take_transfer(data)
-        self.operator_reading.skip_to(self.records.operator.position + 1)
+        position = self.records.operator.position
+        self.operator_reading.skip_to(position + 1)
+        if position > before:
+            self._records_announcer.got_from_vm()
         return is_taken
 
     def _max_connections(self) -> int:
