Take transfers of records that come late, and ask the next VM at once after a refusal

It gave each VM up after 0.5 s, asked the next one, and threw the answers away that came meanwhile (15 kB of RecordsPart received, none used in 4 s); its read of the store timed out as well. A refusal cost a pause of 0.3 s beside free VMs.

Ruled out: VMs that refused (no such line) and a silent link (calls were answered).

Now the first VM that sends counts, also after its time, unless part of its transfer is missing; after a refusal the next VM is asked after 0.05 s. Both new tests failed before.

--- a/src/lacewingstair/vm/record_fetcher.py
+++ b/src/lacewingstair/vm/record_fetcher.py
@@ -22,6 +22,8 @@
 GATHER_SECONDS = 0.05
 # Versions in quick succession are fetched together.
 PAUSE_SECONDS = 0.3
+# A VM that is busy refuses at once, and another one may be free.
+REFUSED_PAUSE_SECONDS = 0.05
 # Another VM is asked when no further part has come for this long; doubled with each
 # failure of the same VM in a row, as are the pauses, so that slow senders are not
 # flooded with new requests.
@@ -106,6 +108,8 @@
         self._asked: Source | None = None
         # Transfers that were given up, and that their senders may still go on with.
         self._abandoned_by_vm_id: dict[str, tuple[int, Source]] = {}
+        # Those of them of which parts have come, so that the rest is of no use.
+        self._begun_vm_ids: set[str] = set()
         self._parts: list[bytes] = []
         self._received_bytes = 0
         self._progress = asyncio.Event()
@@ -133,7 +137,8 @@
         """Take a part of a transfer; parts that were not asked for are dropped."""
         asked = self._asked
         is_asked = asked is not None and asked.vm_id == vm_id
-        if not is_asked or part.transfer_id != self._transfer_id or self._is_whole:
+        is_current = is_asked and part.transfer_id == self._transfer_id
+        if self._is_whole or not (is_current or self._resume(vm_id, part)):
             self._end_abandoned(vm_id, part)
             return
         self._received_bytes += len(part.data)
@@ -143,6 +148,21 @@
         self._is_whole = part.is_last
         self._progress.set()
 
+    def _resume(self, vm_id: str, part: RecordsPart) -> bool:
+        """Return to a transfer that was given up, as its VM is the first to send.
+
+        The request or its answer may only have waited on a full link.
+        """
+        transfer_id, source = self._abandoned_by_vm_id.get(vm_id, (0, None))
+        if source is None or part.transfer_id != transfer_id:
+            return False
+        if self._asked is None or self._received_bytes or vm_id in self._begun_vm_ids:
+            return False
+        del self._abandoned_by_vm_id[vm_id]
+        self._abandoned_by_vm_id[self._asked.vm_id] = (self._transfer_id, self._asked)
+        self._asked, self._transfer_id = source, transfer_id
+        return True
+
     def _end_abandoned(self, vm_id: str, part: RecordsPart) -> None:
         """Tell a VM that goes on with an abandoned transfer to stop it."""
         transfer_id, source = self._abandoned_by_vm_id.get(vm_id, (0, None))
@@ -170,12 +190,19 @@
                 else:
                     source.failures += 1
                     source.failed_at = self._clock.monotonic()
-                pause_seconds = _doubled(PAUSE_SECONDS, source.failures - 1)
+                first_seconds = (
+                    REFUSED_PAUSE_SECONDS if self._is_refused() else PAUSE_SECONDS
+                )
+                pause_seconds = _doubled(first_seconds, source.failures - 1)
                 await self._clock.sleep(pause_seconds * self._rng.uniform(0.75, 1.0))
         finally:
             self._behind_since = None
             self._fetching = None
 
+    def _is_refused(self) -> bool:
+        """Return whether the VM that was asked last has refused at once."""
+        return self._is_whole and not self._received_bytes
+
     def _choose(self) -> Source | None:
         """Return a VM that has more than this one; the nearest of those that answer."""
         position = self._position()
@@ -211,6 +238,7 @@
         )
         # The new request ends an earlier transfer on the same stream.
         self._abandoned_by_vm_id.pop(source.vm_id, None)
+        self._begun_vm_ids.discard(source.vm_id)
         source.send(request)
         timeout_seconds = _doubled(PART_TIMEOUT_SECONDS, source.failures)
         try:
@@ -219,7 +247,10 @@
                 async with asyncio.timeout(timeout_seconds):
                     await self._progress.wait()
         except TimeoutError:
-            self._abandoned_by_vm_id[source.vm_id] = (self._transfer_id, source)
+            vm_id = self._asked.vm_id
+            self._abandoned_by_vm_id[vm_id] = (self._transfer_id, self._asked)
+            if self._received_bytes:
+                self._begun_vm_ids.add(vm_id)
             events.info(
                 "records_not_sent",
                 vm=source.vm_id,
@@ -229,7 +260,7 @@
             return None
         finally:
             self._asked = None
-        if not self._received_bytes:
+        if self._is_refused():
             events.info("records_refused_by_vm", vm=source.vm_id, after=request.after)
             return None
         return b"".join(self._parts)
--- a/tests/vm/test_record_fetcher.py
+++ b/tests/vm/test_record_fetcher.py
@@ -24,6 +24,7 @@
         self.requests = []
         self.mute = set()
         self.gone = set()
+        self.busy = set()
         self.part_bytes = 1000
         self.part_seconds = 0.05
         self.position_by_vm_id = {}
@@ -54,6 +55,10 @@
 
     def asked(self, vm_id, request):
         self.requests.append(vm_id)
+        if vm_id in self.busy:
+            refusal = RecordsPart(request.transfer_id, True, b"")
+            asyncio.get_running_loop().call_soon(self.fetcher.take, vm_id, refusal)
+            return
         self.tasks.append(asyncio.create_task(self.send(vm_id, request)))
 
     async def send(self, vm_id, request):
@@ -202,3 +207,34 @@
         assert len(vms.requests) <= MAX_DOUBLINGS + 1 + 20.0 / (0.75 * longest)
 
     run_virtual(main())
+
+
+def test_near_vms_that_are_all_busy_do_not_keep_a_vm_on_an_old_version():
+    """Guards against a configuration that is in force late beside free sources."""
+
+    async def main():
+        vms = Vms()
+        near = [f"near{number}" for number in range(6)]
+        vms.offer("far", 9, "other_region")
+        for vm_id in near:
+            vms.offer(vm_id, 9)
+            vms.busy.add(vm_id)
+        await asyncio.sleep(1.0)
+        assert vms.position == 9, vms.requests
+
+    run_virtual(main())
+
+
+def test_a_transfer_that_comes_after_its_time_is_taken():
+    """Guards against a VM whose link is full, and that throws each answer away."""
+
+    async def main():
+        vms = Vms()
+        vms.part_bytes = 10_000
+        vms.part_seconds = PART_TIMEOUT_SECONDS + 0.5 * PAUSE_SECONDS + 0.2
+        for number in range(6):
+            vms.offer(f"vm{number}", 9)
+        await asyncio.sleep(4 * PART_TIMEOUT_SECONDS)
+        assert vms.position == 9, vms.requests
+
+    run_virtual(main())
