Close the streams that slow readers of two tests leave open

Collected while pytest parses source, it ended the run with an internal error (AST recursion depth). Both slow readers now abort their connection in a finally; what the tests check is unchanged.

--- a/tests/backend_server/test_connection_slow_reader.py
+++ b/tests/backend_server/test_connection_slow_reader.py
@@ -13,10 +13,14 @@
     """Guards against calls with a long body that are cut while their peer lives."""
 
     async def serve(reader, writer):
-        await asyncio.sleep(PAUSE_SECONDS)
-        await reader.readexactly(BODY_BYTES)
-        writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n")
-        writer.close()
+        try:
+            await asyncio.sleep(PAUSE_SECONDS)
+            await reader.readexactly(BODY_BYTES)
+            writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n")
+            await writer.drain()
+        finally:
+            # An open writer that is collected while pytest parses source ends the run.
+            writer.transport.abort()
 
     async def main():
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
--- a/tests/backend_server/test_gate_slow_reader.py
+++ b/tests/backend_server/test_gate_slow_reader.py
@@ -19,11 +19,14 @@
     """Guards against a call that is cut as its backend server pauses for 2 s."""
 
     async def serve(reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
-        await asyncio.sleep(PAUSE_SECONDS)
-        await reader.readexactly(BODY_BYTES)
-        writer.write(ANSWER)
-        writer.close()
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(PAUSE_SECONDS)
+            await reader.readexactly(BODY_BYTES)
+            writer.write(ANSWER)
+            await writer.drain()
+        finally:
+            writer.transport.abort()
 
     async def main():
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
