Count the arrivals at a backend server by why they were sent

Each send now says why it is made (first, after a refusal, a failure or an error, beside a silent VM, or for a run that is a repeat), also in call_placed; the gate counts them in a metric and, each 10 s, in a line. No decision is changed.

--- a/src/lacewingstair/backend_server/gate.py
+++ b/src/lacewingstair/backend_server/gate.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 
 import attrs
@@ -30,6 +31,7 @@
     CallRequest,
     LoadReport,
     RefusalReason,
+    SendOrigin,
 )
 from lacewingstair.vm.entries import UpstreamState
 
@@ -94,10 +96,13 @@
 
     Parameters
     ----------
+    origin : SendOrigin
+        Why it is there.
     has_unserved_call : bool
         Whether a call that the backend server made for it was not served.
     """
 
+    origin: SendOrigin
     has_unserved_call: bool = False
 
 
@@ -139,6 +144,11 @@
         Connections to it.
     max_held_bytes : int
         Bytes of all answers that are being received.
+
+    Attributes
+    ----------
+    arrivals_by_origin : Counter
+        Calls written to the backend server since the start, by why they were sent.
     """
 
     def __init__(
@@ -177,6 +187,7 @@
         self._failing_since: float | None = None
         self.identity = UpstreamIdentity()
         self.admission = Admission()
+        self.arrivals_by_origin: Counter[SendOrigin] = Counter()
         self.is_stopping = False
 
     @property
@@ -231,6 +242,11 @@
         """Return whether the backend server works on the call with this id."""
         return request_id in self._runs_by_request_id
 
+    def is_repeating(self, request_id: str) -> bool:
+        """Return whether the backend server works on a call that is not a first one."""
+        run = self._runs_by_request_id.get(request_id)
+        return run is not None and run.origin is not SendOrigin.FIRST
+
     def note_unserved_call(self, request_id: str) -> None:
         """Note that a call which the backend server made for one was not served."""
         run = self._runs_by_request_id.get(request_id)
@@ -253,7 +269,7 @@
         if isinstance(admitted, Refused):
             return self._refuse(call, admitted)
         has_run = False
-        run = _Run()
+        run = _Run(call.origin)
         self._runs_by_request_id[call.request_id] = run
         try:
             outcome = await self._perform(call, end_at)
@@ -447,6 +463,7 @@
                 if not connection.write(head + call.body):
                     self._note_broken(connection)
                     return _Unusable("the connection was closed", False)
+                self.arrivals_by_origin[call.origin] += 1
                 received = await self._receive(call, connection)
                 is_whole = isinstance(received, _Received)
                 return received
--- a/src/lacewingstair/caller/forwarding.py
+++ b/src/lacewingstair/caller/forwarding.py
@@ -23,6 +23,7 @@
     CallRefused,
     CallRequest,
     RefusalReason,
+    SendOrigin,
 )
 from lacewingstair.vm.entries import MeshView, VmEntry
 
@@ -57,6 +58,8 @@
         The rest of the request.
     target_at, end_at : float
         When its answer loses most of its worth, and all of it; monotonic seconds.
+    is_of_repeat : bool
+        Whether the run that makes the call is a repeat.
     """
 
     request_id: str
@@ -69,6 +72,7 @@
     body: bytes
     target_at: float
     end_at: float
+    is_of_repeat: bool = False
 
 
 @attrs.frozen
@@ -97,6 +101,7 @@
 class _Progress:
     """What has happened to a call so far."""
 
+    origin: SendOrigin = SendOrigin.FIRST
     tried: set[str] = attrs.field(factory=set)
     sent: int = 0
     refusals: int = 0
@@ -154,13 +159,16 @@
         """Return the answer of a backend server, or why there is none."""
         budget = self._budget(call.service)
         budget.count_call()
-        progress = _Progress(wants_new=self._rollouts.choose_new(call.service))
+        progress = _Progress(
+            _first_origin(call),
+            wants_new=self._rollouts.choose_new(call.service),
+        )
         while True:
             vm_id = self._choose(call, progress)
             if vm_id is None:
                 return self._final(progress)
             try:
-                outcome = await self._run_at(vm_id, call)
+                outcome = await self._run_at(vm_id, call, progress.origin)
                 if isinstance(outcome, SuspendedCall):
                     vm_id, outcome = await self._hedge(
                         call, {vm_id: outcome}, progress, budget
@@ -202,7 +210,7 @@
                 return
             has_token = True
             progress.tried.add(other)
-            hedge.start(other, self._run_at(other, call))
+            hedge.start(other, self._run_at(other, call, SendOrigin.SILENT_VM))
 
         def ended(outcome: CallOutcome | None) -> None:
             nonlocal has_token
@@ -240,6 +248,8 @@
                 progress.last_reason = f"refused: {reason.name.lower()}"
                 progress.last_answer = None
                 progress.sent += was_sent
+                if was_sent:
+                    progress.origin = SendOrigin.AFTER_REFUSAL
                 progress.refusals += 1
                 progress.retry_after_ms = max(
                     progress.retry_after_ms, outcome.retry_after_ms
@@ -249,12 +259,14 @@
                 return not was_sent or self._may_send_again(call, progress, budget)
             case CallFailed():
                 progress.sent += 1
+                progress.origin = SendOrigin.AFTER_FAILURE
                 progress.may_have_run = True
                 progress.is_timeout = outcome.is_timeout
                 progress.last_reason = outcome.reason
                 progress.last_answer = None
             case CallAnswer(status=status):
                 progress.sent += 1
+                progress.origin = SendOrigin.AFTER_ERROR
                 progress.may_have_run = True
                 progress.last_answer = outcome
                 if status < 500:
@@ -335,7 +347,7 @@
             yield Candidate(entry.vm_id, distance, link.load, link.unreported, age)
 
     async def _run_at(
-        self, vm_id: str, call: ForwardCall
+        self, vm_id: str, call: ForwardCall, origin: SendOrigin
     ) -> CallOutcome | SuspendedCall:
         now = self._clock.monotonic()
         request = CallRequest(
@@ -352,6 +364,7 @@
             target_ms=(call.target_at - now) * 1000,
             priority=call.route.priority,
             allows_repeat=call.route.allows_repeat,
+            origin=origin,
         )
         if vm_id == self._own_entry().vm_id:
             return await self._gate.run(request)
@@ -399,6 +412,7 @@
             service=call.service,
             vm=vm_id,
             attempt=len(progress.tried),
+            origin=progress.origin.name.lower(),
             running=load.running,
             waiting=load.waiting,
             outcome=_outcome_text(outcome),
@@ -406,6 +420,10 @@
         )
 
 
+def _first_origin(call: ForwardCall) -> SendOrigin:
+    return SendOrigin.REPEATED_RUN if call.is_of_repeat else SendOrigin.FIRST
+
+
 def _distance(own: VmEntry, other: VmEntry) -> Distance:
     if own.availability_zone == other.availability_zone:
         return Distance.SAME_ZONE
--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -246,7 +246,8 @@
         asked_ms = headers.deadline_ms(request.headers)
         if asked_ms is not None:
             timeout_ms = min(timeout_ms, asked_ms)
-        if self._gate.is_running(headers.parent_id(request_id)):
+        parent_id = headers.parent_id(request_id)
+        if self._gate.is_running(parent_id):
             # The call that needs this one is lost without it, and served with an
             # answer at the deadline as well as with an early one.
             target_ms = timeout_ms
@@ -263,6 +264,7 @@
             body=body,
             target_at=started_at + target_ms / 1000,
             end_at=started_at + timeout_ms / 1000,
+            is_of_repeat=self._gate.is_repeating(parent_id),
         )
 
     async def _read_body(
--- a/src/lacewingstair/metrics/sidecar.py
+++ b/src/lacewingstair/metrics/sidecar.py
@@ -57,6 +57,12 @@
             ("kind", "distance", "direction"),
         )
         self.registry.register(self.mesh_bytes)
+        self.upstream_arrivals = FollowedCounter(
+            "lacewingstair_upstream_arrivals",
+            "Calls sent to the backend server of this VM, by why they were sent.",
+            ("origin",),
+        )
+        self.registry.register(self.upstream_arrivals)
 
     def names(self) -> list[str]:
         """Return the name of every metric as ``/metrics`` shows it."""
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -97,6 +97,7 @@
         self.metrics = SidecarMetrics()
         self.traffic = StreamTraffic()
         self.metrics.mesh_bytes.follow(self._mesh_bytes)
+        self.metrics.upstream_arrivals.follow(self._arrivals)
         self.loop_monitor = LoopMonitor(clock, self.metrics.loop_lag_seconds.observe)
         self.configurations = ConfigurationStore()
         self.view = MeshView(settings.vm_id)
@@ -345,6 +346,7 @@
             self._apply_register()
             if number % SWEEPS_PER_TRAFFIC_LINE == 0:
                 self._log_traffic()
+                self._log_arrivals()
 
     def _log_traffic(self) -> None:
         """Log the bytes since the start, one field for each set of labels."""
@@ -354,6 +356,16 @@
             "traffic_total", **{n.replace("-", "_"): s for n, s in fields.items()}
         )
 
+    def _arrivals(self) -> dict[tuple[str], int]:
+        """Return the calls sent to the backend server, by why they were sent."""
+        counts = self.gate.arrivals_by_origin.items()
+        return {(origin.name.lower(),): count for origin, count in counts}
+
+    def _log_arrivals(self) -> None:
+        """Log the calls sent to the backend server since the start."""
+        totals = {origin: count for (origin,), count in self._arrivals().items()}
+        events.info("arrivals_total", service=self.gate.service, **totals)
+
     def _mesh_bytes(self) -> dict[tuple[str, str, str], int]:
         """Return the bytes between VMs and with the store, by their labels."""
         with_store = {
--- a/src/lacewingstair/vm/call_messages.py
+++ b/src/lacewingstair/vm/call_messages.py
@@ -46,6 +46,18 @@
     UPSTREAM_REFUSED = 7
 
 
+class SendOrigin(enum.IntEnum):
+    """Why a backend server gets a call; all but the first add to its load."""
+
+    FIRST = 0
+    AFTER_REFUSAL = 1
+    AFTER_FAILURE = 2
+    AFTER_ERROR = 3
+    SILENT_VM = 4
+    # The first send of a call that a repeated run makes.
+    REPEATED_RUN = 5
+
+
 @attrs.frozen
 class LoadReport:
     """Load of a gate.
@@ -110,6 +122,8 @@
         Rank; 0 is the highest.
     allows_repeat : bool
         Whether the call may run twice.
+    origin : SendOrigin
+        Why it is sent.
     """
 
     call_id: int
@@ -125,6 +139,7 @@
     target_ms: float
     priority: int
     allows_repeat: bool
+    origin: SendOrigin = SendOrigin.FIRST
 
 
 @_message(3)
@@ -329,6 +344,7 @@
     cls: tuple(field.name for field in attrs.fields(cls)) for cls in _CODES_BY_TYPE
 }
 _CONVERTERS_BY_NAME: dict[str, Callable[[Any], Any]] = {
+    "origin": SendOrigin,
     "load": lambda value: LoadReport(*value),
     "entry": entry_of_values,
     "evidence": _evidence_of,
--- a/tests/backend_server/test_gate.py
+++ b/tests/backend_server/test_gate.py
@@ -7,6 +7,7 @@
     CallFailed,
     CallRefused,
     RefusalReason,
+    SendOrigin,
 )
 from lacewingstair.vm.entries import UpstreamState
 from tests.backend_server.harness import identity, request, with_gate
@@ -237,3 +238,18 @@
         assert outcome.body == b"answer of good" * 30_000
 
     with_gate(check, ENDLESS_CALLS + 1, max_held_bytes=MAX_HELD_BYTES)
+
+
+def test_arrivals_are_counted_by_why_they_were_sent():
+    """Guards against repeats that multiply unseen."""
+
+    async def check(gate, upstream):
+        await gate.run(request("a"))
+        await gate.run(request("b", origin=SendOrigin.AFTER_ERROR))
+        await gate.run(request("c", origin=SendOrigin.AFTER_ERROR))
+        assert gate.arrivals_by_origin == {
+            SendOrigin.FIRST: 1,
+            SendOrigin.AFTER_ERROR: 2,
+        }
+
+    with_gate(check)
--- a/tests/caller/test_forwarding.py
+++ b/tests/caller/test_forwarding.py
@@ -13,6 +13,7 @@
     CallRefused,
     LoadReport,
     RefusalReason,
+    SendOrigin,
 )
 from lacewingstair.vm.entries import MeshView, UpstreamState, VmEntry
 from tests.staged_rollouts.test_coordinator import Mesh
@@ -183,6 +184,29 @@
     assert 300 < sent(*links) <= 300 * 1.1 + 2
 
 
+@pytest.mark.parametrize(
+    ("first", "origin"),
+    [
+        (refused(), SendOrigin.FIRST),
+        (
+            refused(RefusalReason.UPSTREAM_REFUSED, was_sent=True),
+            SendOrigin.AFTER_REFUSAL,
+        ),
+        (failed(), SendOrigin.AFTER_FAILURE),
+        (answer(500), SendOrigin.AFTER_ERROR),
+    ],
+)
+def test_a_call_that_is_sent_again_says_why(first, origin):
+    """Guards against repeats whose cause the metrics do not tell."""
+    links = [Link("a"), Link("b")]
+    # Calls before it earn the budget for the repeat.
+    links[0].outcomes = links[1].outcomes = [*[answer()] * 19, first, answer()]
+    forward(*links, route=IDEMPOTENT, calls=20)
+    sends = [call for link in links for call in link.calls if call.request_id == "q19"]
+    assert {call.origin for call in sends} == {SendOrigin.FIRST, origin}
+    assert len(sends) == 2
+
+
 class TestVersions:
     def test_a_version_on_trial_gets_its_share_alone(self):
         old, new = Link("a", answer()), Link("b", answer(), version="v2")
--- a/tests/caller/test_ingress.py
+++ b/tests/caller/test_ingress.py
@@ -32,11 +32,15 @@
 class RunningGate:
     def __init__(self, *running):
         self.running = set(running)
+        self.repeating = set()
         self.unserved = []
 
     def is_running(self, request_id):
         return request_id in self.running
 
+    def is_repeating(self, request_id):
+        return request_id in self.repeating
+
     def note_unserved_call(self, request_id):
         self.unserved.append(request_id)
 
@@ -102,6 +106,18 @@
     with_ingress(check)
 
 
+def test_a_call_of_a_repeated_run_is_told_apart():
+    """Guards against repeats that multiply unseen from layer to layer."""
+
+    async def check(call, forwarder, gate):
+        gate.repeating = {"parent"}
+        await call("parent.q1", 900)
+        await call("q2", 900)
+        assert [c.is_of_repeat for c in forwarder.calls] == [True, False]
+
+    with_ingress(check)
+
+
 def test_the_gate_learns_which_running_call_lost_one_of_its_own():
     """Guards against a version that is blamed for calls that nobody served."""
 
