--- /dev/null
+++ b/tests/caller/test_repeats_across_layers.py
@@ -0,0 +1,204 @@
+"""Repeats of a whole mesh whose backend servers call each other, in virtual time.
+
+Arrivals are counted as the allowance of a service counts them: beyond the first of each
+call, and each arrival of a call that a repeated run makes.
+"""
+
+import asyncio
+import itertools
+import random
+from collections import Counter
+
+import attrs
+import pytest
+
+from lacewingstair.caller.forwarding import ForwardCall, Forwarder
+from lacewingstair.metadata.configuration import CallRoute, SplitPart
+from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
+from lacewingstair.vm.call_messages import (
+    CallAnswer,
+    CallRefused,
+    LoadReport,
+    RefusalReason,
+    SendOrigin,
+)
+from lacewingstair.vm.entries import MeshView, UpstreamState, VmEntry
+from tests.caller.test_forwarding import ClosedGate, rollouts_at
+
+# The grown Tapas site: search calls stock, each on VMs of their own.
+SEARCH_VMS, STOCK_VMS, OTHER_VMS = 34, 21, 9
+# Stock calls that a search makes one after the other: one, or this many.
+MOST_CALLS_OF_A_SEARCH = 2
+SEARCH_SECONDS, STOCK_SECONDS = 0.2, 0.05
+LIMIT_SECONDS = 2.7
+TURNED_AWAY_SHARE = 0.55
+SECONDS = 14
+WINDOW_SECONDS = 10
+ALLOWED_SHARE, ALLOWED_SLACK = 0.2, 166
+
+SEARCH = CallRoute(("a",), "/s/", (SplitPart("search", 1.0),), max_attempts=3)
+SEARCH = attrs.evolve(SEARCH, allows_repeat=True)
+STOCK = attrs.evolve(SEARCH, path_prefix="/t/", parts=(SplitPart("stock", 1.0),))
+LOAD = LoadReport(0, 0, 6, 100.0, 0.0, True, "v1")
+
+
+@attrs.define
+class Tally:
+    """Calls and arrivals at one service by second."""
+
+    calls: Counter = attrs.field(factory=Counter)
+    beyond_first: Counter = attrs.field(factory=Counter)
+
+    def excess(self):
+        """Return by how many arrivals the worst window exceeds its allowance."""
+        worst = -ALLOWED_SLACK
+        for start in range(SECONDS - WINDOW_SECONDS + 1):
+            window = range(start, start + WINDOW_SECONDS)
+            allowed = ALLOWED_SHARE * sum(self.calls[s] for s in window) + ALLOWED_SLACK
+            worst = max(worst, sum(self.beyond_first[s] for s in window) - allowed)
+        return worst
+
+
+class Link:
+    """Link to a VM of the mesh; whoever calls is on another VM."""
+
+    in_flight = unreported = 0
+    load_at = 0.0
+    is_connected = True
+    load = LOAD
+
+    def __init__(self, mesh, vm_id):
+        self.mesh = mesh
+        self.vm_id = vm_id
+
+    def is_usable(self, now):
+        return True
+
+    async def run(self, request):
+        return await self.mesh.run(self.vm_id, request)
+
+
+class Mesh:
+    """All VMs, their forwarders, and backend servers that turn calls away."""
+
+    def __init__(self, seed, turned_away_by_service):
+        self.rng = random.Random(seed)
+        self.clock = VirtualClock()
+        self.turned_away_by_service = turned_away_by_service
+        self.tally_by_service = {"search": Tally(), "stock": Tally()}
+        self.arrived = Counter()
+        self.repeated_runs = set()
+        self.served = Counter()
+        self.numbers = itertools.count()
+        services = ["search"] * SEARCH_VMS + ["stock"] * STOCK_VMS
+        services += ["other"] * OTHER_VMS
+        self.view = MeshView("none")
+        for number, service in enumerate(services):
+            entry = VmEntry(f"vm{number}", "r", f"z{number % 9}", "a:1", service, 1, 1)
+            self.view.merge(attrs.evolve(entry, state=UpstreamState.READY))
+        links = {entry.vm_id: Link(self, entry.vm_id) for entry in self.view}
+        self.forwarders_by_vm_id = {
+            entry.vm_id: self.forwarder(entry, links) for entry in self.view
+        }
+
+    def forwarder(self, entry, links):
+        others = {vm_id: link for vm_id, link in links.items() if vm_id != entry.vm_id}
+        return Forwarder(
+            lambda: entry,
+            self.view,
+            others,
+            ClosedGate(),
+            rollouts_at(None),
+            self.clock,
+            self.rng,
+        )
+
+    def second(self):
+        return int(self.clock.monotonic())
+
+    async def call(self, vm_id, route, limit_seconds, parent_id="", origin=None):
+        """Make a call at a VM; return whether it was served."""
+        service = route.parts[0].service
+        now = self.clock.monotonic()
+        self.tally_by_service[service].calls[self.second()] += 1
+        request_id = f"{parent_id}.{next(self.numbers)}"
+        call = ForwardCall(
+            request_id=request_id,
+            route_name=service,
+            route=route,
+            service=service,
+            method="GET",
+            target="/",
+            header_lines=b"",
+            body=b"",
+            target_at=now + limit_seconds / 2,
+            end_at=now + limit_seconds,
+            is_of_repeat=origin not in (None, SendOrigin.FIRST),
+        )
+        outcome = await self.forwarders_by_vm_id[vm_id].forward(call)
+        return isinstance(outcome, CallAnswer) and outcome.status == 200
+
+    async def run(self, vm_id, request):
+        """Run a call at the backend server of a VM, or turn it away."""
+        self.arrived[request.request_id] += 1
+        parent_id = request.request_id.rpartition(".")[0]
+        if self.arrived[request.request_id] > 1 or parent_id in self.repeated_runs:
+            self.repeated_runs.add(request.request_id)
+        if request.request_id in self.repeated_runs:
+            self.tally_by_service[request.service].beyond_first[self.second()] += 1
+        if self.rng.random() < self.turned_away_by_service.get(request.service, 0):
+            reason = RefusalReason.UPSTREAM_REFUSED
+            return CallRefused(request.call_id, reason, 0.0, True, LOAD)
+        if request.service == "search":
+            return await self.search(vm_id, request)
+        await self.clock.sleep(STOCK_SECONDS)
+        return CallAnswer(request.call_id, 200, "", b"", b"", LOAD)
+
+    async def search(self, vm_id, request):
+        await self.clock.sleep(SEARCH_SECONDS * self.rng.random())
+        status = 200
+        for _ in range(self.rng.randint(1, MOST_CALLS_OF_A_SEARCH)):
+            limit = request.remaining_ms / 1000 - SEARCH_SECONDS
+            if not await self.call(
+                vm_id, STOCK, limit, request.request_id, request.origin
+            ):
+                status = 500
+                break
+        return CallAnswer(request.call_id, status, "", b"", b"", LOAD)
+
+    async def client(self, vm_id):
+        """Search, and search once more after a failure, as clients do."""
+        for _ in range(2):
+            if await self.call(vm_id, SEARCH, LIMIT_SECONDS):
+                self.served["search"] += 1
+                return
+            await self.clock.sleep(0.1)
+
+    async def play(self, searches_per_second):
+        """Let clients on all VMs search for a while."""
+        vm_ids = list(self.forwarders_by_vm_id)
+        async with asyncio.TaskGroup() as group:
+            for _ in range(SECONDS * searches_per_second):
+                group.create_task(self.client(self.rng.choice(vm_ids)))
+                await self.clock.sleep(1 / searches_per_second)
+
+
+def played(seed, searches_per_second, turned_away_by_service):
+    async def main():
+        mesh = Mesh(seed, turned_away_by_service)
+        await mesh.play(searches_per_second)
+        return mesh
+
+    return run_virtual(main())
+
+
+@pytest.mark.parametrize("searches_per_second", [150, 315])
+def test_repeats_of_failed_runs_do_not_multiply_where_these_runs_call(
+    searches_per_second,
+):
+    """Guards against a service that refuses and gets ever more repeats for it."""
+    mesh = played(1, searches_per_second, {"stock": TURNED_AWAY_SHARE})
+    excess_by_service = {
+        service: tally.excess() for service, tally in mesh.tally_by_service.items()
+    }
+    assert max(excess_by_service.values()) <= 0, excess_by_service
