Collect garbage before a failed test is shown

A failed test, a known red one included, can leave a stream open; when it is collected while pytest parses the source of the test, CPython 3.11 ends the run with an internal error. No check changes.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 ``--runxfail`` shows their failures in full.
 """
 
+import gc
 from pathlib import Path
 
 import attrs
@@ -59,6 +60,17 @@
     config.stash[_ENTRIES] = entries
 
 
+@pytest.hookimpl(tryfirst=True)
+def pytest_runtest_makereport(item, call):
+    """Collect garbage before the source of a failed test is parsed to show it.
+
+    CPython 3.11 ends with an internal error when a finalizer, such as that of a stream
+    which the failed test has left open, runs meanwhile.
+    """
+    if call.excinfo is not None:
+        gc.collect()
+
+
 @pytest.hookimpl(tryfirst=True)
 def pytest_collection_modifyitems(config, items):
     """Mark the listed tests, before any are deselected."""
