Count the calls of repeated runs as repeats, and share the minimum among VMs

Callers saw BUDGET: apartados got 1,541 arrivals beyond the first for 5,996 requests, 1,365 allowed, while its backend servers turned half of the calls away.

Cause: repeats multiplied across layers. A run that failed since its own call was refused was sent again, its calls were made again, and each budget counted them as first calls. And each VM allowed itself 0.2 repeats a second for each service beyond its share, which grows with the number of VMs: 64 VMs, up to 256 in 10 s of an allowance of 166. Ruled out by arrivals_total: arrivals after failures or at silent VMs (none).

Now a call of a repeated run takes from the budget of the service that it calls, also into a debt that direct repeats wait for; a run that failed since backend servers refused or failed its own call is not repeated, as that call has been repeated already, where it costs least; the minimum comes from the allowance of the deployment and is shared by all VMs; what full gates refuse of a repeat goes back to the budget. Since little is left to chance, VMs use 0.8 of the allowed share for direct repeats, 0.5 before.

The same cause in the daemon of the ticket log: calls that are marked as repeats earned budget, and its minimum was for each VM. Both mended; the setting says so.

--- a/src/lacewingstair/backend_server/gate.py
+++ b/src/lacewingstair/backend_server/gate.py
@@ -100,10 +100,13 @@
         Why it is there.
     has_unserved_call : bool
         Whether a call that the backend server made for it was not served.
+    has_failed_call : bool
+        Whether backend servers refused or failed such a call.
     """
 
     origin: SendOrigin
     has_unserved_call: bool = False
+    has_failed_call: bool = False
 
 
 class _Decision:
@@ -247,11 +250,21 @@
         run = self._runs_by_request_id.get(request_id)
         return run is not None and run.origin is not SendOrigin.FIRST
 
-    def note_unserved_call(self, request_id: str) -> None:
-        """Note that a call which the backend server made for one was not served."""
+    def note_unserved_call(self, request_id: str, *, has_failed: bool) -> None:
+        """Note that a call which the backend server made for one was not served.
+
+        Parameters
+        ----------
+        request_id : str
+            Id of the call for which it was made.
+        has_failed : bool
+            Whether backend servers refused or failed it, so that a repeat of the run
+            would meet them again.
+        """
         run = self._runs_by_request_id.get(request_id)
         if run is not None:
             run.has_unserved_call = True
+            run.has_failed_call = run.has_failed_call or has_failed
 
     def sweep(self) -> None:
         """Close connections that were idle for long; start calls after a limit."""
@@ -273,6 +286,8 @@
         self._runs_by_request_id[call.request_id] = run
         try:
             outcome = await self._perform(call, end_at)
+            if run.has_failed_call and isinstance(outcome, CallAnswer):
+                outcome = attrs.evolve(outcome, has_failed_call=True)
             has_run = not isinstance(outcome, CallRefused)
             if has_run:
                 service_ms = (self._clock.monotonic() - admitted.started_at) * 1000
--- a/src/lacewingstair/caller/dispatch.py
+++ b/src/lacewingstair/caller/dispatch.py
@@ -61,6 +61,8 @@
         Logs a share of the routing decisions; none is logged by default.
     options : CallOptions, optional
         Bounds of repeats and of the choice of upstreams.
+    sharers : callable, optional
+        Returns how many VMs share the minimum of repeats.
     """
 
     def __init__(
@@ -74,7 +76,9 @@
         on_unreachable: Callable[[str], None] = lambda address: None,
         decisions: DecisionLog | None = None,
         options: CallOptions = DEFAULT_OPTIONS,
+        sharers: Callable[[], int] = lambda: 1,
     ) -> None:
+        self._sharers = sharers
         self._decisions = decisions
         self._options = options
         self._index = index
@@ -113,7 +117,10 @@
 
     async def _dispatch(self, call: Call) -> Result[Answer, Refusal]:
         budget = self._budget(call.service)
-        budget.count_call()
+        if call.allows_retry:
+            budget.count_call()
+        else:
+            budget.count_repeat()
         tried: list[Upstream] = []
         may_have_run = False
         last: Refusal | None = None
@@ -434,7 +441,10 @@
         if found is None:
             options = self._options
             found = RetryBudget(
-                self._clock, options.retry_share, options.retry_minimum_per_second
+                self._clock,
+                options.retry_share,
+                options.retry_minimum_per_second,
+                self._sharers,
             )
             self._budgets_by_service[service] = found
         return found
--- a/src/lacewingstair/caller/forwarding.py
+++ b/src/lacewingstair/caller/forwarding.py
@@ -11,7 +11,11 @@
 from lacewingstair.caller.hedging import Hedge
 from lacewingstair.caller.placement import Candidate, Distance, place
 from lacewingstair.metadata.configuration import CallRoute
-from lacewingstair.routing.limits import RetryBudget
+from lacewingstair.routing.limits import (
+    DEFAULT_ALLOWANCE,
+    RepeatAllowance,
+    RetryBudget,
+)
 from lacewingstair.runtime import Clock
 from lacewingstair.staged_rollouts.coordinator import RolloutCoordinator
 from lacewingstair.vm.call_link import SuspendedCall
@@ -29,11 +33,13 @@
 
 # Gates that are asked for room for one call, beyond those it was sent to.
 MAX_REFUSALS = 4
-# Share of the calls of a service that all VMs together may repeat.
-ALLOWED_REPEAT_SHARE = 0.2
-# The rest is left for the calls that repeated calls make in turn.
-REPEAT_PART = 0.5
-REPEATS_PER_SECOND = 0.2
+# The rest is left for the calls of repeated runs, which are counted only once made.
+REPEAT_PART = 0.8
+# Part of the allowance beyond the share that is given out over time; each VM also saves
+# up to one repeat.
+EXTRA_REPEATS_PART = 0.3
+# Few VMs are known right after a start, though many may share the minimum.
+LEAST_SHARERS = 16
 # Time without which a repeat at another backend server is not worth its load.
 LEAST_REPEAT_MS = 50.0
 
@@ -89,12 +95,15 @@
         Why.
     retry_after_ms : float
         Time after which there may be room.
+    has_failed : bool
+        Whether it ended as a backend server refused it.
     """
 
     is_not_run: bool
     is_timeout: bool
     reason: str
     retry_after_ms: float = 0.0
+    has_failed: bool = False
 
 
 @attrs.define
@@ -102,6 +111,9 @@
     """What has happened to a call so far."""
 
     origin: SendOrigin = SendOrigin.FIRST
+    # Whether the budget has allowed a repeat that is not sent yet.
+    has_token: bool = False
+    was_refused: bool = False
     tried: set[str] = attrs.field(factory=set)
     sent: int = 0
     refusals: int = 0
@@ -112,6 +124,12 @@
     last_reason: str = "no backend server takes the call"
     is_timeout: bool = False
 
+    def was_sent(self, next_origin: SendOrigin) -> None:
+        """Note a send; `next_origin` is why a further one would be made."""
+        self.sent += 1
+        self.has_token = False
+        self.origin = next_origin
+
 
 class Forwarder:
     """Chooses the gate of each call, and another one where that cannot run it twice.
@@ -130,8 +148,8 @@
         Shares of new versions.
     clock, rng
         Time and randomness.
-    allowed_repeat_share : float
-        Share of the calls of a service that all VMs together may repeat.
+    allowance : RepeatAllowance
+        Repeats that all VMs together may make.
     """
 
     def __init__(
@@ -143,9 +161,9 @@
         rollouts: RolloutCoordinator,
         clock: Clock,
         rng: random.Random,
-        allowed_repeat_share: float = ALLOWED_REPEAT_SHARE,
+        allowance: RepeatAllowance = DEFAULT_ALLOWANCE,
     ) -> None:
-        self._repeat_share = REPEAT_PART * allowed_repeat_share
+        self._allowance = allowance
         self._rollouts = rollouts
         self._own_entry = own_entry
         self._view = view
@@ -158,7 +176,10 @@
     async def forward(self, call: ForwardCall) -> CallAnswer | NotServed:
         """Return the answer of a backend server, or why there is none."""
         budget = self._budget(call.service)
-        budget.count_call()
+        if call.is_of_repeat:
+            budget.count_repeat()
+        else:
+            budget.count_call()
         progress = _Progress(
             _first_origin(call),
             wants_new=self._rollouts.choose_new(call.service),
@@ -166,7 +187,7 @@
         while True:
             vm_id = self._choose(call, progress)
             if vm_id is None:
-                return self._final(progress)
+                return self._final(progress, budget)
             try:
                 outcome = await self._run_at(vm_id, call, progress.origin)
                 if isinstance(outcome, SuspendedCall):
@@ -182,7 +203,7 @@
                 progress.wants_new = False
             self._log(call, vm_id, outcome, progress)
             if not self._goes_on(call, outcome, progress, budget):
-                return self._final(progress)
+                return self._final(progress, budget)
 
     async def _hedge(
         self,
@@ -247,9 +268,9 @@
             case CallRefused(reason=reason, was_sent=was_sent):
                 progress.last_reason = f"refused: {reason.name.lower()}"
                 progress.last_answer = None
-                progress.sent += was_sent
                 if was_sent:
-                    progress.origin = SendOrigin.AFTER_REFUSAL
+                    progress.was_sent(SendOrigin.AFTER_REFUSAL)
+                progress.was_refused = progress.was_refused or was_sent
                 progress.refusals += 1
                 progress.retry_after_ms = max(
                     progress.retry_after_ms, outcome.retry_after_ms
@@ -258,18 +279,16 @@
                     return False
                 return not was_sent or self._may_send_again(call, progress, budget)
             case CallFailed():
-                progress.sent += 1
-                progress.origin = SendOrigin.AFTER_FAILURE
+                progress.was_sent(SendOrigin.AFTER_FAILURE)
                 progress.may_have_run = True
                 progress.is_timeout = outcome.is_timeout
                 progress.last_reason = outcome.reason
                 progress.last_answer = None
             case CallAnswer(status=status):
-                progress.sent += 1
-                progress.origin = SendOrigin.AFTER_ERROR
+                progress.was_sent(SendOrigin.AFTER_ERROR)
                 progress.may_have_run = True
                 progress.last_answer = outcome
-                if status < 500:
+                if status < 500 or outcome.has_failed_call:
                     return False
         if not call.route.allows_repeat or left_ms < LEAST_REPEAT_MS:
             return False
@@ -278,9 +297,16 @@
     def _may_send_again(
         self, call: ForwardCall, progress: _Progress, budget: RetryBudget
     ) -> bool:
-        return progress.sent < call.route.max_attempts and budget.take()
-
-    def _final(self, progress: _Progress) -> CallAnswer | NotServed:
+        if progress.sent >= call.route.max_attempts:
+            return False
+        progress.has_token = progress.has_token or budget.take()
+        return progress.has_token
+
+    def _final(
+        self, progress: _Progress, budget: RetryBudget
+    ) -> CallAnswer | NotServed:
+        if progress.has_token:
+            budget.give_back()
         if progress.last_answer is not None:
             return progress.last_answer
         return NotServed(
@@ -288,6 +314,7 @@
             is_timeout=progress.is_timeout,
             reason=progress.last_reason,
             retry_after_ms=progress.retry_after_ms,
+            has_failed=progress.was_refused,
         )
 
     def _choose(self, call: ForwardCall, progress: _Progress) -> str | None:
@@ -377,7 +404,13 @@
     def _budget(self, service: str) -> RetryBudget:
         found = self._budgets_by_service.get(service)
         if found is None:
-            found = RetryBudget(self._clock, self._repeat_share, REPEATS_PER_SECOND)
+            allowance = self._allowance
+            found = RetryBudget(
+                self._clock,
+                REPEAT_PART * allowance.share,
+                EXTRA_REPEATS_PART * allowance.extra / allowance.window_seconds,
+                lambda: max(LEAST_SHARERS, len(self._view)),
+            )
             self._budgets_by_service[service] = found
         return found
 
--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -50,6 +50,8 @@
         When its time is over, monotonic seconds; None until its route is known.
     is_cut : bool
         Whether this process has ended it without an answer.
+    has_failed : bool
+        Whether backend servers refused or failed it.
     """
 
     request: web.BaseRequest
@@ -58,6 +60,7 @@
     route: str = ""
     end_at: float | None = None
     is_cut: bool = False
+    has_failed: bool = False
 
     @property
     def request_id(self) -> str:
@@ -162,7 +165,7 @@
                 return prepared.err_value
             call = prepared.ok_value
             open_call.route, open_call.end_at = call.route_name, call.end_at
-            response = await self._forward(request, call)
+            response = await self._forward(request, call, open_call)
             status = response.status
             return response
         except asyncio.CancelledError:
@@ -172,7 +175,9 @@
             self._open_calls.discard(open_call)
             if not 200 <= status < 300:
                 parent_id = headers.parent_id(open_call.request_id)
-                self._gate.note_unserved_call(parent_id)
+                self._gate.note_unserved_call(
+                    parent_id, has_failed=open_call.has_failed
+                )
             seconds = self._clock.monotonic() - started_at
             self._on_answer(open_call.route, status, seconds)
 
@@ -286,7 +291,7 @@
         return Ok(b"".join(parts))
 
     async def _forward(
-        self, request: web.BaseRequest, call: ForwardCall
+        self, request: web.BaseRequest, call: ForwardCall, open_call: _OpenCall
     ) -> web.StreamResponse:
         left = call.end_at - self._clock.monotonic() + GRACE_SECONDS
         try:
@@ -295,7 +300,9 @@
         except TimeoutError:
             return self._refuse(request, 504, "no answer in time")
         if isinstance(outcome, CallAnswer):
+            open_call.has_failed = outcome.status >= 500
             return self._pass_back(request, outcome)
+        open_call.has_failed = outcome.has_failed
         return self._not_served(request, outcome)
 
     def _not_served(
--- a/src/lacewingstair/caller/options.py
+++ b/src/lacewingstair/caller/options.py
@@ -17,7 +17,7 @@
     retry_share : float
         Share of the calls of a service that may be sent again.
     retry_minimum_per_second : float
-        Retries of a service that are always allowed.
+        Retries of a service that all VMs together are always allowed.
     slow_start_seconds : float
         Time in which a new endpoint's share of the calls grows to its full size.
     idle_reuse_seconds : float
--- a/src/lacewingstair/caller/server.py
+++ b/src/lacewingstair/caller/server.py
@@ -123,6 +123,7 @@
             on_unreachable,
             decisions,
             options,
+            lambda: len(directory),
         )
         self._on_answer = on_answer
         self.is_draining = False
--- a/src/lacewingstair/platform/bounds.py
+++ b/src/lacewingstair/platform/bounds.py
@@ -5,6 +5,7 @@
 
 from lacewingstair.errors import Fault
 from lacewingstair.platform.durations import parse_duration
+from lacewingstair.routing.limits import RepeatAllowance
 
 
 @attrs.frozen
@@ -15,20 +16,31 @@
     ----------
     stop_ms : float
         Time from the stop signal until the process is killed.
-    repeat_share : float
-        Repeats of all VMs together, as a share of the calls of a service.
+    repeat_share, extra_repeats, repeat_window_ms : float
+        Repeats of all VMs together in a window, as a share of the calls of a service
+        and beyond that share.
     trial_share : float
         Share of a service's calls that a bad version may get.
     """
 
     stop_ms: float = 6000.0
     repeat_share: float = 0.2
+    extra_repeats: float = 60.0
+    repeat_window_ms: float = 10_000.0
     trial_share: float = 0.1
 
+    @property
+    def repeats(self) -> RepeatAllowance:
+        """Repeats of a service that all VMs together may make."""
+        return RepeatAllowance(
+            self.repeat_share, self.extra_repeats, self.repeat_window_ms / 1000
+        )
 
-_DURATIONS_BY_NAME = {"grace": "stop_ms"}
+
+_DURATIONS_BY_NAME = {"grace": "stop_ms", "budget_window": "repeat_window_ms"}
 _NUMBERS_BY_NAME = {
     "retry_budget_ratio": "repeat_share",
+    "budget_slack": "extra_repeats",
     "canary_share": "trial_share",
 }
 
--- a/src/lacewingstair/routing/limits.py
+++ b/src/lacewingstair/routing/limits.py
@@ -1,7 +1,9 @@
 """Limits on the load of a service: concurrency, admission and retries."""
 
+import math
 import random
 from collections import Counter
+from collections.abc import Callable
 
 import attrs
 
@@ -15,6 +17,8 @@
 RETRY_SHARE = 0.2
 RETRY_MIN_PER_SECOND = 3.0
 RETRY_BURST_SECONDS = 10.0
+# Repeats beyond the budget are paid for from what calls earn in this time.
+RETRY_DEBT_SECONDS = 10.0
 
 ADMIT_MIN = 0.02
 # Factor by which admission exceeds what was served, to detect returned capacity.
@@ -67,9 +71,35 @@
             self.value = max(1.0, self.value * LIMIT_BACKOFF)
 
 
+@attrs.frozen
+class RepeatAllowance:
+    """Repeats of a service that all VMs together may make.
+
+    Parameters
+    ----------
+    share : float
+        Share of its calls.
+    extra : float
+        Repeats in a window beyond that share.
+    window_seconds : float
+        Time in which both are counted.
+    """
+
+    share: float = 0.2
+    extra: float = 60.0
+    window_seconds: float = 10.0
+
+
+DEFAULT_ALLOWANCE = RepeatAllowance()
+
+
 class RetryBudget:
     """Allows repeats up to a share of the first attempts of a service.
 
+    Load pattern: a service that turns calls away while others call it. Each layer that
+    repeats multiplies the load of those below, so a call that a repeated run makes
+    counts as a repeat of its own service, and direct repeats wait until it is paid for.
+
     Parameters
     ----------
     clock : Clock
@@ -77,7 +107,9 @@
     share : float
         Share of the first attempts.
     minimum_per_second : float
-        Repeats that are always allowed.
+        Repeats that all VMs together are always allowed.
+    sharers : callable
+        Returns how many VMs share the minimum.
     """
 
     def __init__(
@@ -85,30 +117,56 @@
         clock: Clock,
         share: float = RETRY_SHARE,
         minimum_per_second: float = RETRY_MIN_PER_SECOND,
+        sharers: Callable[[], int] = lambda: 1,
     ) -> None:
         self._clock = clock
         self._share = share
         self._minimum_per_second = minimum_per_second
-        # A budget without a minimum has to save the share of several calls.
-        self._cap = max(1.0, minimum_per_second * RETRY_BURST_SECONDS)
-        self._tokens = minimum_per_second
+        self._sharers = sharers
+        self._tokens = min(minimum_per_second, self._most_saved())
         self._refilled_at = clock.monotonic()
+        # What calls have earned lately, decaying.
+        self._earned = 0.0
+        self._decayed_at = self._refilled_at
 
     def count_call(self) -> None:
         """Add the share that a first attempt earns."""
+        self._decay()
+        self._earned += self._share
         self._tokens += self._share
 
+    def count_repeat(self) -> None:
+        """Count a repeat that another layer has decided on."""
+        self._decay()
+        self._tokens = max(self._tokens - 1, -max(1.0, self._earned))
+
     def take(self) -> bool:
         """Return whether one repeat is allowed, and count it."""
         now = self._clock.monotonic()
-        self._tokens += (now - self._refilled_at) * self._minimum_per_second
+        self._tokens += (now - self._refilled_at) * self._own_minimum_per_second()
         self._refilled_at = now
-        self._tokens = min(self._tokens, self._cap)
+        self._tokens = min(self._tokens, self._most_saved())
         if self._tokens < 1:
             return False
         self._tokens -= 1
         return True
 
+    def give_back(self) -> None:
+        """Return what was taken for a repeat that no backend server got."""
+        self._tokens += 1
+
+    def _own_minimum_per_second(self) -> float:
+        return self._minimum_per_second / max(1, self._sharers())
+
+    def _most_saved(self) -> float:
+        # A budget without a minimum has to save the share of several calls.
+        return max(1.0, self._own_minimum_per_second() * RETRY_BURST_SECONDS)
+
+    def _decay(self) -> None:
+        now = self._clock.monotonic()
+        elapsed, self._decayed_at = now - self._decayed_at, now
+        self._earned *= math.exp(-elapsed / RETRY_DEBT_SECONDS)
+
 
 @attrs.frozen
 class _Share:
--- a/src/lacewingstair/settings/declarations.py
+++ b/src/lacewingstair/settings/declarations.py
@@ -139,7 +139,7 @@
         "retry_minimum_per_second",
         Number("1/s", 0, 1000),
         3.0,
-        "retries of a service that are always allowed",
+        "retries of a service that all VMs together are always allowed",
     )
     max_connections: int = count(
         "caller",
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -181,7 +181,7 @@
             self.rollouts,
             clock,
             rng,
-            self.bounds.repeat_share,
+            self.bounds.repeats,
         )
         self.ingress = Ingress(
             own.own_service,
--- a/src/lacewingstair/vm/call_messages.py
+++ b/src/lacewingstair/vm/call_messages.py
@@ -190,7 +190,22 @@
 @_message(6)
 @attrs.frozen
 class CallAnswer:
-    """Whole answer of the backend server."""
+    """Whole answer of the backend server.
+
+    Parameters
+    ----------
+    call_id : int
+        Which call.
+    status, reason
+        Status line.
+    header_lines, body : bytes
+        The rest of the answer.
+    load : LoadReport
+        Load of the gate.
+    has_failed_call : bool
+        Whether backend servers refused or failed a call that the run had made, after
+        the repeats that this call was allowed.
+    """
 
     call_id: int
     status: int
@@ -198,6 +213,7 @@
     header_lines: bytes
     body: bytes
     load: LoadReport
+    has_failed_call: bool = False
 
 
 @_message(7)
--- a/tests/caller/test_dispatch.py
+++ b/tests/caller/test_dispatch.py
@@ -269,6 +269,22 @@
     run_virtual(main())
 
 
+def test_calls_that_are_repeats_leave_no_budget_for_repeats():
+    """Guards against repeats that multiply from layer to layer."""
+
+    async def main():
+        mesh = Mesh(*([Fault.CLOSE_AFTER_RUN] * 1000 for _ in range(6)))
+        for number in range(100):
+            await mesh.send(mesh.call(f"/{number}", allows_retry=False))
+        assert sum(mesh.runs.values()) == 100
+        for number in range(20):
+            await mesh.send(mesh.call(f"/first/{number}"))
+        allowed = 20 * RETRY_SHARE + 3 * mesh.clock.monotonic()
+        assert sum(mesh.runs.values()) <= 120 + allowed
+
+    run_virtual(main())
+
+
 def test_an_expired_call_is_not_dispatched_and_the_deadline_is_passed_on():
     """Guards against work for callers that no longer wait."""
 
--- a/tests/routing/test_limits.py
+++ b/tests/routing/test_limits.py
@@ -1,6 +1,8 @@
 import random
 from collections import Counter
 
+import pytest
+
 from lacewingstair.routing.limits import (
     ADMIT_MIN,
     Admission,
@@ -88,6 +90,49 @@
     assert limit.value == full
 
 
+def test_repeats_of_other_layers_are_paid_for_before_further_ones():
+    """Guards against repeats that multiply from layer to layer."""
+    clock = EventQueue()
+    budget = RetryBudget(clock, 0.2, 0.0)
+    for _ in range(100):
+        budget.count_call()
+    taken = sum(budget.take() for _ in range(100))
+    for _ in range(15):
+        budget.count_repeat()
+    for _ in range(75):
+        budget.count_call()
+    assert not budget.take()
+    for _ in range(6):
+        budget.count_call()
+    assert taken == 1 and budget.take()
+
+
+def test_a_debt_of_repeats_is_forgotten_in_time():
+    """Guards against a long disturbance after which nothing is repeated."""
+    clock = EventQueue()
+    budget = RetryBudget(clock, 0.2, 0.0)
+    for _ in range(10):
+        budget.count_call()
+    for _ in range(1000):
+        budget.count_repeat()
+    for _ in range(15):
+        budget.count_call()
+    assert budget.take()
+
+
+@pytest.mark.parametrize("sharers", [1, 10, 1000])
+def test_the_minimum_of_repeats_is_shared_by_all_vms(sharers):
+    """Guards against a minimum that grows with the number of VMs."""
+    clock = EventQueue()
+    budgets = [RetryBudget(clock, 0.0, 20.0, lambda: sharers) for _ in range(sharers)]
+    taken = 0
+    for number in range(100):
+        clock.run_until(number / 10)
+        taken += sum(budget.take() for budget in budgets)
+    # Saved are ten seconds of it, but one repeat at each VM at least.
+    assert taken <= 20.0 * 10 + max(20.0 * 10, sharers)
+
+
 def test_the_retry_budget_follows_the_calls_with_a_minimum_and_a_cap():
     """Guards against a stock of repeats saved up in quiet hours."""
     clock = EventQueue()
