Take no refusal of an earlier call for one of the present call

Reported by another operator: a faulty upstream writes an earlier refusal once more on a kept connection, and callers are told 'not run' for a call that runs (REFUSED), or it runs at a second upstream (TWICE). It could happen at both roots. The gate believed a refusal without an id on any connection; it passes over one on a connection that has had a call before, and waits for the answer. A refusal with another id was passed over already. The daemon of the ticket log has no ids in answers; it closes a connection after a refusal.

--- a/src/lacewingstair/backend_server/gate.py
+++ b/src/lacewingstair/backend_server/gate.py
@@ -508,7 +508,10 @@
                 return _Unusable("the connection was reset within the answer", True)
             found = message.headers.get(headers.REQUEST_ID)
             is_not_run = headers.is_not_run(message.code, message.headers)
-            if found == call.request_id or (found is None and is_not_run):
+            # On a kept connection, one without an id may be that of an earlier call.
+            is_certain = connection.calls == 1 or not call.request_id
+            is_refusal = is_not_run and found is None and is_certain
+            if found == call.request_id or is_refusal:
                 self._learn_idle_time(message.headers)
                 if message.code < 300 and headers.SIGNATURE not in message.headers:
                     return _Unusable("a success without a signature", True)
@@ -519,7 +522,7 @@
                     message.raw_headers,
                     body,
                 )
-            if found is None:
+            if found is None and not is_not_run:
                 return _Unusable("an answer without the id of its call", True)
             events.warning("stray_answer", call=call.request_id, answer_of=found)
         return _Unusable("too many answers of other calls", True)
--- a/src/lacewingstair/caller/dispatch.py
+++ b/src/lacewingstair/caller/dispatch.py
@@ -165,6 +165,11 @@
 
     def finish(self, answer: Answer) -> None:
         """End an answer whose body was received whole."""
+        if answer.is_refusal:
+            # A faulty backend server may write it once more, and answers have no id
+            # that would tell it from the answer to the next call.
+            self.abandon(answer)
+            return
         attempt = answer.attempt
         self._stop_writer(attempt)
         self._settle_answer(answer)
--- /dev/null
+++ b/tests/backend_server/test_gate_broken_heads.py
@@ -0,0 +1,67 @@
+import asyncio
+
+import pytest
+
+from lacewingstair.backend_server.gate import Gate
+from lacewingstair.runtime import SystemClock
+from lacewingstair.vm.call_messages import CallAnswer, CallFailed
+from tests.backend_server.harness import identity, request
+
+HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: b\r\nResponse-Signature: s\r\n"
+FRAMINGS = {
+    "length": b"Content-Length: 40\r\n\r\n",
+    "empty": b"Content-Length: 0\r\n\r\n",
+    "chunks": b"Transfer-Encoding: chunked\r\n\r\n",
+    "none": b"X: y\r\n\r\n",
+    "close": b"Connection: close\r\n\r\n",
+}
+WHOLE = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Signature: s\r\n"
+WHOLE += b"Content-Length: 2\r\n\r\nok"
+
+
+class BrokenUpstream:
+    """Answers the first call whole, and of the second one only a part of the head."""
+
+    def __init__(self, part):
+        self.part = part
+
+    async def serve(self, reader, writer):
+        try:
+            if self.part is not None:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(WHOLE)
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self.part)
+            await writer.drain()
+            writer.write_eof()
+            await reader.read()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.transport.abort()
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_a_head_that_breaks_off_is_no_answer(framing):
+    """Guards against a 200 with an empty body for an answer that never came."""
+    whole = HEAD + FRAMINGS[framing]
+
+    async def outcome_of(upstream, server):
+        host, port = server.sockets[0].getsockname()
+        gate = Gate("board", f"{host}:{port}", SystemClock())
+        gate.set_identity(identity())
+        assert isinstance(await gate.run(request("a")), CallAnswer)
+        outcome = await gate.run(request("b"))
+        gate.close()
+        return outcome
+
+    async def main():
+        upstream = BrokenUpstream(b"")
+        server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+        for size in range(1, len(whole)):
+            upstream.part = whole[:size]
+            outcome = await outcome_of(upstream, server)
+            assert isinstance(outcome, CallFailed), (whole[:size], outcome)
+        server.close()
+
+    asyncio.run(main())
