Take no odd entry, report or endpoint that cannot be passed on

Reported by another operator: one entry of another writer, nested very deeply, with a number too large or a port out of range, ended machines or made them follow the list no more. It could happen at both roots: an own entry with the highest incarnation was raised to a number that msgpack cannot encode, slots or a version that a report or a health check states went into the entry unchecked, a port above 65535 ended the task of a link or, at the daemon of the ticket log, the call (OverflowError), and digits of other scripts in Keep-Alive or Server-Load ended a call. Entries and reports are now checked for range, length and text when they are decoded, and addresses in one place (addresses.py).

--- a/src/lacewingstair/backend_server/announce.py
+++ b/src/lacewingstair/backend_server/announce.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from lacewingstair import events
+from lacewingstair.addresses import MAX_PORT, split_address
 from lacewingstair.errors import AnnouncementError, Fault
 from lacewingstair.runtime import Clock
 from lacewingstair.vm.directory import Endpoint, EndpointState
@@ -200,13 +201,13 @@
 
 async def refuses_tcp_connections(address: str) -> bool:
     """Return whether a connection is refused; a slow answer is no refusal."""
-    host, _, port = address.rpartition(":")
     try:
+        host, port = split_address(address)
         async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-            _, writer = await asyncio.open_connection(host.strip("[]"), int(port))
+            _, writer = await asyncio.open_connection(host, port)
     except ConnectionRefusedError:
         return True
-    except (OSError, TimeoutError):
+    except (OSError, TimeoutError, ValueError):
         return False
     writer.close()
     return False
@@ -220,7 +221,7 @@
 async def _json(request: web.Request) -> Any:
     try:
         return await request.json()
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
 
 
@@ -234,8 +235,8 @@
         )
         return Err(AnnouncementError(faults))
     port = int(document["address"].rpartition(":")[2])
-    if not 1 <= port <= 65535:
-        fault = Fault("address", f"port {port}, allowed are 1 to 65535")
+    if not 1 <= port <= MAX_PORT:
+        fault = Fault("address", f"port {port}, allowed are 1 to {MAX_PORT}")
         return Err(AnnouncementError((fault,)))
     state = EndpointState[document.get("state", "ready").upper()]
     return Ok(Endpoint(**{**document, "state": state}))
--- a/src/lacewingstair/backend_server/pool.py
+++ b/src/lacewingstair/backend_server/pool.py
@@ -7,6 +7,7 @@
 import attrs
 from result import Err, Ok, Result
 
+from lacewingstair.addresses import split_address
 from lacewingstair.backend_server.connection import (
     BUFFER_BYTES,
     UNACKNOWLEDGED_TIMEOUT_MS,
@@ -179,7 +180,7 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 connection = await self._connect(address)
             is_open = True
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError) as error:
             if slots.open > 1:
                 # It answers on other connections, so its accept limit is reached. The
                 # limit is not below those; a burst of connects fails all at once.
@@ -199,13 +200,13 @@
 
     async def _open_tcp(self, address: str) -> UpstreamConnection:
         loop = asyncio.get_running_loop()
-        host, _, port = address.rpartition(":")
+        host, port = split_address(address)
         now = self._clock.monotonic()
         _, connection = await loop.create_connection(
             lambda: UpstreamConnection(
                 loop, now, self._buffer_bytes, self._unacknowledged_timeout_ms
             ),
-            host.strip("[]"),
-            int(port),
+            host,
+            port,
         )
         return connection
--- a/src/lacewingstair/http_server.py
+++ b/src/lacewingstair/http_server.py
@@ -9,8 +9,8 @@
 from aiohttp.http import RawRequestMessage
 from result import Err, Ok, Result
 
+from lacewingstair.addresses import split_address
 from lacewingstair.errors import ListenError
-from lacewingstair.settings.values import split_address
 
 # Idle connections of callers are closed by callers, which know their own pools; the
 # limit only removes connections whose other end has gone silent.
--- a/src/lacewingstair/platform/announcements.py
+++ b/src/lacewingstair/platform/announcements.py
@@ -11,7 +11,7 @@
 from lacewingstair.backend_server.register import UpstreamReport, Verdict
 from lacewingstair.errors import AnnouncementError, Fault
 from lacewingstair.platform.durations import parse_duration
-from lacewingstair.vm.entries import UpstreamState
+from lacewingstair.vm.entries import MAX_NUMBER, MAX_SLOTS, UpstreamState, is_name
 
 MAX_BODY_BYTES = 64 << 10
 _STATES_BY_WORD = {"ready": UpstreamState.READY, "draining": UpstreamState.DRAINING}
@@ -75,6 +75,9 @@
     upstream_id: str, body: bytes
 ) -> Result[UpstreamReport, AnnouncementError]:
     """Return the report in a body, or its faults."""
+    if not is_name(upstream_id):
+        reason = "the id is not a text of the usual form"
+        return Err(AnnouncementError((Fault(f"{upstream_id:.40}", reason),)))
     try:
         document = json.loads(body)
         info, status = document["info"], document["status"]
@@ -83,14 +86,20 @@
             service=_text(info, "service"),
             address=_text(document, "address"),
             version=_text(info, "version"),
-            slots=_count(info, "slots"),
+            slots=_count(info, "slots", MAX_SLOTS),
             state=_STATES_BY_WORD[status["state"]],
             sequence=_count(status, "seq"),
             # The only field that is a plain number: the platform's own clock, in ms.
             born_ms=_count(document, "born") if "born" in document else 0,
             cold_ms=_cold_ms(status),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        RecursionError,
+    ) as error:
         reason = f"{type(error).__name__}: {error!s:.200}"
         return Err(AnnouncementError((Fault(upstream_id, reason),)))
     return Ok(report)
@@ -98,15 +107,15 @@
 
 def _text(section: Any, name: str) -> str:
     value = section[name]
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"{name} {value!r:.40} is not a text")
+    if not value or not is_name(value):
+        raise ValueError(f"{name} is not a text")
     return value
 
 
-def _count(section: Any, name: str) -> int:
+def _count(section: Any, name: str, most: int = MAX_NUMBER) -> int:
     value = section[name]
-    if type(value) is not int or value < 0:
-        raise ValueError(f"{name} {value!r:.40} is not a whole number of 0 or more")
+    if type(value) is not int or not 0 <= value <= most:
+        raise ValueError(f"{name} is not a whole number from 0 to {most}")
     return value
 
 
--- a/src/lacewingstair/platform/headers.py
+++ b/src/lacewingstair/platform/headers.py
@@ -17,6 +17,7 @@
 LOAD = "Server-Load"
 KEEP_ALIVE = "Keep-Alive"
 MAX_DEADLINE_MS = 3_600_000
+_MAX_DIGITS = 10
 
 # The system sets these itself, or frames the body anew.
 _REQUEST_DROPPED = frozenset(
@@ -47,7 +48,7 @@
 def deadline_ms(fields: CIMultiDictProxy[str]) -> float | None:
     """Return how long the caller will wait; None when it does not say."""
     text = fields.get(DEADLINE, "")
-    if not (text.isascii() and text.isdigit() and len(text) <= 10):
+    if not _is_count(text):
         return None
     return float(min(int(text), MAX_DEADLINE_MS))
 
@@ -83,7 +84,7 @@
 def upstream_load(fields: CIMultiDictProxy[str]) -> UpstreamLoad | None:
     """Return the load that an answer states, or None."""
     parts = fields.get(LOAD, "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    if len(parts) != 3 or not all(_is_count(part.strip()) for part in parts):
         return None
     return UpstreamLoad(*(int(part) for part in parts))
 
@@ -97,11 +98,16 @@
     """Return the idle time after which the upstream closes a connection."""
     for part in fields.get(KEEP_ALIVE, "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
+        if name.lower() == "timeout" and _is_count(value):
             return float(value)
     return None
 
 
+def _is_count(text: str) -> bool:
+    """Return whether a text is a plain whole number of a usual size."""
+    return text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS
+
+
 def _kept_lines(
     raw_headers: Iterable[tuple[bytes, bytes]], dropped: frozenset[bytes]
 ) -> bytes:
--- a/src/lacewingstair/settings/reader.py
+++ b/src/lacewingstair/settings/reader.py
@@ -9,6 +9,7 @@
 import attrs
 from result import Err, Ok, Result
 
+from lacewingstair.addresses import split_address
 from lacewingstair.errors import Fault, SettingsError
 from lacewingstair.platform.bounds import parse_bounds
 from lacewingstair.settings.declarations import (
@@ -20,7 +21,6 @@
 )
 from lacewingstair.settings.fields import Setting, declared
 from lacewingstair.settings.lines import Lines, scan_lines
-from lacewingstair.settings.values import split_address
 
 # configparser copies its default section into all others; no file can name this one.
 _NO_DEFAULT_SECTION = "\0"
--- a/src/lacewingstair/settings/values.py
+++ b/src/lacewingstair/settings/values.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from lacewingstair.addresses import split_address
+
 MAX_NAME_CHARACTERS = 100
 
 # Names, IPv4 and IPv6 addresses; the latter contain colons.
@@ -183,9 +185,3 @@
         if not math.isfinite(value) or not self.low <= value <= self.high:
             raise ValueError(text)
         return value
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of ``ip:port``; brackets of IPv6 are removed."""
-    host, _, port = address.rpartition(":")
-    return host.removeprefix("[").removesuffix("]"), int(port)
--- a/src/lacewingstair/vm/call_messages.py
+++ b/src/lacewingstair/vm/call_messages.py
@@ -387,7 +387,7 @@
         if cls is CallRefused:
             fields["reason"] = RefusalReason(fields["reason"])
         return Ok(cls(**fields))
-    except (ValueError, TypeError, KeyError) as error:
+    except (ValueError, TypeError, KeyError, RecursionError) as error:
         return Err(FrameError(f"not a message: {error!r:.100}"))
 
 
--- a/src/lacewingstair/vm/call_server.py
+++ b/src/lacewingstair/vm/call_server.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from lacewingstair import events
+from lacewingstair.addresses import split_address
 from lacewingstair.backend_server.gate import Gate
 from lacewingstair.errors import ListenError
 from lacewingstair.vm import distances
@@ -82,9 +83,9 @@
 
     async def listen(self) -> Result[None, ListenError]:
         """Accept connections."""
-        host, _, port = self._address.rpartition(":")
         try:
-            self._server = await asyncio.start_server(self._accept, host, int(port))
+            host, port = split_address(self._address)
+            self._server = await asyncio.start_server(self._accept, host, port)
         except OSError as error:
             return Err(ListenError(self._address, error.strerror or str(error)))
         return Ok(None)
--- a/src/lacewingstair/vm/call_streams.py
+++ b/src/lacewingstair/vm/call_streams.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from lacewingstair import events
+from lacewingstair.addresses import split_address
 from lacewingstair.errors import ConnectError
 from lacewingstair.sockets import detect_silence
 from lacewingstair.vm import call_messages, distances
@@ -136,10 +137,10 @@
     address: str, traffic: StreamTraffic | None = None
 ) -> Result[CallStream, ConnectError]:
     """Open a stream to ``ip:port``."""
-    host, _, port = address.rpartition(":")
     try:
+        host, port = split_address(address)
         async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await asyncio.open_connection(host, port)
     except (OSError, TimeoutError, ValueError) as error:
         return Err(ConnectError(address, str(error) or type(error).__name__))
     return Ok(CallStream(reader, writer, traffic))
--- a/src/lacewingstair/vm/entries.py
+++ b/src/lacewingstair/vm/entries.py
@@ -1,16 +1,22 @@
 """What VMs know about each other: one entry a VM, the newest one counts."""
 
 import enum
+import ipaddress
 from collections.abc import Callable, Iterable, Iterator
 
 import attrs
 import msgpack
 from result import Err, Ok, Result
 
+from lacewingstair.addresses import split_address
 from lacewingstair.errors import FrameError
 from lacewingstair.vm import distances
 
 ENTRY_FORMAT = 2
+# Far beyond what VMs write, and far below what can be encoded once it was raised.
+MAX_NUMBER = 1 << 53
+MAX_SLOTS = 100_000
+_MAX_NAME_CHARACTERS = 255
 
 
 class UpstreamState(enum.Enum):
@@ -74,12 +80,11 @@
 
 
 _FIELDS = tuple(field.name for field in attrs.fields(VmEntry))
-_TYPES = {
-    "incarnation": int,
-    "sequence": int,
-    "slots": int,
-    "is_leaving": bool,
-    "bandwidth_kbps": int,
+_MAX_BY_NAME = {
+    "incarnation": MAX_NUMBER,
+    "sequence": MAX_NUMBER,
+    "slots": MAX_SLOTS,
+    "bandwidth_kbps": MAX_NUMBER,
 }
 
 
@@ -90,6 +95,14 @@
     )
 
 
+def is_name(value: object) -> bool:
+    """Return whether a value is a text that an entry can hold, if only an empty one."""
+    if type(value) is not str or len(value) > _MAX_NAME_CHARACTERS:
+        return False
+    # Lone surrogates cannot be encoded.
+    return value.isprintable()
+
+
 def encode_entry(entry: VmEntry) -> bytes:
     """Return the msgpack form of an entry."""
     return msgpack.packb([ENTRY_FORMAT, *entry_values(entry)])
@@ -106,18 +119,35 @@
     """Return the entry of such values; raise ValueError when they are not valid."""
     found = dict(zip(_FIELDS, values, strict=True))
     for name, value in found.items():
-        expected = _TYPES.get(name, str)
-        if type(value) is not expected:
-            raise ValueError(f"{name} {value!r:.40} is not of {expected.__name__}")
+        _check_value(name, value)
+    host, port = split_address(found["address"])
+    ipaddress.ip_address(host)
+    if not port:
+        raise ValueError("the port of the address is 0")
     return VmEntry(**{**found, "state": UpstreamState(found["state"])})
 
 
+def _check_value(name: str, value: object) -> None:
+    """Raise ValueError for a value that another writer may have left.
+
+    The error does not show the value, which may be nested too deeply for that.
+    """
+    if name == "is_leaving":
+        is_valid = type(value) is bool
+    elif name in _MAX_BY_NAME:
+        is_valid = type(value) is int and 0 <= value <= _MAX_BY_NAME[name]
+    else:
+        is_valid = is_name(value)
+    if not is_valid:
+        raise ValueError(f"{name} is not of its type or out of its range")
+
+
 def decode_entry(data: bytes) -> Result[VmEntry, FrameError]:
     """Return the entry in its msgpack form."""
     try:
         version, *values = msgpack.unpackb(data)
-        if version != ENTRY_FORMAT:
-            return Err(FrameError(f"format {version!r:.20} of an entry is unknown"))
+        if type(version) is not int or version != ENTRY_FORMAT:
+            return Err(FrameError("the format of an entry is unknown"))
         return Ok(entry_of_values(values))
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         return Err(FrameError(f"not an entry: {error!s:.100}"))
--- a/src/lacewingstair/vm/transport.py
+++ b/src/lacewingstair/vm/transport.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from lacewingstair import events
+from lacewingstair.addresses import split_address
 from lacewingstair.errors import ConnectError, FrameError, ListenError
 from lacewingstair.vm.frames import (
     HEADER_BYTES,
@@ -193,10 +194,10 @@
 
     async def connect(self, address: str) -> Result[MessageStream, ConnectError]:
         """Open a stream to ``ip:port``."""
-        host, _, port = address.rpartition(":")
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(self.connect_timeout_seconds):
-                reader, writer = await asyncio.open_connection(host, int(port))
+                reader, writer = await asyncio.open_connection(host, port)
         except (OSError, TimeoutError, ValueError) as error:
             return Err(ConnectError(address, str(error) or type(error).__name__))
         return Ok(TcpStream(reader, writer, self._encoder, self.max_queued_bytes))
@@ -219,9 +220,9 @@
             finally:
                 stream.close()
 
-        host, _, port = address.rpartition(":")
         try:
-            server = await asyncio.start_server(accept, host, int(port))
+            host, port = split_address(address)
+            server = await asyncio.start_server(accept, host, port)
         except (OSError, ValueError) as error:
             return Err(ListenError(address, str(error)))
         return Ok(TcpListener(server))
--- a/tests/caller/test_server.py
+++ b/tests/caller/test_server.py
@@ -61,7 +61,7 @@
     async def running(self, handler=None, upstreams=1, ticket=TICKET):
         store = StateStore()
         store.apply([TicketRecord(0, json.dumps(ticket))])
-        directory = Directory()
+        self.directory = directory = Directory()
         backends = []
         for number in range(upstreams):
             backend = await asyncio.start_server(handler or self.script, "127.0.0.1", 0)
