--- a/tests/backend_server/test_pool.py
+++ b/tests/backend_server/test_pool.py
@@ -114,7 +114,8 @@
         select.select([connection.transport.get_extra_info("socket")], [], [])
         assert (await pool.acquire(address, 24)).unwrap() is not connection
         pool.close()
-        writer.close()
+        for opened in (writer, await accepted.get()):
+            opened.transport.abort()
         listener.close()
 
     asyncio.run(main())
--- a/tests/caller/test_server.py
+++ b/tests/caller/test_server.py
@@ -51,6 +51,18 @@
 }
 
 
+def closing(handler):
+    """Return a handler whose connection is closed however it ends."""
+
+    async def serve(reader, writer):
+        try:
+            await handler(reader, writer)
+        finally:
+            writer.close()
+
+    return serve
+
+
 class Site:
     """A call server and a scripted backend server on loopback sockets."""
 
@@ -63,8 +75,9 @@
         store.apply([TicketRecord(0, json.dumps(ticket))])
         self.directory = directory = Directory()
         backends = []
+        answer = closing(handler or self.script)
         for number in range(upstreams):
-            backend = await asyncio.start_server(handler or self.script, "127.0.0.1", 0)
+            backend = await asyncio.start_server(answer, "127.0.0.1", 0)
             backends.append(backend)
             address = f"127.0.0.1:{backend.sockets[0].getsockname()[1]}"
             endpoints = (Endpoint("board", "v1", address),)
--- a/tests/test_link_standin.py
+++ b/tests/test_link_standin.py
@@ -55,6 +55,7 @@
             writer.write(data)
             writer.write_eof()
             assert await reader.read(-1) == data
+            writer.close()
 
         loop = asyncio.get_running_loop()
         started = loop.time()
--- a/tests/vm/test_call_link.py
+++ b/tests/vm/test_call_link.py
@@ -49,8 +49,11 @@
     async def _accept(self, reader, writer):
         stream = call_streams.CallStream(reader, writer)
         self.streams.append(stream)
-        async for message in stream.messages():
-            self.received.append(message)
+        try:
+            async for message in stream.messages():
+                self.received.append(message)
+        finally:
+            stream.abort()
 
     def stop(self):
         self._server.close()
