Write the own entry again after another writer has replaced it

An unreadable entry under the key of a VM was passed over by that VM as well, so that VMs which started later did not know it until it changed. Found by a test that fills the store of a whole mesh with odd entries (failed before): processes that start learn all VMs, the others follow entries and configurations, and calls are served. Odd records of operators harmed nothing before this either; the tests show it.

--- a/src/lacewingstair/metadata/records.py
+++ b/src/lacewingstair/metadata/records.py
@@ -147,6 +147,9 @@
             decoded = decode_entry(record.value)
             if isinstance(decoded, Err) or decoded.ok_value.vm_id != record.key:
                 events.warning("entry_unreadable", key=record.key, offset=record.offset)
+                if record.key == self._registration.entry.vm_id:
+                    # VMs that start now cannot know this one until it is written again.
+                    self._registration.missing()
                 continue
             entry = decoded.ok_value
             if entry.vm_id == self._registration.entry.vm_id:
