Test refusals that are written once more over whole meshes, and budgets in any order

The stand-in of a backend server can write an earlier refusal once more before it runs a call; a mesh then keeps its promises: no call that is said not to have run has run, and none runs twice. A property-based test draws orders of calls, repeats and repeats of other layers for one budget.

--- a/tests/platform/upstream_standin.py
+++ b/tests/platform/upstream_standin.py
@@ -69,7 +69,9 @@
         ``ok``, ``truncate``, ``reset``, ``extra`` (a second answer), ``late extra``
         (the second answer comes after a while), ``unframed``, ``unframed reset``,
         ``interim`` (after 1xx answers), ``small chunks``, ``unsigned``, ``shed``,
-        ``error``, ``silent`` or one of the endless answers.
+        ``error``, ``silent``, ``repeated refusal`` or ``repeated refusal without id``
+        (the first call on a connection is refused, and each later one runs after that
+        refusal was written once more), or one of the endless answers.
     trickle_seconds : float
         Pause after every few bytes of an endless answer; 0 sends as fast as possible.
     endless_bytes : int
@@ -89,6 +91,7 @@
         self.address = ""
         self._server = None
         self._writers = set()
+        self._refusals_by_writer = {}
 
     async def start(self):
         self._server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -139,6 +142,14 @@
                 _head(503, f"Not-Executed: 1\r\nRequest-Id: {request_id}\r\n", 0)
             )
             return True
+        if self.behaviour.startswith("repeated refusal"):
+            has_id = not self.behaviour.endswith("without id")
+            field = f"Request-Id: {request_id}\r\n" if has_id else ""
+            is_first = writer not in self._refusals_by_writer
+            refusal = _head(503, f"Not-Executed: 1\r\n{field}", 0)
+            writer.write(self._refusals_by_writer.setdefault(writer, refusal))
+            if is_first:
+                return True
         self.runs.append(request_id)
         if not await self._work(reader, request_id):
             return False
@@ -174,7 +185,7 @@
         body = f"answer of {request_id}".encode()
         signed = f"Response-Signature: s\r\nRequest-Id: {request_id}\r\n"
         match self.behaviour:
-            case "ok":
+            case "ok" | "repeated refusal" | "repeated refusal without id":
                 writer.write(_head(200, signed, len(body)) + body)
             case "truncate":
                 writer.write(_head(200, signed, len(body)) + body[:4])
--- /dev/null
+++ b/tests/routing/test_limits_in_any_order.py
@@ -0,0 +1,60 @@
+"""Whatever order calls and repeats come in, a budget allows no more than its share."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lacewingstair.routing.limits import RETRY_BURST_SECONDS, RetryBudget
+from lacewingstair.standins.load import EventQueue
+
+WINDOW_SECONDS = 10.0
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["call", "call", "call", "repeat", "take", "take", "wait"]),
+        st.integers(1, 40),
+    ),
+    max_size=60,
+)
+
+
+def played(steps, share, minimum_per_second, sharers):
+    """Return (second, kind) of each call, repeat and repeat of another layer."""
+    clock = EventQueue()
+    budget = RetryBudget(clock, share, minimum_per_second, lambda: sharers)
+    found = []
+    for kind, count in steps:
+        if kind == "wait":
+            clock.run_until(clock.now + count / 4)
+            continue
+        for _ in range(count):
+            if kind == "call":
+                budget.count_call()
+            elif kind == "repeat":
+                budget.count_repeat()
+            elif not budget.take():
+                break
+            found.append((clock.now, kind))
+    return found
+
+
+@given(STEPS, st.sampled_from([0.05, 0.16, 0.2]), st.sampled_from([0.0, 3.0]))
+def test_no_window_has_more_repeats_than_its_calls_earn(steps, share, minimum):
+    """Guards against an order of events that hides repeats from the budget."""
+    sharers = 4
+    events = played(steps, share, minimum, sharers)
+    own = minimum / sharers
+    saved = max(1.0, own * RETRY_BURST_SECONDS)
+    for end, kind in events:
+        if kind != "take":
+            continue
+        window = [k for at, k in events if end - WINDOW_SECONDS < at <= end]
+        earned = share * window.count("call") + own * WINDOW_SECONDS
+        # One call can come after the last repeat at the same instant.
+        assert window.count("take") <= saved + earned + 1e-6
+
+
+@given(STEPS, st.sampled_from([0.05, 0.16, 0.2]))
+def test_repeats_of_other_layers_leave_less_for_direct_ones(steps, share):
+    """Guards against budgets that do not know what other layers repeat."""
+    without = [step for step in steps if step[0] != "repeat"]
+    allowed = [k for _, k in played(steps, share, 0.0, 1)].count("take")
+    assert allowed <= [k for _, k in played(without, share, 0.0, 1)].count("take")
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -236,6 +236,29 @@
     with_mesh(check)
 
 
+@pytest.mark.parametrize(
+    "behaviour", ["repeated refusal", "repeated refusal without id"]
+)
+def test_refusals_that_are_written_once_more_break_no_promise(behaviour):
+    """Guards against calls that are said not to have run, or run twice, for them."""
+
+    async def check(_, vms, session):
+        for vm in vms[:2]:
+            vm.upstream.behaviour = behaviour
+            vm.upstream.seconds = 0.02
+        statuses_by_id = {}
+        for number in range(40):
+            request_id = f"q{number}"
+            status, _, _ = await vms[2].call(session, "/load/1", "POST", request_id)
+            statuses_by_id[request_id] = status
+        runs = [request_id for vm in vms for request_id in vm.upstream.runs]
+        assert len(runs) == len(set(runs)) >= 20
+        refused = {found for found, status in statuses_by_id.items() if status == 503}
+        assert not refused & set(runs)
+
+    with_mesh(check)
+
+
 def test_a_call_refused_by_all_says_when_to_come_back():
     async def check(_, vms, session):
         for vm in vms[:2]:
