Add a randomized soak of the daemon processes

Six daemons as processes beside stand-ins, callers on kept connections, and faults that a seed draws and that overlap: kills, planned stops, pauses, reloads, a store that refuses, loses answers, is delayed, reset, cut one way or silent, backend servers behind the same proxy or that misbehave, storms of configurations. A checker judges calls and arrivals alone; a test breaks each promise in a history and sees it named.

--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,71 @@
+"""Command line of the soak: ``python -m soak --seeds=50``."""
+
+import asyncio
+import random
+import tempfile
+from pathlib import Path
+
+import fire
+
+from soak.history import shown
+from soak.run import Directory, Verdict, run
+
+
+def main(
+    seeds: int = 1,
+    first_seed: int = 0,
+    seconds: float = 20.0,
+    at_once: int = 1,
+    planned: bool = False,
+) -> None:
+    """Run seeds and exit with 1 if any promise was broken.
+
+    Parameters
+    ----------
+    seeds : int
+        How many.
+    first_seed : int
+        The first of them, the others follow; 0 draws a fresh one.
+    seconds : float
+        Time with faults.
+    at_once : int
+        Runs at the same time.
+    planned : bool
+        Whether only planned work is drawn.
+    """
+    first = first_seed or random.randrange(1, 1 << 30)
+    drawn = range(first, first + seeds)
+    verdicts = asyncio.run(_run_all(drawn, seconds, at_once, planned))
+    failed = [verdict for verdict in verdicts if verdict.faults]
+    print(f"{len(verdicts) - len(failed)} passed, {len(failed)} failed")
+    raise SystemExit(bool(failed))
+
+
+async def _run_all(
+    seeds: range, seconds: float, at_once: int, is_planned: bool
+) -> list[Verdict]:
+    slots = asyncio.Semaphore(at_once)
+
+    async def one(number: int, seed: int) -> Verdict:
+        async with slots:
+            path = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+            directory = Directory(path, number)
+            verdict = await run(seed, seconds, directory, is_planned=is_planned)
+            _print(verdict, path)
+            return verdict
+
+    runs = (one(number % 250, seed) for number, seed in enumerate(seeds))
+    return await asyncio.gather(*runs)
+
+
+def _print(verdict: Verdict, path: Path) -> None:
+    outcome = "failed" if verdict.faults else "passed"
+    counts = ", ".join(f"{s}: {n}" for s, n in sorted(verdict.statuses.items()))
+    print(f"seed {verdict.seed}: {outcome}, calls by status {counts}", flush=True)
+    if verdict.faults:
+        print(f"  logs: {path}\n  schedule: {', '.join(verdict.schedule)}")
+        print(shown(verdict.faults), flush=True)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
