--- a/tests/platform/upstream_standin.py
+++ b/tests/platform/upstream_standin.py
@@ -175,6 +175,8 @@
         closed = asyncio.ensure_future(reader.read(1))
         done, _ = await asyncio.wait((closed,), timeout=self.seconds)
         if done:
+            # A reset is an end like any other here.
+            closed.exception()
             self.cancelled.append(request_id)
             return False
         closed.cancel()
