Hold back reload signals until the daemon can handle them

Loading the program takes a good part of a second. The entry point now blocks the signal first, and lets it through once there is a handler.

--- a/deploy/lacewingstaird.py
+++ b/deploy/lacewingstaird.py
@@ -5,7 +5,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
-from lacewingstair.process import main
+from lacewingstair.entry import main
 
 if __name__ == "__main__":
     main()
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,6 +9,7 @@
 
 from soak.history import shown
 from soak.run import Directory, Verdict, run
+from soak.seeds import CAUSES_BY_SEED, KEPT_SECONDS
 
 
 def main(
@@ -17,6 +18,7 @@
     seconds: float = 20.0,
     at_once: int = 1,
     planned: bool = False,
+    kept: bool = False,
 ) -> None:
     """Run seeds and exit with 1 if any promise was broken.
 
@@ -32,9 +34,12 @@
         Runs at the same time.
     planned : bool
         Whether only planned work is drawn.
+    kept : bool
+        Whether the seeds that have failed before are run in place of others.
     """
     first = first_seed or random.randrange(1, 1 << 30)
-    drawn = range(first, first + seeds)
+    drawn = list(CAUSES_BY_SEED) if kept else list(range(first, first + seeds))
+    seconds = KEPT_SECONDS if kept else seconds
     verdicts = asyncio.run(_run_all(drawn, seconds, at_once, planned))
     failed = [verdict for verdict in verdicts if verdict.faults]
     print(f"{len(verdicts) - len(failed)} passed, {len(failed)} failed")
@@ -42,7 +47,7 @@
 
 
 async def _run_all(
-    seeds: range, seconds: float, at_once: int, is_planned: bool
+    seeds: list[int], seconds: float, at_once: int, is_planned: bool
 ) -> list[Verdict]:
     slots = asyncio.Semaphore(at_once)
 
--- /dev/null
+++ b/soak/seeds.py
@@ -0,0 +1,7 @@
+"""Seeds that have failed, with their cause; ``python -m soak --kept`` runs them."""
+
+KEPT_SECONDS = 15.0
+CAUSES_BY_SEED = {
+    1003: "a reload signal ended a process that had just been started",
+    1026: "a reload signal ended a process that had just been started",
+}
--- a/soak/site.py
+++ b/soak/site.py
@@ -71,7 +71,7 @@
         self.is_ended = False
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "lacewingstair.process", str(self.file)],
+                [sys.executable, "-m", "lacewingstair.entry", str(self.file)],
                 stdout=log,
                 stderr=log,
                 env={**os.environ, "PYTHONPATH": str(SOURCE)},
--- /dev/null
+++ b/src/lacewingstair/entry.py
@@ -0,0 +1,30 @@
+"""Entry point of the daemon's process.
+
+A reload signal ends a process that has no handler yet. It can come as the process is
+started again, and loading the program takes a good part of a second, so the signal is
+held back from the first moment until there is a handler.
+"""
+
+import signal
+
+
+def hold_reload_signals() -> None:
+    """Let reload signals wait."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
+
+def release_reload_signals() -> None:
+    """Deliver reload signals, the ones that have waited first."""
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+
+
+def main() -> None:
+    """Entry point of ``lacewingstaird SETTINGS_FILE``."""
+    hold_reload_signals()
+    from lacewingstair import process
+
+    process.main()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/lacewingstair/process.py
+++ b/src/lacewingstair/process.py
@@ -15,6 +15,7 @@
 from result import Err, Result
 
 from lacewingstair import events
+from lacewingstair.entry import release_reload_signals
 from lacewingstair.errors import ListenError
 from lacewingstair.garbage_collection import tune_garbage_collection
 from lacewingstair.registry import Registry
@@ -104,6 +105,7 @@
         self._daemon = build(self.settings, self._clock, random.Random())
         if self.settings_path and hasattr(self._daemon, "reload"):
             self.loop.add_signal_handler(signal.SIGHUP, self._on_reload)
+        release_reload_signals()
         started = await self._daemon.start()
         if isinstance(started, Err):
             print(f"lacewingstaird: {started.err_value}", file=sys.stderr)
