--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -4,4 +4,5 @@
 CAUSES_BY_SEED = {
     1003: "a reload signal ended a process that had just been started",
     1026: "a reload signal ended a process that had just been started",
+    1043: "a reload signal ended a process that had just been started",
 }
