--- a/soak/site.py
+++ b/soak/site.py
@@ -220,9 +220,12 @@
         """End all processes that this site has started, and the stand-ins."""
         for task in self._tasks:
             task.cancel()
+        # Processes first: nothing that is cancelled meanwhile may leave one behind.
         for vm in self.vms:
-            vm.wake()
-            vm.kill()
+            if vm.process is not None:
+                vm.wake()
+                vm.kill()
+        for vm in filter(lambda vm: vm.proxy, self.vms):
             await vm.proxy.stop()
             vm.upstream.stop()
         await self.store_proxy.stop()
