Start with less: no certificates, aiomisc or prometheus_client in the sidecar

Change: certificates are loaded for https alone; the sidecar runs on a plain loop of uvloop; its metrics are plain values that prometheus_client shows when asked; collections begin after the start. Calls to the store are a metric and a log line.

Ruled out: -OO (1.7 MB, no time; drops assertions), no_debug_ranges (0.1 MB), a start without ssl (uvloop needs it).

Of what is left, 157 ms are attrs compiling the methods of 147 classes.

--- a/src/lacewingstair/entry.py
+++ b/src/lacewingstair/entry.py
@@ -5,6 +5,7 @@
 held back from the first moment until there is a handler.
 """
 
+import gc
 import signal
 
 
@@ -21,6 +22,12 @@
 def main() -> None:
     """Entry point of ``lacewingstaird SETTINGS_FILE``."""
     hold_reload_signals()
+    # Nearly all that is loaded stays; `garbage_collection` turns collections on.
+    gc.disable()
+    from lacewingstair.tls import no_certificates
+
+    with no_certificates():
+        import aiohttp  # noqa: F401 - loads certificates as it is imported
     from lacewingstair import process
 
     process.main()
--- a/src/lacewingstair/garbage_collection.py
+++ b/src/lacewingstair/garbage_collection.py
@@ -12,3 +12,4 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
+    gc.enable()
--- a/src/lacewingstair/metrics/sidecar.py
+++ b/src/lacewingstair/metrics/sidecar.py
@@ -1,79 +1,77 @@
-"""Prometheus metrics of a VM on a platform with a metadata store."""
+"""Metrics of a VM on a platform with a metadata store.
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+The values are kept in plain objects. `metrics.sidecar_page` shows them with
+prometheus_client, which takes memory and time at a start and is loaded when the metrics
+are first asked for.
+"""
 
-from lacewingstair.metrics.followed import FollowedCounter
-from lacewingstair.metrics.names import metric_names
+import bisect
+from collections import Counter
+from collections.abc import Callable, Mapping
 
 # Bounds in seconds.
 CALL_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.6, 1.2, 2.5, 5.0)
 LAG_BUCKETS = (0.002, 0.01, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
 
+LabelledValues = Mapping[tuple[str, ...], float]
+
+
+class HistogramValues:
+    """Numbers of observations by upper bound.
+
+    Parameters
+    ----------
+    bounds : tuple of float
+        Upper bounds, ascending; greater values are counted behind the last one.
+
+    Attributes
+    ----------
+    counts : list of int
+        Observations of each bucket, not cumulated.
+    total : float
+        Sum of all observations.
+    """
+
+    def __init__(self, bounds: tuple[float, ...]) -> None:
+        self.bounds = bounds
+        self.counts = [0] * (len(bounds) + 1)
+        self.total = 0.0
+
+    def observe(self, value: float) -> None:
+        """Count one value."""
+        self.counts[bisect.bisect_left(self.bounds, value)] += 1
+        self.total += value
+
 
 class SidecarMetrics:
-    """Counters and histograms, in a registry of their own.
+    """Counters and histograms of one process.
 
     Attributes
     ----------
-    registry : CollectorRegistry
-        What ``/metrics`` shows.
+    calls_by_status, runs_by_status : Counter
+        Calls of callers, and calls at the backend server; status 0 is no answer.
+    call_seconds, run_seconds, loop_lag_seconds : HistogramValues
+        Durations in seconds.
+    mesh_bytes, store_calls, upstream_arrivals : callable
+        Return values that other parts keep, by their labels.
     """
 
     def __init__(self) -> None:
-        self.registry = CollectorRegistry()
-        self.calls = Counter(
-            "lacewingstair_caller_calls",
-            "Calls of callers on this VM, by status; 0 without an answer.",
-            ("status",),
-            registry=self.registry,
-        )
-        self.call_seconds = Histogram(
-            "lacewingstair_caller_call_seconds",
-            "Time from the head of a call to its answer, seconds.",
-            buckets=CALL_BUCKETS,
-            registry=self.registry,
-        )
-        self.runs = Counter(
-            "lacewingstair_upstream_runs",
-            "Calls sent to the backend server of this VM, by status; 0 without one.",
-            ("status",),
-            registry=self.registry,
-        )
-        self.run_seconds = Histogram(
-            "lacewingstair_upstream_run_seconds",
-            "Time that a call takes at the gate and the backend server, seconds.",
-            buckets=CALL_BUCKETS,
-            registry=self.registry,
-        )
-        self.loop_lag_seconds = Histogram(
-            "lacewingstair_loop_lag_seconds",
-            "Delay of the event loop at checks, four a second, seconds.",
-            buckets=LAG_BUCKETS,
-            registry=self.registry,
-        )
-        self.mesh_bytes = FollowedCounter(
-            "lacewingstair_mesh_bytes",
-            "Bytes between VMs and with the store, by kind, distance and direction.",
-            ("kind", "distance", "direction"),
-        )
-        self.registry.register(self.mesh_bytes)
-        self.upstream_arrivals = FollowedCounter(
-            "lacewingstair_upstream_arrivals",
-            "Calls sent to the backend server of this VM, by why they were sent.",
-            ("origin",),
-        )
-        self.registry.register(self.upstream_arrivals)
-
-    def names(self) -> list[str]:
-        """Return the name of every metric as ``/metrics`` shows it."""
-        return metric_names(self.registry)
+        self.calls_by_status: Counter[int] = Counter()
+        self.runs_by_status: Counter[int] = Counter()
+        self.call_seconds = HistogramValues(CALL_BUCKETS)
+        self.run_seconds = HistogramValues(CALL_BUCKETS)
+        self.loop_lag_seconds = HistogramValues(LAG_BUCKETS)
+        self.mesh_bytes: Callable[[], LabelledValues] = dict
+        self.store_calls: Callable[[], LabelledValues] = dict
+        self.upstream_arrivals: Callable[[], LabelledValues] = dict
 
     def count_call(self, route: str, status: int, seconds: float) -> None:
         """Count one call of a caller."""
-        self.calls.labels(str(status)).inc()
+        self.calls_by_status[status] += 1
         self.call_seconds.observe(seconds)
 
     def count_run(self, route: str, status: int, ms: float) -> None:
         """Count one call at the backend server."""
-        self.runs.labels(str(status)).inc()
+        self.runs_by_status[status] += 1
         self.run_seconds.observe(ms / 1000)
--- a/src/lacewingstair/operator/sidecar_api.py
+++ b/src/lacewingstair/operator/sidecar_api.py
@@ -4,8 +4,8 @@
 from typing import Any
 
 from aiohttp import web
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.exposition import CONTENT_TYPE_LATEST
+
+from lacewingstair.metrics.sidecar import SidecarMetrics
 
 MAX_BODY_BYTES = 1024
 
@@ -17,12 +17,12 @@
     ----------
     status : callable
         Returns a JSON object.
-    metrics : CollectorRegistry
+    metrics : SidecarMetrics
         Metrics of the process.
     """
 
     def __init__(
-        self, status: Callable[[], Mapping[str, Any]], metrics: CollectorRegistry
+        self, status: Callable[[], Mapping[str, Any]], metrics: SidecarMetrics
     ) -> None:
         self._status = status
         self._metrics = metrics
@@ -38,7 +38,7 @@
         return web.json_response(self._status())
 
     async def _get_metrics(self, _: web.Request) -> web.Response:
-        return web.Response(
-            body=generate_latest(self._metrics),
-            headers={"Content-Type": CONTENT_TYPE_LATEST},
-        )
+        from lacewingstair.metrics import sidecar_page
+
+        page = sidecar_page.render(self._metrics)
+        return web.Response(body=page.body, headers={"Content-Type": page.content_type})
--- a/src/lacewingstair/platform/store.py
+++ b/src/lacewingstair/platform/store.py
@@ -14,6 +14,7 @@
 from lacewingstair.bounded_read import read_bounded
 from lacewingstair.errors import OffsetExpired, StoreConflict, StoreUnavailable
 from lacewingstair.sockets import keep_alive_socket
+from lacewingstair.tls import verification_of
 
 OPERATOR_TOPIC = "keyed.op"
 STATUS_TOPIC = "keyed.status"
@@ -217,7 +218,10 @@
     def _open_session(self) -> ClientSession:
         if self._session is None:
             connector = TCPConnector(
-                socket_factory=lambda info: keep_alive_socket(info[0], info[1], info[2])
+                socket_factory=lambda info: keep_alive_socket(
+                    info[0], info[1], info[2]
+                ),
+                ssl=verification_of(self._url),
             )
             self._session = ClientSession(connector=connector)
         return self._session
--- a/src/lacewingstair/process.py
+++ b/src/lacewingstair/process.py
@@ -8,9 +8,8 @@
 import sys
 from collections.abc import Callable
 from types import FrameType
-from typing import Any, Protocol
+from typing import Protocol
 
-import aiomisc
 import uvloop
 from result import Err, Result
 
@@ -27,8 +26,6 @@
 EXIT_ERROR = 1
 EXIT_INVALID = 2
 STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
-# The daemon runs nothing in threads, but the entrypoint always makes a pool.
-THREADS = 1
 
 
 class Process(Protocol):
@@ -71,20 +68,29 @@
     return _builders.get(settings.platform.interface)
 
 
-class DaemonService(aiomisc.Service):
-    """Runs one daemon under the entrypoint of aiomisc.
+class DaemonService:
+    """Runs one daemon: its start, its signals and its planned stop.
 
-    The entrypoint calls `start` and, when `run_until_signal` has returned, `stop`,
-    which is the planned stop. A second signal ends the planned stop at once, but a
-    platform that kills the process after a while may repeat its signal in that time.
-    """
+    A runner calls `start` and, when `run_until_signal` has returned, `stop`, which is
+    the planned stop. A second signal ends the planned stop at once, but a platform that
+    kills the process after a while may repeat its signal in that time.
+
+    Parameters
+    ----------
+    settings : Settings
+        Validated settings.
+    settings_path : str
+        File from which a reload signal reads them again; empty without one.
 
-    __required__ = ("settings",)
-    settings: Settings
-    settings_path: str = ""
+    Attributes
+    ----------
+    exit_code : int
+        Exit code of the process.
+    """
 
-    def __init__(self, **options: Any) -> None:
-        super().__init__(**options)
+    def __init__(self, settings: Settings, settings_path: str = "") -> None:
+        self.settings = settings
+        self.settings_path = settings_path
         self.exit_code = EXIT_OK
         self._daemon: Process | None = None
         self._clock = SystemClock()
@@ -94,17 +100,18 @@
 
     async def start(self) -> None:
         """Listen and start the tasks; set `exit_code` when that fails."""
+        loop = asyncio.get_running_loop()
         self._stopping = asyncio.Event()
         self._stopping_now = asyncio.Event()
         for number in STOP_SIGNALS:
-            self.loop.add_signal_handler(number, self._on_signal, number)
+            loop.add_signal_handler(number, self._on_signal, number)
             # The interpreter calls this one at once, even while the loop is busy.
             signal.signal(number, self._note_signal)
             signal.siginterrupt(number, False)
         build = builder_of(self.settings)
         self._daemon = build(self.settings, self._clock, random.Random())
         if self.settings_path and hasattr(self._daemon, "reload"):
-            self.loop.add_signal_handler(signal.SIGHUP, self._on_reload)
+            loop.add_signal_handler(signal.SIGHUP, self._on_reload)
         release_reload_signals()
         started = await self._daemon.start()
         if isinstance(started, Err):
@@ -119,7 +126,7 @@
         """Wait for a stop signal or a failed start."""
         await self._stopping.wait()
 
-    async def stop(self, exception: Exception | None = None) -> None:
+    async def stop(self) -> None:
         """Stop as planned, unless the start failed or a second signal came."""
         if not self._has_started:
             await self._daemon.close()
@@ -166,18 +173,36 @@
         events.warning("stopping_at_once", vm=self.settings.vm_id)
 
 
+Runner = Callable[[DaemonService], None]
+_runners: Registry[Runner] = Registry("runner of a process")
+
+
+@_runners.register(TICKET_LOG)
+def _run_in_entrypoint(service: DaemonService) -> None:
+    from lacewingstair.entrypoint import run_service
+
+    run_service(service)
+
+
+@_runners.register(METADATA_STORE)
+def _run_in_loop(service: DaemonService) -> None:
+    """Run on a plain loop: loading aiomisc is a tenth of the start of a sidecar."""
+
+    async def run_to_end() -> None:
+        await service.start()
+        try:
+            await service.run_until_signal()
+        finally:
+            await service.stop()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run_to_end())
+
+
 def run(settings: Settings, settings_path: str = "") -> int:
     """Run one daemon until a stop signal; return the exit code."""
-    service = DaemonService(settings=settings, settings_path=settings_path)
-    entrypoint = aiomisc.entrypoint(
-        service,
-        loop_factory=uvloop.new_event_loop,
-        pool_size=THREADS,
-        log_config=False,
-        catch_signals=(),
-    )
-    with entrypoint as loop:
-        loop.run_until_complete(service.run_until_signal())
+    service = DaemonService(settings, settings_path)
+    _runners.get(settings.platform.interface)(service)
     return service.exit_code
 
 
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -99,8 +99,9 @@
         self.bounds = parse_bounds(settings.platform.bounds).unwrap()
         self.metrics = SidecarMetrics()
         self.traffic = StreamTraffic()
-        self.metrics.mesh_bytes.follow(self._mesh_bytes)
-        self.metrics.upstream_arrivals.follow(self._arrivals)
+        self.metrics.mesh_bytes = self._mesh_bytes
+        self.metrics.store_calls = self._store_calls
+        self.metrics.upstream_arrivals = self._arrivals
         self.loop_monitor = LoopMonitor(clock, self.metrics.loop_lag_seconds.observe)
         self.configurations = ConfigurationStore()
         self.view = MeshView(settings.vm_id)
@@ -196,7 +197,7 @@
             self.metrics.count_call,
         )
         self.announcements = Announcements(self._take_report, self._take_leave)
-        self.operator = SidecarApi(self.status, self.metrics.registry)
+        self.operator = SidecarApi(self.status, self.metrics)
         self.operator_reading = OperatorReading(
             KeyedTail(
                 self.store,
@@ -349,6 +350,7 @@
             self._apply_register()
             if number % SWEEPS_PER_TRAFFIC_LINE == 0:
                 self._log_traffic()
+                self._log_store_calls()
                 self._log_arrivals()
 
     def _log_traffic(self) -> None:
@@ -359,6 +361,19 @@
             "traffic_total", **{n.replace("-", "_"): s for n, s in fields.items()}
         )
 
+    def _store_calls(self) -> dict[tuple[str], int]:
+        """Return the calls to the store, by operation."""
+        counts = self.store.calls_by_operation.items()
+        return {(operation,): count for operation, count in counts}
+
+    def _log_store_calls(self) -> None:
+        """Log the calls to the store since the start, one field for each operation."""
+        fields = {
+            operation.replace("-", "_"): count
+            for (operation,), count in sorted(self._store_calls().items())
+        }
+        events.info("store_calls_total", **fields)
+
     def _arrivals(self) -> dict[tuple[str], int]:
         """Return the calls sent to the backend server, by why they were sent."""
         counts = self.gate.arrivals_by_origin.items()
--- a/src/lacewingstair/ticket_log/http_log.py
+++ b/src/lacewingstair/ticket_log/http_log.py
@@ -11,6 +11,7 @@
 from lacewingstair.bounded_read import read_bounded
 from lacewingstair.errors import LogRefused, LogUnavailable, OffsetExpired
 from lacewingstair.ticket_log.log import LogBatch, LogRecord
+from lacewingstair.tls import verification_of
 
 REQUEST_TIMEOUT_SECONDS = 5.0
 # A log that answers slowly is still usable; a silent connection is found out by the
@@ -120,7 +121,10 @@
         self, method: str, url: str, wait_seconds: float, **options: Any
     ) -> Result[tuple[int, dict[str, Any]], LogUnavailable]:
         if self._session is None:
-            self._session = aiohttp.ClientSession(trace_configs=[self._trace()])
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(ssl=verification_of(self._url)),
+                trace_configs=[self._trace()],
+            )
         timeout = aiohttp.ClientTimeout(total=wait_seconds + self._timeout.seconds)
         start = asyncio.get_running_loop().time()
         try:
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -32,8 +32,9 @@
     own = {"lacewingstair", "setuptools"}
     assert {"aiohttp", "msgpack"} <= imported
     assert imported - installed - own == set()
-    # Neither is needed there, and both take memory and time at the start.
-    assert imported & {"jsonschema", "cattrs", "fire"} == set()
+    # None is needed there, and each takes memory and time at the start.
+    unneeded = {"jsonschema", "cattrs", "fire", "aiomisc", "prometheus-client"}
+    assert imported & unneeded == set()
 
 
 def test_the_public_names_can_be_imported():
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -4,8 +4,8 @@
 import re
 from pathlib import Path
 
+from lacewingstair.metrics import sidecar_page
 from lacewingstair.metrics.daemon import Metrics
-from lacewingstair.metrics.sidecar import SidecarMetrics
 
 ROOT = Path(__file__).parent.parent
 PAGE = (ROOT / "docs/OPERATIONS.md").read_text("utf-8")
@@ -13,7 +13,7 @@
 ROWS = re.findall(r"^\| ((?:`[a-z_]+`(?:, )?)+) \|", PAGE, re.MULTILINE)
 LISTED = {name for row in ROWS for name in re.findall(r"`([a-z_]+)`", row)}
 LEVELS = {"debug", "info", "warning", "error", "call_line"}
-METRICS = set(Metrics().names()) | set(SidecarMetrics().names())
+METRICS = set(Metrics().names()) | set(sidecar_page.names())
 # Written by the output itself, when it cannot log.
 OTHER_EVENTS = {"lines_dropped"}
 
--- a/tests/test_sidecar_stop.py
+++ b/tests/test_sidecar_stop.py
@@ -507,7 +507,6 @@
 
     async def main():
         service = process.DaemonService(settings=settings)
-        service.set_loop(asyncio.get_running_loop())
         await service.start()
         os.kill(os.getpid(), signal.SIGTERM)
         time.sleep(BUSY_SECONDS)  # noqa: ASYNC251 - this is the busy loop
