Entries are read from the store once after the own one was written

Change: an own write that is read late is told by its offset; changes within 0.1 s are written together; a VM that does not read for others reads the entries once more after its own was written, and then each 15 s at most, as links tell it the rest. A VM that starts waits before it follows a topic, since it mostly finds others that do.

Ruled out: no reads at all after the second one; a late delete of an own entry would never be repaired.

--- a/src/lacewingstair/metadata/records.py
+++ b/src/lacewingstair/metadata/records.py
@@ -142,23 +142,23 @@
         """Take entries of VMs."""
         for record in records:
             if record.value is None:
-                self._drop_entry(record.key)
+                self._drop_entry(record)
                 continue
             decoded = decode_entry(record.value)
             if isinstance(decoded, Err) or decoded.ok_value.vm_id != record.key:
                 events.warning("entry_unreadable", key=record.key, offset=record.offset)
                 if record.key == self._registration.entry.vm_id:
                     # VMs that start now cannot know this one until it is written again.
-                    self._registration.handle_missing_entry()
+                    self._registration.handle_missing_entry(record.offset)
                 continue
             entry = decoded.ok_value
             if entry.vm_id == self._registration.entry.vm_id:
-                self._registration.handle_observed_entry(entry)
+                self._registration.handle_observed_entry(entry, record.offset)
             else:
                 self._view.merge(entry)
 
-    def _drop_entry(self, vm_id: str) -> None:
-        if vm_id == self._registration.entry.vm_id:
-            self._registration.handle_missing_entry()
+    def _drop_entry(self, record: Record) -> None:
+        if record.key == self._registration.entry.vm_id:
+            self._registration.handle_missing_entry(record.offset)
         else:
-            self._view.remove(vm_id)
+            self._view.remove(record.key)
--- a/src/lacewingstair/metadata/tail.py
+++ b/src/lacewingstair/metadata/tail.py
@@ -1,5 +1,6 @@
 """Follows a log that keeps the newest record of each key."""
 
+import math
 import random
 from collections.abc import Callable
 from typing import Protocol
@@ -38,17 +39,17 @@
         Time and randomness.
     wait_seconds : float
         Longest wait of one read.
-    batch_seconds : float
-        Time after a change in which further ones are collected.
+    pause_seconds : callable
+        Returns the time after a change in which further ones are collected.
 
     Attributes
     ----------
-    batch_seconds : float
-        Time after a change in which further ones are collected; it may be changed.
     is_up : bool
         Whether the last call was answered.
     has_read : bool
         Whether the newest records have been read since the start.
+    read_began_at : float
+        When the latest answered call was made, monotonic seconds.
     """
 
     def __init__(
@@ -59,7 +60,7 @@
         clock: Clock,
         rng: random.Random,
         wait_seconds: float,
-        batch_seconds: float,
+        pause_seconds: Callable[[], float],
     ) -> None:
         self._store = store
         self._topic = topic
@@ -67,12 +68,13 @@
         self._clock = clock
         self._rng = rng
         self._wait_seconds = wait_seconds
-        self.batch_seconds = batch_seconds
+        self._pause_seconds = pause_seconds
         self._offsets_by_key: dict[str, int] = {}
         self._next_offset: int | None = None
         self._failures = 0
         self.is_up = False
         self.has_read = False
+        self.read_began_at = -math.inf
 
     async def run(self) -> None:
         """Follow the topic until cancelled; a further run goes on where it ended."""
@@ -87,8 +89,9 @@
         self._next_offset = max(self._next_offset or 0, offset)
 
     async def _follow(self) -> None:
+        began_at = self._clock.monotonic()
         if self._next_offset is None:
-            await self._read_newest()
+            await self._read_newest(began_at)
             return
         # While nothing is written a long read tells nothing about the store, so that
         # the first one of a run, or after a failure, does not wait.
@@ -102,22 +105,22 @@
                 return
             await self._wait_after(error)
             return
-        self._answered()
-        self.has_read = True
+        self._answered(began_at)
         self.skip_to(page.ok_value.next_offset)
         if page.ok_value.records:
             self._deliver(page.ok_value.records, page.ok_value.next_offset)
-            await self._clock.sleep(self.batch_seconds)
+            await self._clock.sleep(self._pause_seconds())
 
-    async def _read_newest(self) -> None:
+    async def _read_newest(self, began_at: float) -> None:
         newest = await self._store.newest(self._topic)
         if isinstance(newest, Err):
             await self._wait_after(newest.err_value)
             return
-        self._answered()
-        self.has_read = True
+        self._answered(began_at)
         self.skip_to(newest.ok_value.next_offset)
         self._deliver(newest.ok_value.records, newest.ok_value.next_offset)
+        # Most VMs that start find others that follow the topic for them meanwhile.
+        await self._clock.sleep(self._pause_seconds())
 
     def _deliver(self, records, next_offset: int) -> None:
         newer = [
@@ -130,7 +133,9 @@
         if newer:
             self._on_records(newer, next_offset - 1)
 
-    def _answered(self) -> None:
+    def _answered(self, began_at: float) -> None:
+        self.has_read = True
+        self.read_began_at = began_at
         if not self.is_up:
             events.info("store_regained", topic=self._topic, failures=self._failures)
         self.is_up = True
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -70,8 +70,9 @@
 # Versions and entries in quick succession are read together.
 CONFIGURATION_BATCH_SECONDS = 0.8
 MESH_BATCH_SECONDS = 1.5
-# VMs that do not read the store for others learn of entries on their links first.
-RELAXED_MESH_BATCH_SECONDS = 6.0
+# VMs that do not read the store for others learn of entries on their links first. What
+# only the store tells them is that a late write has replaced their own entry there.
+RELAXED_MESH_BATCH_SECONDS = 15.0
 SWEEP_SECONDS = 1.0
 SWEEPS_PER_TRAFFIC_LINE = 10
 CONFIGURATION_CHECK_SECONDS = 0.05
@@ -206,7 +207,7 @@
                 clock,
                 rng,
                 CONFIGURATION_WAIT_SECONDS,
-                CONFIGURATION_BATCH_SECONDS,
+                lambda: CONFIGURATION_BATCH_SECONDS,
             ),
             self._entry,
             self.links,
@@ -221,7 +222,7 @@
             clock,
             rng,
             MESH_WAIT_SECONDS,
-            MESH_BATCH_SECONDS,
+            self._mesh_pause_seconds,
         )
         self.registration.subscribe(self._announce_entry)
         self.planned_stop = PlannedStop(
@@ -402,12 +403,22 @@
 
     def _reading_changed(self) -> None:
         """Tell the others whether this VM reads the store for them."""
-        is_reading = self.operator_reading.is_reading
-        self._mesh_tail.batch_seconds = (
-            MESH_BATCH_SECONDS if is_reading else RELAXED_MESH_BATCH_SECONDS
-        )
         self.call_server.announce_load_to_all()
 
+    def _mesh_pause_seconds(self) -> float:
+        """Return how long changes of entries are collected before the next read.
+
+        Of two VMs that start together, the one whose entry is written later finds the
+        other's if it reads after that, and then each has a link to the other.
+        """
+        written_at = self.registration.first_written_at
+        has_seen_all = (
+            written_at is not None and self._mesh_tail.read_began_at >= written_at
+        )
+        if has_seen_all and not self.operator_reading.is_reading:
+            return RELAXED_MESH_BATCH_SECONDS
+        return MESH_BATCH_SECONDS
+
     def _take_transfer(self, data: bytes) -> bool:
         before = self.records.operator.position
         is_taken = self.records.take_transfer(data)
--- a/src/lacewingstair/vm/registration.py
+++ b/src/lacewingstair/vm/registration.py
@@ -13,6 +13,9 @@
 from lacewingstair.vm.entries import MeshView, VmEntry, encode_entry
 
 RETRY_BASE_SECONDS = 0.2
+# Changes that come one upon the other, such as a report of the backend server and its
+# health check, are written together.
+WRITE_DELAY_SECONDS = 0.1
 # Short enough that the entry is written within 2 s after an outage of the store.
 RETRY_CAP_SECONDS = 1.2
 
@@ -41,6 +44,8 @@
         Current entry.
     previous_entry : VmEntry or None
         Newest entry that was written by an earlier process of this VM.
+    first_written_at : float or None
+        When the store first acknowledged the entry, monotonic seconds.
     """
 
     def __init__(
@@ -53,6 +58,8 @@
     ) -> None:
         self.entry = entry
         self.previous_entry: VmEntry | None = None
+        self.first_written_at: float | None = None
+        self._written_offset = -1
         self._view = view
         self._write = write
         self._clock = clock
@@ -72,12 +79,12 @@
             return
         self._replace(attrs.evolve(changed, sequence=self.entry.sequence + 1))
 
-    def handle_observed_entry(self, entry: VmEntry) -> None:
-        """Handle this VM's entry as the store or a peer holds it.
+    def handle_observed_entry(self, entry: VmEntry, offset: int) -> None:
+        """Handle this VM's entry as the store holds it at an offset.
 
         A newer one is of an earlier process and must not prevail, so that the own
-        incarnation is raised above it. An older one results from a delayed write, so
-        that the current entry is written again.
+        incarnation is raised above it. An older one that follows the latest own write
+        results from a delayed write, so that the current entry is written again.
         """
         own = self.entry
         is_previous = entry.incarnation != own.incarnation
@@ -87,12 +94,12 @@
             self.previous_entry = entry
         if entry.order > own.order:
             self._replace(attrs.evolve(own, incarnation=entry.incarnation + 1))
-        elif entry.order < own.order:
+        elif entry.order < own.order and offset > self._written_offset:
             self._write_needed.set()
 
-    def handle_missing_entry(self) -> None:
-        """Write the entry again if a delayed write has deleted it from the store."""
-        if not self.entry.is_leaving:
+    def handle_missing_entry(self, offset: int) -> None:
+        """Write the entry again if a delayed write has deleted it at an offset."""
+        if not self.entry.is_leaving and offset > self._written_offset:
             self._write_needed.set()
 
     async def run(self) -> None:
@@ -100,6 +107,8 @@
         failures = 0
         while True:
             await self._write_needed.wait()
+            if not self.entry.is_leaving:
+                await self._clock.sleep(WRITE_DELAY_SECONDS)
             self._write_needed.clear()
             entry = self.entry
             # Other VMs are told of a planned stop on their links, so that the entry can
@@ -116,6 +125,9 @@
                 await self._clock.sleep(delay)
                 continue
             failures = 0
+            self._written_offset = written.ok_value
+            if self.first_written_at is None:
+                self.first_written_at = self._clock.monotonic()
             events.info(
                 "entry_written", offset=written.ok_value, **_event_fields(entry)
             )
--- a/tests/metadata/test_operator_reading.py
+++ b/tests/metadata/test_operator_reading.py
@@ -47,7 +47,7 @@
         clock,
         random.Random(1),
         WAIT_SECONDS,
-        0.1,
+        lambda: 0.1,
     )
     own = VmEntry("own", "r", "z", "a:1", "board")
     reading = OperatorReading(tail, lambda: own, [], Fetcher(), lambda: None, clock)
--- a/tests/metadata/test_tail.py
+++ b/tests/metadata/test_tail.py
@@ -28,7 +28,7 @@
             SystemClock(),
             random.Random(1),
             0.2,
-            1.0,
+            lambda: 1.0,
         )
         tail.skip_to(0)
         task = asyncio.create_task(tail.run())
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -189,7 +189,7 @@
                 SystemClock(),
                 random.Random(1),
                 0.2,
-                0.0,
+                lambda: 0.0,
             )
             await standin.put(TOPIC, "a", b"1")
             task = asyncio.create_task(tail.run())
@@ -211,7 +211,13 @@
     def test_an_older_record_of_a_key_is_not_delivered(self):
         delivered = []
         tail = KeyedTail(
-            None, TOPIC, lambda found, _: delivered.extend(found), None, None, 1.0, 0.0
+            None,
+            TOPIC,
+            lambda found, _: delivered.extend(found),
+            None,
+            None,
+            1.0,
+            lambda: 0.0,
         )
         tail._deliver([KeyedRecord("a", b"2", 7)], 8)
         tail._deliver([KeyedRecord("a", b"1", 6), KeyedRecord("", b"?", 8)], 9)
--- a/tests/vm/test_registration.py
+++ b/tests/vm/test_registration.py
@@ -67,7 +67,7 @@
     async def check(registration, store, clock, view):
         registration.change(state=UpstreamState.READY)
         earlier = attrs.evolve(ENTRY, incarnation=900, is_leaving=True)
-        registration.handle_observed_entry(earlier)
+        registration.handle_observed_entry(earlier, 0)
         await clock.sleep(1)
         assert store.written[-1].incarnation == 901
         assert store.written[-1].accepts_calls
@@ -80,13 +80,43 @@
     async def check(registration, store, clock, _):
         registration.change(state=UpstreamState.READY)
         await clock.sleep(1)
-        registration.handle_observed_entry(ENTRY)
+        registration.handle_observed_entry(ENTRY, 1)
         await clock.sleep(1)
         assert [entry.state for entry in store.written] == [UpstreamState.READY] * 2
 
     with_registration(check)
 
 
+def test_an_own_write_that_is_read_late_is_not_written_again():
+    """Guards against a call to the store for each start, and for each change."""
+
+    async def check(registration, store, clock, _):
+        registration.change(state=UpstreamState.DRAINING)
+        await clock.sleep(1)
+        first = store.written[0]
+        registration.change(state=UpstreamState.READY)
+        await clock.sleep(1)
+        registration.handle_observed_entry(first, 0)
+        registration.handle_missing_entry(0)
+        await clock.sleep(1)
+        assert len(store.written) == 2
+
+    with_registration(check)
+
+
+def test_changes_that_follow_each_other_at_once_are_written_together():
+    async def check(registration, store, clock, _):
+        registration.change(version="v1")
+        await clock.sleep(0.05)
+        registration.change(state=UpstreamState.READY)
+        assert registration.first_written_at is None
+        await clock.sleep(1)
+        assert [entry.sequence for entry in store.written] == [2]
+        assert registration.first_written_at < clock.monotonic()
+
+    with_registration(check)
+
+
 def test_a_planned_stop_deletes_the_entry():
     """Guards against entries of stopped VMs that accumulate in the store."""
 
@@ -96,7 +126,7 @@
         registration.change(is_leaving=True)
         await clock.sleep(1)
         assert store.written[-1] is None
-        registration.handle_missing_entry()
+        registration.handle_missing_entry(2)
         await clock.sleep(1)
         assert len(store.written) == 2
 
@@ -107,7 +137,7 @@
     async def check(registration, store, clock, _):
         registration.change(state=UpstreamState.READY)
         await clock.sleep(1)
-        registration.handle_missing_entry()
+        registration.handle_missing_entry(1)
         await clock.sleep(2)
         assert len(store.written) == 2
 
