Pipelined calls run while earlier ones of their connection are open

The time that a call waited so was also not taken off its deadline, so that a backend server was given more time than the caller had.

Change: calls that may be repeated and have no large answers are run at once, four of a connection ahead of their turn at most and none while 256 KiB of answers wait; the answers leave in order. Whether a connection closes is decided as an answer is written, so that nothing that was begun is behind it. What arrives behind it is read and dropped for a second, as a reset can destroy the answer (found by the random pipelines). The time behind other calls counts for the deadline.

--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -6,7 +6,6 @@
 
 import attrs
 from aiohttp import ClientError, web
-from aiohttp.http import HttpVersion11
 from result import Err, Ok, Result
 
 from lacewingstair import events
@@ -42,7 +41,7 @@
     request : web.BaseRequest
         HTTP request of the call.
     started_at : float
-        When the head of the request was read, monotonic seconds.
+        When the head of the request arrived, monotonic seconds.
     task : asyncio.Task
         Task that handles the request.
     route : str
@@ -132,6 +131,7 @@
             self.handle,
             lambda: self.is_draining,
             max_header_bytes,
+            may_run_ahead=self._may_run_ahead,
             max_connections=max_connections,
             buffer_bytes=buffer_bytes,
         )
@@ -142,6 +142,11 @@
         """Number of calls without a response."""
         return len(self._open_calls)
 
+    @property
+    def queued_calls(self) -> int:
+        """Number of calls that wait for earlier ones of their connections."""
+        return 0 if self._server is None else self._server.queued_calls
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes of responses that are buffered and not yet sent to callers."""
@@ -155,8 +160,10 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one call."""
-        started_at = self._clock.monotonic()
-        self.newest_call_at = started_at
+        now = self._clock.monotonic()
+        self.newest_call_at = now
+        # The caller's time runs while a call waits for earlier ones of its connection.
+        started_at = now - request.waited_seconds
         open_call = _OpenCall(request, started_at, asyncio.current_task())
         self._open_calls.add(open_call)
         status = 0
@@ -183,6 +190,20 @@
             seconds = self._clock.monotonic() - started_at
             self._on_answer(open_call.route, status, seconds)
 
+    def _may_run_ahead(self, request: web.BaseRequest) -> bool:
+        """Return whether a call may run while earlier ones of its connection are open.
+
+        Large responses are not buffered behind others.
+        """
+        if request_checks.check_request(request) is not None:
+            return False
+        path = request.raw_path.partition("?")[0]
+        table = self._configurations.current.table
+        named = table.find(request.host, path, request.method)
+        if named is None:
+            return False
+        return named.route.allows_repeat and not named.route.has_large_answers
+
     def _log_unanswered(self, call: _OpenCall) -> None:
         """Log whether the caller or this process ended a call before its response."""
         now = self._clock.monotonic()
@@ -326,7 +347,7 @@
         if answer.status not in _BODILESS_STATUSES:
             lines += b"Content-Length: %d\r\n" % len(answer.body)
         body = b"" if request.method == "HEAD" else answer.body
-        return self._raw_response(request, answer.status, answer.reason, lines, body)
+        return _raw_response(answer.status, answer.reason, lines, body)
 
     def _refuse(
         self,
@@ -352,22 +373,17 @@
             lines += f"{headers.REQUEST_ID}: {request_id}\r\n".encode("latin-1")
         if retry_after_seconds is not None:
             lines += f"Retry-After: {retry_after_seconds:.3f}\r\n".encode()
-        is_body_read = request.content.at_eof()
-        return self._raw_response(request, status, "", lines, body, is_body_read)
+        # The unread rest of the body would be parsed as the next request.
+        may_keep_connection = request.content.at_eof()
+        return _raw_response(status, "", lines, body, may_keep_connection)
 
-    def _raw_response(
-        self,
-        request: web.BaseRequest,
-        status: int,
-        reason: str,
-        lines: bytes,
-        body: bytes,
-        is_body_read: bool = True,
-    ) -> RawResponse:
-        keeps_connection = (
-            is_body_read and request.keep_alive and request.version == HttpVersion11
-        )
-        if not keeps_connection:
-            lines += b"Connection: close\r\n"
-        head = f"HTTP/1.1 {status} {reason}\r\n".encode("latin-1", "replace")
-        return RawResponse(status, head + lines + b"\r\n" + body, keeps_connection)
+
+def _raw_response(
+    status: int,
+    reason: str,
+    lines: bytes,
+    body: bytes,
+    may_keep_connection: bool = True,
+) -> RawResponse:
+    head = f"HTTP/1.1 {status} {reason}\r\n".encode("latin-1", "replace")
+    return RawResponse(status, head + lines, body, may_keep_connection)
--- /dev/null
+++ b/src/lacewingstair/caller/pipelining.py
@@ -0,0 +1,192 @@
+"""Connections of callers that send calls before the earlier ones are answered.
+
+Calls that may be repeated are run while the calls before them on the connection are
+still open, and their responses wait for their turn. Other calls begin when all before
+them have been answered. What waits is bounded: a call is run ahead only while few are,
+and while the responses that are ready are small.
+"""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import Callable
+
+import attrs
+from aiohttp import EMPTY_PAYLOAD, StreamReader, web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http import RawRequestMessage, StreamWriter
+
+from lacewingstair.caller.raw_response import RawResponse
+
+# Calls of one connection that are run ahead of their turn.
+MAX_CALLS_AHEAD = 4
+# Responses of one connection that wait for their turn; no call is begun above it.
+MAX_WAITING_RESPONSE_BYTES = 256 << 10
+# Calls may arrive behind a response that closes the connection. They are read and
+# dropped for this long, as a reset could destroy the response.
+LINGER_SECONDS = 1.0
+
+MayRunAhead = Callable[[web.BaseRequest], bool]
+
+
+@attrs.define(eq=False)
+class _CallAhead:
+    """Call that was begun before its turn."""
+
+    request: web.BaseRequest
+    task: asyncio.Task[web.StreamResponse]
+
+    @property
+    def waiting_bytes(self) -> int:
+        """Bytes of its response, once there is one."""
+        if not self.task.done() or self.task.cancelled() or self.task.exception():
+            return 0
+        response = self.task.result()
+        return response.size if isinstance(response, RawResponse) else 0
+
+
+class PipelinedConnection(web.RequestHandler):
+    """Connection of a caller.
+
+    Parameters
+    ----------
+    manager : web.Server
+        Server of the connection; its `handle_call` handles one call.
+    may_run_ahead : callable
+        Returns whether a call may be run before the earlier ones are answered.
+    **options
+        Options of aiohttp's handler.
+    """
+
+    def __init__(
+        self, manager: web.Server, may_run_ahead: MayRunAhead, **options
+    ) -> None:
+        super().__init__(manager, **options)
+        self._may_run_ahead = may_run_ahead
+        # Keys are ids of messages that are queued, or being handled.
+        self._ahead_by_message_id: dict[int, _CallAhead] = {}
+        self._arrived_at_by_message_id: dict[int, float] = {}
+        self._allows_ahead = False
+        self._lingering: asyncio.Future[None] | None = None
+
+    @property
+    def queued_calls(self) -> int:
+        """Calls that were read and have not had their turn."""
+        return len(self._messages)
+
+    def data_received(self, data: bytes) -> None:
+        """Queue calls that were read, and begin those that may run ahead."""
+        queued_before = len(self._messages)
+        super().data_received(data)
+        now = self._loop.time()
+        for message, _ in itertools.islice(self._messages, queued_before, None):
+            self._arrived_at_by_message_id[id(message)] = now
+        # Without a call in progress, the first one in the queue has its turn anyway.
+        if self._request_in_progress:
+            self._run_ahead()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Cancel what was begun, as nobody waits for the responses."""
+        super().connection_lost(exc)
+        for ahead in self._ahead_by_message_id.values():
+            ahead.task.cancel()
+
+    async def shutdown(self, timeout: float | None = 15.0) -> None:
+        """End the connection; `timeout` is the time for its call, in seconds."""
+        if self._lingering is not None and not self._lingering.done():
+            self._lingering.set_result(None)
+        await super().shutdown(timeout)
+
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Write a response; the caller closes the connection first if it can."""
+        finished = await super().finish_response(request, resp, start_time)
+        if not resp.keep_alive and not request._message.should_close:
+            await self._linger()
+        return finished
+
+    async def _linger(self) -> None:
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        self._close = True
+        transport.write_eof()
+        self._lingering = self._loop.create_future()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LINGER_SECONDS):
+                await self._lingering
+
+    def begin(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        writer: AbstractStreamWriter,
+        task: asyncio.Task[None],
+    ) -> web.BaseRequest:
+        """Return the request of a message whose turn has come."""
+        ahead = self._ahead_by_message_id.get(id(message))
+        request = (
+            self._make(message, payload, writer, task)
+            if ahead is None
+            else ahead.request
+        )
+        request._task = task
+        self._allows_ahead = self._is_repeatable(request, payload)
+        # Later, so that the call whose turn has come begins first.
+        self._loop.call_soon(self._run_ahead)
+        return request
+
+    async def respond(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Return the response to a request whose turn has come."""
+        ahead = self._ahead_by_message_id.pop(id(request._message), None)
+        if ahead is None:
+            return await self._manager.handle_call(request)
+        return await ahead.task
+
+    def _make(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        writer: AbstractStreamWriter,
+        task: asyncio.Task[None],
+    ) -> web.BaseRequest:
+        request = self._manager.request_class(
+            message, payload, self, writer, task, self._loop
+        )
+        arrived_at = self._arrived_at_by_message_id.pop(id(message), None)
+        if arrived_at is not None:
+            request.waited_seconds = max(0.0, self._loop.time() - arrived_at)
+        return request
+
+    def _is_repeatable(self, request: web.BaseRequest, payload: StreamReader) -> bool:
+        return payload is EMPTY_PAYLOAD and self._may_run_ahead(request)
+
+    def _run_ahead(self) -> None:
+        """Begin the queued calls that need not wait for their turn."""
+        if not self._allows_ahead or self._request_factory is None:
+            return
+        for message, payload in self._messages:
+            if id(message) in self._ahead_by_message_id:
+                continue
+            if not isinstance(message, RawRequestMessage) or not self._has_room():
+                return
+            writer = StreamWriter(self, self._loop)
+            request = self._make(message, payload, writer, self._task_handler)
+            if not self._is_repeatable(request, payload):
+                self._arrived_at_by_message_id[id(message)] = (
+                    self._loop.time() - request.waited_seconds
+                )
+                return
+            task = self._loop.create_task(self._manager.handle_call(request))
+            self._ahead_by_message_id[id(message)] = _CallAhead(request, task)
+
+    def _has_room(self) -> bool:
+        found = self._ahead_by_message_id.values()
+        waiting_bytes = sum(ahead.waiting_bytes for ahead in found)
+        return len(found) < MAX_CALLS_AHEAD and (
+            waiting_bytes <= MAX_WAITING_RESPONSE_BYTES
+        )
--- a/src/lacewingstair/caller/raw_response.py
+++ b/src/lacewingstair/caller/raw_response.py
@@ -1,33 +1,52 @@
 """Response that is written to the caller as preformatted bytes."""
 
 from aiohttp import web
+from aiohttp.http import HttpVersion11
 
 
 class RawResponse(web.StreamResponse):
     """Complete response, head and body, in wire format.
 
+    Whether the connection stays open is decided as the response is written: a response
+    can be ready long before, behind slower ones of the same connection.
+
     Parameters
     ----------
     status : int
         HTTP status.
-    data : bytes
-        Head and body in wire format.
-    keeps_connection : bool
-        Whether the caller's connection stays open.
+    head : bytes
+        Status line and header lines, without ``Connection`` and the empty line.
+    body : bytes
+        Body, framed as the header lines say.
+    may_keep_connection : bool
+        Whether the caller's connection can stay open behind this response.
     """
 
-    def __init__(self, status: int, data: bytes, keeps_connection: bool = True) -> None:
+    def __init__(
+        self, status: int, head: bytes, body: bytes, may_keep_connection: bool = True
+    ) -> None:
         super().__init__(status=status)
-        self._data = data
-        self._keeps_connection = keeps_connection
+        self._head = head
+        self._raw_body = body
+        self._may_keep_connection = may_keep_connection
+
+    @property
+    def size(self) -> int:
+        """Bytes that the response holds in memory."""
+        return len(self._head) + len(self._raw_body)
 
     async def prepare(self, request: web.BaseRequest) -> None:
         """Write the response to the caller's connection."""
         transport = request.transport
-        self._keep_alive = self._keeps_connection
+        self._keep_alive = (
+            self._may_keep_connection
+            and request.keep_alive
+            and request.version == HttpVersion11
+        )
         self._eof_sent = True
         if transport is not None and not transport.is_closing():
-            transport.write(self._data)
+            connection = b"" if self._keep_alive else b"Connection: close\r\n"
+            transport.write(b"%b%b\r\n%b" % (self._head, connection, self._raw_body))
 
     async def write_eof(self, data: bytes = b"") -> None:
         """Do nothing, as `prepare` writes the whole response."""
--- a/src/lacewingstair/caller/relay.py
+++ b/src/lacewingstair/caller/relay.py
@@ -42,5 +42,5 @@
         return None
     body = payload.read_nowait() if not payload.at_eof() else b""
     reason = message.reason.encode("latin-1", "replace")
-    head = b"HTTP/1.1 %d %b\r\n%b\r\n" % (message.code, reason, lines)
-    return RawResponse(message.code, head + body)
+    head = b"HTTP/1.1 %d %b\r\n%b" % (message.code, reason, lines)
+    return RawResponse(message.code, head, body)
--- a/src/lacewingstair/http_server.py
+++ b/src/lacewingstair/http_server.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from lacewingstair.addresses import split_address
+from lacewingstair.caller.pipelining import MayRunAhead, PipelinedConnection
 from lacewingstair.errors import ListenError
 
 # Idle connections of callers are closed by callers, which know their own pools; the
@@ -46,13 +47,42 @@
 
 
 class CallServer(web.Server):
-    """Server with a limit on its open connections, which knows what is unsent."""
+    """Server with a limit on its open connections, which knows what is unsent.
 
-    def __init__(self, handler: CallHandler, max_connections: int, **options) -> None:
-        super().__init__(handler, **options)
+    Parameters
+    ----------
+    handle_call : callable
+        Answers one call.
+    request_class : type
+        Class of the requests.
+    max_connections : int
+        Connections open at a time; further ones are answered 503, not run.
+    may_run_ahead : callable
+        Returns whether a call may run while earlier ones of its connection are open.
+    **options
+        Options of aiohttp's server.
+    """
+
+    def __init__(
+        self,
+        handle_call: CallHandler,
+        request_class: type[web.BaseRequest],
+        max_connections: int,
+        may_run_ahead: MayRunAhead,
+        **options,
+    ) -> None:
+        super().__init__(_respond, request_factory=_begin, **options)
+        self.handle_call = handle_call
+        self.request_class = request_class
         self.max_connections = max_connections
+        self._may_run_ahead = may_run_ahead
         self._transports_by_handler: dict[web.RequestHandler, asyncio.Transport] = {}
 
+    @property
+    def queued_calls(self) -> int:
+        """Calls that wait for earlier ones of their connections."""
+        return sum(handler.queued_calls for handler in self._transports_by_handler)
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes of answers that callers have not taken yet, beyond the kernel's."""
@@ -77,7 +107,27 @@
         """Return the protocol of a new connection."""
         if len(self.connections) >= self.max_connections:
             return _FullConnection()
-        return super().__call__()
+        return PipelinedConnection(
+            self, self._may_run_ahead, loop=self._loop, **self._kwargs
+        )
+
+
+def _begin(
+    message: RawRequestMessage,
+    payload: StreamReader,
+    connection: PipelinedConnection,
+    writer: AbstractStreamWriter,
+    task: asyncio.Task[None],
+) -> web.BaseRequest:
+    return connection.begin(message, payload, writer, task)
+
+
+async def _respond(request: web.BaseRequest) -> web.StreamResponse:
+    return await request.protocol.respond(request)
+
+
+def _never_ahead(_: web.BaseRequest) -> bool:
+    return False
 
 
 def call_server(
@@ -86,6 +136,7 @@
     max_header_bytes: int,
     max_connections: int = MAX_CONNECTIONS,
     buffer_bytes: int = READ_BYTES,
+    may_run_ahead: MayRunAhead = _never_ahead,
 ) -> CallServer:
     """Return the server for callers; needs a running event loop.
 
@@ -103,28 +154,26 @@
         Connections open at a time; further ones are answered 503, not run.
     buffer_bytes : int
         Bytes of a request that are buffered.
+    may_run_ahead : callable, optional
+        Returns whether a call may run while earlier ones of its connection are open;
+        by default none may. The handler must return a `RawResponse` to such calls.
     """
 
     class Request(web.BaseRequest):
+        # Seconds for which the request waited for earlier ones of its connection.
+        waited_seconds = 0.0
+
         @property
         def keep_alive(self) -> bool:
             # Calls that were read behind this one are answered as well.
             has_next = bool(self.protocol._messages)
             return (has_next or not is_leaving()) and super().keep_alive
 
-    def make_request(
-        message: RawRequestMessage,
-        payload: StreamReader,
-        protocol: web.RequestHandler,
-        writer: AbstractStreamWriter,
-        task: asyncio.Task[None],
-    ) -> web.BaseRequest:
-        return Request(message, payload, protocol, writer, task, server._loop)
-
-    server = CallServer(
+    return CallServer(
         handler,
+        Request,
         max_connections,
-        request_factory=make_request,
+        may_run_ahead,
         # A caller that leaves cancels its call.
         handler_cancellation=True,
         # Bodies are passed on as they came.
@@ -133,7 +182,6 @@
         lingering_time=LINGER_SECONDS,
         **_limits(max_header_bytes),
     )
-    return server
 
 
 def application_runner(
--- a/src/lacewingstair/planned_stop.py
+++ b/src/lacewingstair/planned_stop.py
@@ -115,7 +115,9 @@
 
     def is_idle(self) -> bool:
         """Return whether no call is open here, and all answers have left."""
-        if self._ingress.open_calls or self._call_server.open_calls:
+        if self._ingress.open_calls or self._ingress.queued_calls:
+            return False
+        if self._call_server.open_calls:
             return False
         return not self._ingress.unsent_bytes and not self._call_server.unsent_bytes
 
