A planned stop takes over only calls that it can answer

Reported: in a planned stop, requests that came late in the grace were taken, passed on and cut unanswered, among them some that may not be repeated.

Cause: the root of the ticket log took every call until its socket closed, whatever time was left (two tests of tests/test_planned_stop.py fail before: the caller's connection breaks and the call has run). The root of the metadata store refused each call whose deadline was behind the end: no call of a caller was cut (the tests with connections that are kept open pass before), but one that takes a moment was refused as well, a body that was not whole ended without an answer, and calls of other VMs were not checked.

Change: one decision for callers and for calls of other VMs, of both roots: a call is taken over if its deadline fits, or twice the slowest recent call of its route does. What the end cuts is answered: 503 if nothing was passed on, 502 otherwise.

--- a/src/lacewingstair/backend_server/admission_proxy.py
+++ b/src/lacewingstair/backend_server/admission_proxy.py
@@ -29,6 +29,7 @@
 from lacewingstair.errors import ConnectError, ConnectionsBusy
 from lacewingstair.platform import headers
 from lacewingstair.runtime import Clock
+from lacewingstair.stop_admission import StopAdmission
 from lacewingstair.vm.call_messages import (
     CallAnswer,
     CallFailed,
@@ -158,6 +159,8 @@
     ----------
     arrivals_by_origin : Counter
         Calls sent to the backend server since the start, by the reason of sending.
+    stop_admission : StopAdmission
+        Decides which calls are taken over while the process stops.
     """
 
     def __init__(
@@ -197,6 +200,7 @@
         self.admission = AdmissionController()
         self.arrivals_by_origin: Counter[SendOrigin] = Counter()
         self.is_stopping = False
+        self.stop_admission = StopAdmission(clock)
 
     @property
     def is_open(self) -> bool:
@@ -282,8 +286,9 @@
 
     async def run(self, call: CallRequest) -> CallOutcome:
         """Run or refuse a call; cancellation also cancels it at the backend server."""
-        deadline = self._clock.monotonic() + call.remaining_ms / 1000
-        admitted = self._refusal_of(call) or await self._admit(call, deadline)
+        arrived_at = self._clock.monotonic()
+        deadline = arrived_at + call.remaining_ms / 1000
+        admitted = self._refusal_of(call, deadline) or await self._admit(call, deadline)
         if isinstance(admitted, Refusal):
             return self._refuse(call, admitted)
         has_run = False
@@ -295,7 +300,10 @@
                 outcome = attrs.evolve(outcome, has_failed_nested_call=True)
             has_run = not isinstance(outcome, CallRefused)
             if has_run:
-                service_ms = (self._clock.monotonic() - admitted.started_at) * 1000
+                ended_at = self._clock.monotonic()
+                service_ms = (ended_at - admitted.started_at) * 1000
+                durations = self.stop_admission.durations
+                durations.record(call.route, ended_at - arrived_at)
                 status = outcome.status if isinstance(outcome, CallAnswer) else 0
                 self._on_outcome(call.route, status, service_ms, run.has_unserved_call)
             return outcome
@@ -304,13 +312,15 @@
             now = self._clock.monotonic()
             self.admission.finish(admitted, now, is_representative=has_run)
 
-    def _refusal_of(self, call: CallRequest) -> Refusal | None:
+    def _refusal_of(self, call: CallRequest, deadline: float) -> Refusal | None:
         if call.service != self.service:
             return Refusal(RefusalReason.WRONG_SERVICE, 0.0)
         if not self.is_open:
             return Refusal(RefusalReason.CLOSED, 0.0)
         if call.version and call.version != self.identity.version:
             return Refusal(RefusalReason.VERSION, 0.0)
+        if not self.stop_admission.admits(call.route, deadline):
+            return Refusal(RefusalReason.CLOSED, 0.0)
         return None
 
     async def _admit(
--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -15,10 +15,15 @@
 from lacewingstair.caller.forwarding import ForwardedCall, Forwarder, ForwardingFailure
 from lacewingstair.caller.raw_response import RawResponse
 from lacewingstair.http_server import CallServer, call_server
-from lacewingstair.metadata.configuration import ConfigurationStore, SplitChooser
+from lacewingstair.metadata.configuration import (
+    CallRoute,
+    ConfigurationStore,
+    SplitChooser,
+)
 from lacewingstair.platform import headers
 from lacewingstair.routing.routes import NamedRoute
 from lacewingstair.runtime import Clock
+from lacewingstair.stop_admission import StopAdmission
 from lacewingstair.vm.call_messages import CallAnswer
 
 # Time after the deadline of a call in which a response of the gate is still accepted.
@@ -48,8 +53,10 @@
         Name of the route; empty until the route is known.
     deadline_at : float or None
         Deadline, monotonic seconds; None until the route is known.
+    is_forwarded : bool
+        Whether a backend server may have got the call.
     is_aborted : bool
-        Whether this process ended the call without a response.
+        Whether this process ended the call before its response.
     has_failed : bool
         Whether backend servers refused the call or failed to run it.
     """
@@ -59,6 +66,7 @@
     task: asyncio.Task
     route: str = ""
     deadline_at: float | None = None
+    is_forwarded: bool = False
     is_aborted: bool = False
     has_failed: bool = False
 
@@ -93,9 +101,8 @@
         When the latest call arrived, monotonic seconds.
     is_draining : bool
         Whether responses carry ``Connection: close``, so that callers go elsewhere.
-    closes_at : float or None
-        When the process stops, monotonic seconds. Calls whose deadline is later are
-        refused, so that none is aborted.
+    stop_admission : StopAdmission
+        Decides which calls are taken over while the process stops.
     """
 
     def __init__(
@@ -121,7 +128,7 @@
         self._server: CallServer | None = None
         self.newest_call_at = clock.monotonic()
         self.is_draining = False
-        self.closes_at: float | None = None
+        self.stop_admission = StopAdmission(clock)
 
     def http_server(
         self, max_header_bytes: int, max_connections: int, buffer_bytes: int
@@ -153,7 +160,7 @@
         return 0 if self._server is None else self._server.unsent_bytes
 
     def abort_calls(self) -> None:
-        """Abort all open calls without a response."""
+        """End all open calls; each gets an answer that says whether it may have run."""
         for call in self._open_calls:
             call.is_aborted = True
             call.task.cancel()
@@ -179,7 +186,12 @@
             return response
         except asyncio.CancelledError:
             self._log_unanswered(open_call)
-            raise
+            if not open_call.is_aborted:
+                raise
+            open_call.task.uncancel()
+            response = self._abort_response(open_call)
+            status = response.status
+            return response
         finally:
             self._open_calls.discard(open_call)
             if not 200 <= status < 300:
@@ -250,16 +262,35 @@
         if named is None:
             reason = f"no route in configuration {configuration.number}"
             return Err(self._refuse(request, 404, reason))
+        timeout_ms = self._timeout_ms(request, named.route)
+        deadline_at = started_at + timeout_ms / 1000
+        if not self.stop_admission.admits(named.name, deadline_at):
+            return Err(self._refuse_stopping(request))
         body = await self._read_body(request, configuration.limits.max_body_bytes)
         if isinstance(body, Err):
             return body
-        call = self._make_call(
-            request, named, target.ok_value, body.ok_value, request_id, started_at
+        # The process may have begun to stop while the body arrived.
+        if not self.stop_admission.admits(named.name, deadline_at):
+            return Err(self._refuse_stopping(request))
+        return Ok(
+            self._make_call(
+                request, named, target.ok_value, body.ok_value, request_id, started_at
+            )
         )
-        if self.closes_at is not None and call.deadline_at > self.closes_at:
-            delay = STOPPING_RETRY_AFTER_SECONDS
-            return Err(self._refuse(request, 503, "the VM is leaving", delay))
-        return Ok(call)
+
+    def _timeout_ms(self, request: web.BaseRequest, route: CallRoute) -> float:
+        asked_ms = headers.deadline_ms(request.headers)
+        return route.timeout_ms if asked_ms is None else min(route.timeout_ms, asked_ms)
+
+    def _refuse_stopping(self, request: web.BaseRequest) -> RawResponse:
+        delay = STOPPING_RETRY_AFTER_SECONDS
+        return self._refuse(request, 503, "the VM is leaving", delay)
+
+    def _abort_response(self, call: _OpenCall) -> RawResponse:
+        """Return the answer to a call that the end of the process cuts."""
+        if not call.is_forwarded:
+            return self._refuse_stopping(call.request)
+        return self._refuse(call.request, 502, "the VM stopped before the answer came")
 
     def _make_call(
         self,
@@ -271,11 +302,9 @@
         started_at: float,
     ) -> ForwardedCall:
         route = named.route
-        timeout_ms = route.timeout_ms
+        timeout_ms = self._timeout_ms(request, route)
         target_ms = route.target_latency_ms
         asked_ms = headers.deadline_ms(request.headers)
-        if asked_ms is not None:
-            timeout_ms = min(timeout_ms, asked_ms)
         parent_id = headers.parent_id(request_id)
         if self._gate.is_running(parent_id):
             # The parent call fails without this one, and a response at the deadline
@@ -318,18 +347,27 @@
     async def _forward(
         self, request: web.BaseRequest, call: ForwardedCall, open_call: _OpenCall
     ) -> web.StreamResponse:
-        left = call.deadline_at - self._clock.monotonic() + RESPONSE_GRACE_SECONDS
+        began_at = self._clock.monotonic()
+        left = call.deadline_at - began_at + RESPONSE_GRACE_SECONDS
+        open_call.is_forwarded = True
         try:
             async with asyncio.timeout(max(0.0, left)):
                 outcome = await self._forwarder.forward(call)
         except TimeoutError:
+            self._record_duration(call, began_at)
             return self._refuse(request, 504, "no answer in time")
+        if isinstance(outcome, CallAnswer) or not outcome.is_not_run:
+            self._record_duration(call, began_at)
         if isinstance(outcome, CallAnswer):
             open_call.has_failed = outcome.status >= 500
             return self._to_response(request, outcome)
         open_call.has_failed = outcome.was_refused_upstream
         return self._refuse_unserved(request, outcome)
 
+    def _record_duration(self, call: ForwardedCall, began_at: float) -> None:
+        seconds = self._clock.monotonic() - began_at
+        self.stop_admission.durations.record(call.route_name, seconds)
+
     def _refuse_unserved(
         self, request: web.BaseRequest, outcome: ForwardingFailure
     ) -> web.StreamResponse:
--- a/src/lacewingstair/caller/server.py
+++ b/src/lacewingstair/caller/server.py
@@ -24,6 +24,7 @@
 from lacewingstair.routing.outcomes import CallOutcome, OutcomeSink, VersionChooser
 from lacewingstair.routing.routes import NamedRoute
 from lacewingstair.runtime import Clock, SystemClock
+from lacewingstair.stop_admission import StopAdmission
 from lacewingstair.tickets.state_store import StateStore
 from lacewingstair.tickets.types import Service
 from lacewingstair.vm.directory import Directory
@@ -31,6 +32,8 @@
 MAX_LINE_BYTES = 8190
 POOL_SWEEP_SECONDS = 5.0
 MAX_CUSTOMER_CHARACTERS = 100
+_LEAVING = Refusal(503, "the VM is leaving", retry_after_seconds=1)
+_STOPPED = Refusal(502, "the VM stopped before the answer came", is_not_run=False)
 
 
 class CurrentVersionChooser:
@@ -126,6 +129,9 @@
             lambda: len(directory),
         )
         self._on_answer = on_answer
+        self._unanswered: set[asyncio.Task] = set()
+        self._aborted: set[asyncio.Task] = set()
+        self._stop_admission = StopAdmission(self._clock)
         self.is_draining = False
 
     def http_server(self, max_header_bytes: int = MAX_LINE_BYTES) -> web.Server:
@@ -150,9 +156,22 @@
             await self._clock.sleep(POOL_SWEEP_SECONDS)
             self._pool.sweep()
 
-    def start_draining(self) -> None:
-        """Send ``Connection: close`` with all further responses; refuse no call."""
+    def start_draining(self, ends_at: float) -> None:
+        """Ask callers to go elsewhere, and refuse calls that would not end in time.
+
+        Parameters
+        ----------
+        ends_at : float
+            Latest time at which an answer can still be sent, monotonic seconds.
+        """
         self.is_draining = True
+        self._stop_admission.ends_at = ends_at
+
+    def abort_calls(self) -> None:
+        """Answer all calls that have no response yet with 502: they may have run."""
+        for task in self._unanswered:
+            self._aborted.add(task)
+            task.cancel()
 
     async def close(self) -> None:
         """Close the connections to backend servers."""
@@ -161,12 +180,22 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one call."""
         started_at = self._clock.monotonic()
+        task = asyncio.current_task()
+        self._unanswered.add(task)
         status = 0
         try:
             response = await self._respond(request)
             status = response.status
             return response
+        except asyncio.CancelledError:
+            if task not in self._aborted:
+                raise
+            task.uncancel()
+            status = _STOPPED.status
+            return self._refuse(request, _STOPPED)
         finally:
+            self._unanswered.discard(task)
+            self._aborted.discard(task)
             self._on_answer(status, self._clock.monotonic() - started_at)
 
     async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -174,10 +203,21 @@
         if isinstance(prepared, Err):
             return self._refuse(request, prepared.err_value)
         call = prepared.ok_value
+        began_at = self._clock.monotonic()
         dispatched = await self.dispatcher.dispatch(call)
         if isinstance(dispatched, Err):
+            if not dispatched.err_value.is_not_run:
+                self._record_duration(call, began_at)
             return self._refuse(request, dispatched.err_value)
-        return await self._send_response(request, dispatched.ok_value, call)
+        # From here on the head of the response may have been sent.
+        self._unanswered.discard(asyncio.current_task())
+        response = await self._send_response(request, dispatched.ok_value, call)
+        self._record_duration(call, began_at)
+        return response
+
+    def _record_duration(self, call: Call, began_at: float) -> None:
+        seconds = self._clock.monotonic() - began_at
+        self._stop_admission.durations.record(call.route, seconds)
 
     async def _prepare(self, request: web.BaseRequest) -> Result[Call, Refusal]:
         refusal = request_checks.check_request(request)
@@ -209,7 +249,11 @@
             return timeout
         if timeout.ok_value == 0:
             return Err(Refusal(504, "the deadline has passed"))
-        deadline = self._clock.monotonic() + timeout.ok_value / 1000
+        deadline = (
+            self._clock.monotonic() - request.waited_seconds + timeout.ok_value / 1000
+        )
+        if not self._stop_admission.admits(named.name, deadline):
+            return Err(_LEAVING)
         customer = request.headers.get(headers.CUSTOMER, "")[:MAX_CUSTOMER_CHARACTERS]
         refusal = self.dispatcher.admit(route.service, route.worth, customer)
         if refusal is not None:
--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -34,6 +34,9 @@
 from lacewingstair.vm.options import NodeOptions
 from lacewingstair.vm.transport import TcpTransport
 
+# Left of the time of a planned stop for the answers to calls that its end cuts.
+ABORT_SECONDS = 0.2
+
 
 class Daemon:
     """All parts of one VM's process.
@@ -166,11 +169,21 @@
         self.is_leaving = True
         events.info("daemon_leaving", vm=self.settings.vm_id)
         self.node.set_status(VmStatus.LEAVING)
-        self.calls.start_draining()
-        await self.clock.sleep(self.settings.stop.leaving_seconds)
+        stop = self.settings.stop
+        ends_in_seconds = stop.leaving_seconds + stop.drain_seconds - ABORT_SECONDS
+        self.calls.start_draining(self.clock.monotonic() + ends_in_seconds)
+        await self.clock.sleep(stop.leaving_seconds)
+        aborting = asyncio.create_task(self._abort_calls_late())
         await self.close()
+        aborting.cancel()
         events.info("daemon_stopped", vm=self.settings.vm_id)
 
+    async def _abort_calls_late(self) -> None:
+        """Answer the calls that the end of the stop would cut without a word."""
+        drain_seconds = self.settings.stop.drain_seconds
+        await self.clock.sleep(max(0.0, drain_seconds - ABORT_SECONDS))
+        self.calls.abort_calls()
+
     async def close(self) -> None:
         """Finish the calls and release everything, without leaving the mesh first."""
         for runner in self._runners:
--- a/src/lacewingstair/planned_stop.py
+++ b/src/lacewingstair/planned_stop.py
@@ -78,10 +78,11 @@
     async def _wait_for_calls(self, started_at: float, killed_at: float) -> None:
         """Wait until no call is open and none is to be expected, or for too long."""
         latest = killed_at - STOP_MARGIN_SECONDS
-        self._ingress.closes_at = latest
+        self._ingress.stop_admission.ends_at = latest
+        self._gate.stop_admission.ends_at = latest
         await self._wait_until_quiet(started_at, killed_at, latest)
         # What arrives from now on could not be answered before the end.
-        self._ingress.closes_at = self._clock.monotonic()
+        self._ingress.stop_admission.ends_at = self._clock.monotonic()
         self._close_gate()
         cut_at = killed_at - CLOSE_SECONDS
         while not self.is_idle() and self._clock.monotonic() < cut_at:
