The distance of a call costs by the size of its bodies

Change: the penalty of a distance has a part for each KiB of the request's body and of the expected answer, a moving average by route. A download of 90 KiB has the penalty that it had. An upload leaves its region when no VM there can serve it in time.

--- a/src/lacewingstair/caller/forwarding.py
+++ b/src/lacewingstair/caller/forwarding.py
@@ -8,6 +8,7 @@
 
 from lacewingstair import events
 from lacewingstair.backend_server.admission_proxy import AdmissionProxy
+from lacewingstair.caller.answer_sizes import AnswerSizes
 from lacewingstair.caller.hedging import Hedge
 from lacewingstair.caller.placement import Candidate, Distance, choose_candidate
 from lacewingstair.metadata.configuration import CallRoute
@@ -175,6 +176,7 @@
         self._clock = clock
         self._rng = rng
         self._budgets_by_service: dict[str, RetryBudget] = {}
+        self._answer_sizes = AnswerSizes()
 
     async def forward(self, call: ForwardedCall) -> CallAnswer | ForwardingFailure:
         """Return the response of a backend server, or why there is none."""
@@ -205,6 +207,8 @@
                 # Calls that the new version did not serve are retried at the old one.
                 progress.prefers_new_version = False
             self._log_attempt(call, vm_id, outcome, progress)
+            if isinstance(outcome, CallAnswer):
+                self._answer_sizes.record(call.route_name, len(outcome.body))
             if not self._should_continue(call, outcome, progress, budget):
                 return self._final_outcome(progress, budget)
 
@@ -331,13 +335,20 @@
             candidates,
             (call.target_at - now) * 1000,
             (call.deadline_at - now) * 1000,
-            call.route.has_large_answers,
+            self._body_kib(call),
             self._rng,
         )
         if chosen is not None:
             return chosen.vm_id
         return self._choose_disconnected(call.service, progress)
 
+    def _body_kib(self, call: ForwardedCall) -> float:
+        """Return the expected size of both bodies of a call."""
+        answer_bytes = self._answer_sizes.expected_bytes(
+            call.route_name, call.route.has_large_answers
+        )
+        return (len(call.body) + answer_bytes) / 1024
+
     def _choose_disconnected(self, service: str, progress: _Progress) -> str | None:
         """Return a disconnected VM that may have recovered, or None."""
         own_vm_id = self._own_entry().vm_id
--- a/src/lacewingstair/caller/placement.py
+++ b/src/lacewingstair/caller/placement.py
@@ -5,7 +5,7 @@
 * Unequal load of zones: a call stays in its own zone while it is expected to meet its
   latency target there, and moves to another zone or region when it would miss it. Links
   between regions have little bandwidth and are billed by volume, so calls with large
-  responses stay in their zone for longer.
+  bodies, of the request or of the response, stay in their zone for longer.
 * Backend servers of unequal speed: the expected time includes the service time of each
   backend server.
 * A burst at one VM: calls that were sent since its newest load report are added to the
@@ -42,11 +42,12 @@
     Distance.SAME_REGION: 40.0,
     Distance.OTHER_REGION: 150.0,
 }
-LARGE_RESPONSE_PENALTY_MS_BY_DISTANCE = {
+# The same for each KiB of both bodies.
+PENALTY_MS_PER_KIB_BY_DISTANCE = {
     Distance.SAME_VM: 0.0,
-    Distance.SAME_ZONE: 1.0,
-    Distance.SAME_REGION: 300.0,
-    Distance.OTHER_REGION: 1500.0,
+    Distance.SAME_ZONE: 0.0,
+    Distance.SAME_REGION: 3.0,
+    Distance.OTHER_REGION: 15.0,
 }
 ROUND_TRIP_MS_BY_DISTANCE = {
     Distance.SAME_VM: 0.0,
@@ -117,7 +118,7 @@
     candidates: Iterable[Candidate],
     target_ms: float,
     remaining_ms: float,
-    has_large_response: bool,
+    body_kib: float,
     rng: random.Random,
 ) -> Candidate | None:
     """Return the candidate with the lowest cost, or None if none is suitable.
@@ -130,17 +131,16 @@
         Time until the latency target, after which a response loses most of its value.
     remaining_ms : float
         Time until the deadline, after which a response is useless.
-    has_large_response : bool
-        Whether responses are large, which makes distance more expensive.
+    body_kib : float
+        Expected size of both bodies, which makes distance more expensive.
     rng : random.Random
         Breaks ties between similar candidates.
     """
     limit_ms = target_ms if target_ms > 0 else remaining_ms
-    penalty_ms = (
-        LARGE_RESPONSE_PENALTY_MS_BY_DISTANCE
-        if has_large_response
-        else PENALTY_MS_BY_DISTANCE
-    )
+    penalty_ms = {
+        distance: base_ms + body_kib * PENALTY_MS_PER_KIB_BY_DISTANCE[distance]
+        for distance, base_ms in PENALTY_MS_BY_DISTANCE.items()
+    }
     best: Candidate | None = None
     best_cost = 0.0
     for candidate in candidates:
--- a/tests/caller/test_placement.py
+++ b/tests/caller/test_placement.py
@@ -11,9 +11,9 @@
     return Candidate(vm_id, distance, load, **values)
 
 
-def chosen_vm_id(*candidates, target_ms=600.0, is_large=False, seed=1):
+def chosen_vm_id(*candidates, target_ms=600.0, body_kib=2.0, seed=1):
     rng = random.Random(seed)
-    found = choose_candidate(candidates, target_ms, 1200.0, is_large, rng)
+    found = choose_candidate(candidates, target_ms, 1200.0, body_kib, rng)
     return None if found is None else found.vm_id
 
 
@@ -47,7 +47,18 @@
 def test_a_call_with_a_large_response_stays_in_its_zone_for_longer():
     full = candidate("full", Distance.SAME_ZONE, running=18, waiting=40)
     assert chosen_vm_id(full, OTHER_REGION_VM) == "far"
-    assert chosen_vm_id(full, OTHER_REGION_VM, is_large=True) == "full"
+    assert chosen_vm_id(full, OTHER_REGION_VM, body_kib=90.0) == "full"
+
+
+def test_the_penalty_of_distance_grows_with_the_bodies():
+    """Guards against uploads that fill links between regions for a small gain."""
+    slow = candidate("slow", Distance.SAME_ZONE, running=18, service_ms=400.0)
+    far = candidate("far", Distance.OTHER_REGION, service_ms=110.0)
+    assert chosen_vm_id(slow, far, target_ms=500.0) == "far"
+    assert chosen_vm_id(slow, far, target_ms=500.0, body_kib=60.0) == "slow"
+    # A call that no VM of its region can serve in time still leaves.
+    full = candidate("full", Distance.SAME_ZONE, running=18, waiting=400)
+    assert chosen_vm_id(full, far, target_ms=500.0, body_kib=60.0) == "far"
 
 
 def test_an_overloaded_vm_of_another_region_is_skipped():
