Sockets listen before the program is loaded

Change: the entry point reads the addresses for callers, for the own backend server and for the readiness check from the settings file and listens on them before anything else is loaded, so that connections wait in the queue of the socket.

--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -13,6 +13,7 @@
 from lacewingstair.backend_server.announce import AnnouncementServer
 from lacewingstair.caller.options import CallOptions
 from lacewingstair.caller.server import CallServer
+from lacewingstair.early_listening import SocketsByAddress
 from lacewingstair.errors import ListenError
 from lacewingstair.http_server import application_runner, listen_all
 from lacewingstair.metrics.daemon import Metrics
@@ -138,12 +139,20 @@
         self._runners: list[web.AppRunner | web.ServerRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
 
-    async def start(self) -> Result[None, ListenError]:
-        """Listen on all interfaces and start the tasks."""
+    async def start(
+        self, sockets_by_address: SocketsByAddress | None = None
+    ) -> Result[None, ListenError]:
+        """Listen on all interfaces and start the tasks.
+
+        Parameters
+        ----------
+        sockets_by_address : mapping, optional
+            Sockets that listen already.
+        """
         listening = await self.node.listen()
         if isinstance(listening, Err):
             return listening
-        served = await listen_all(self._interfaces(), self._runners)
+        served = await listen_all(self._interfaces(), self._runners, sockets_by_address)
         if isinstance(served, Err):
             return served
         runs = (
--- a/src/lacewingstair/entry.py
+++ b/src/lacewingstair/entry.py
@@ -2,11 +2,13 @@
 
 A reload signal ends a process that has no handler yet. It can come as the process is
 started again, and loading the program takes a good part of a second, so the signal is
-held back from the first moment until there is a handler.
+held back from the first moment until there is a handler. Callers can connect from the
+first moment as well.
 """
 
 import gc
 import signal
+import sys
 
 
 def hold_reload_signals() -> None:
@@ -24,13 +26,16 @@
     hold_reload_signals()
     # Nearly all that is loaded stays; `garbage_collection` turns collections on.
     gc.disable()
+    from lacewingstair.early_listening import open_sockets
     from lacewingstair.tls import no_certificates
 
+    sockets_by_address = open_sockets(sys.argv[1]) if len(sys.argv) == 2 else {}
+
     with no_certificates():
         import aiohttp  # noqa: F401 - loads certificates as it is imported
     from lacewingstair import process
 
-    process.main()
+    process.main(sockets_by_address)
 
 
 if __name__ == "__main__":
--- a/src/lacewingstair/http_server.py
+++ b/src/lacewingstair/http_server.py
@@ -1,6 +1,7 @@
 """HTTP servers of the daemon: limits on requests, listening and draining."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
@@ -11,6 +12,7 @@
 
 from lacewingstair.addresses import split_address
 from lacewingstair.caller.pipelining import MayRunAhead, PipelinedConnection
+from lacewingstair.early_listening import BACKLOG, SocketsByAddress
 from lacewingstair.errors import ListenError
 
 # Idle connections of callers are closed by callers, which know their own pools; the
@@ -22,8 +24,6 @@
 LINGER_SECONDS = 1.0
 
 MAX_CONNECTIONS = 4096
-# Connections that wait to be accepted; all callers of a VM may come back at once.
-BACKLOG = 1024
 # The call did not run: nothing of it was read.
 _FULL_ANSWER = (
     b"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n"
@@ -193,13 +193,30 @@
 
 
 async def listen(
-    runner: web.AppRunner | web.ServerRunner, address: str
+    runner: web.AppRunner | web.ServerRunner,
+    address: str,
+    listening: socket.socket | None = None,
 ) -> Result[None, ListenError]:
-    """Set up a server and accept connections on ``ip:port``."""
+    """Set up a server and accept connections on ``ip:port``.
+
+    Parameters
+    ----------
+    runner
+        Server.
+    address : str
+        Where it listens.
+    listening : socket, optional
+        Socket that listens there already.
+    """
     await runner.setup()
     host, port = split_address(address)
+    site = (
+        web.TCPSite(runner, host, port, backlog=BACKLOG)
+        if listening is None
+        else web.SockSite(runner, listening, backlog=BACKLOG)
+    )
     try:
-        await web.TCPSite(runner, host, port, backlog=BACKLOG).start()
+        await site.start()
     except OSError as error:
         return Err(ListenError(address, error.strerror or str(error)))
     return Ok(None)
@@ -208,6 +225,7 @@
 async def listen_all(
     interfaces: Iterable[tuple[str, web.AppRunner | web.ServerRunner]],
     runners: list[web.AppRunner | web.ServerRunner],
+    sockets_by_address: SocketsByAddress | None = None,
 ) -> Result[None, ListenError]:
     """Set up servers at their addresses until one cannot listen.
 
@@ -217,10 +235,13 @@
         Addresses and their servers.
     runners : list
         Gets the servers that were set up, for the end.
+    sockets_by_address : mapping, optional
+        Sockets that listen already.
     """
+    sockets_by_address = sockets_by_address or {}
     for address, runner in interfaces:
         runners.append(runner)
-        served = await listen(runner, address)
+        served = await listen(runner, address, sockets_by_address.get(address))
         if isinstance(served, Err):
             return served
     return Ok(None)
--- a/src/lacewingstair/process.py
+++ b/src/lacewingstair/process.py
@@ -14,6 +14,7 @@
 from result import Err, Result
 
 from lacewingstair import events
+from lacewingstair.early_listening import SocketsByAddress
 from lacewingstair.entry import release_reload_signals
 from lacewingstair.errors import ListenError
 from lacewingstair.garbage_collection import tune_garbage_collection
@@ -31,7 +32,9 @@
 class Process(Protocol):
     """All parts of one VM's process."""
 
-    async def start(self) -> Result[None, ListenError]:
+    async def start(
+        self, sockets_by_address: SocketsByAddress
+    ) -> Result[None, ListenError]:
         """Listen on all interfaces and start the tasks."""
         ...
 
@@ -81,6 +84,8 @@
         Validated settings.
     settings_path : str
         File from which a reload signal reads them again; empty without one.
+    sockets_by_address : mapping, optional
+        Sockets that listen already.
 
     Attributes
     ----------
@@ -88,9 +93,15 @@
         Exit code of the process.
     """
 
-    def __init__(self, settings: Settings, settings_path: str = "") -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        settings_path: str = "",
+        sockets_by_address: SocketsByAddress | None = None,
+    ) -> None:
         self.settings = settings
         self.settings_path = settings_path
+        self._sockets_by_address = sockets_by_address or {}
         self.exit_code = EXIT_OK
         self._daemon: Process | None = None
         self._clock = SystemClock()
@@ -113,7 +124,7 @@
         if self.settings_path and hasattr(self._daemon, "reload"):
             loop.add_signal_handler(signal.SIGHUP, self._on_reload)
         release_reload_signals()
-        started = await self._daemon.start()
+        started = await self._daemon.start(self._sockets_by_address)
         if isinstance(started, Err):
             print(f"lacewingstaird: {started.err_value}", file=sys.stderr)
             self.exit_code = EXIT_ERROR
@@ -199,15 +210,25 @@
         runner.run(run_to_end())
 
 
-def run(settings: Settings, settings_path: str = "") -> int:
+def run(
+    settings: Settings,
+    settings_path: str = "",
+    sockets_by_address: SocketsByAddress | None = None,
+) -> int:
     """Run one daemon until a stop signal; return the exit code."""
-    service = DaemonService(settings, settings_path)
+    service = DaemonService(settings, settings_path, sockets_by_address)
     _runners.get(settings.platform.interface)(service)
     return service.exit_code
 
 
-def main() -> None:
-    """Entry point of ``lacewingstaird SETTINGS_FILE``."""
+def main(sockets_by_address: SocketsByAddress | None = None) -> None:
+    """Entry point of ``lacewingstaird SETTINGS_FILE``.
+
+    Parameters
+    ----------
+    sockets_by_address : mapping, optional
+        Sockets that listen already.
+    """
     if len(sys.argv) != 2 or sys.argv[1].startswith("-"):
         print("usage: lacewingstaird SETTINGS_FILE", file=sys.stderr)
         sys.exit(EXIT_INVALID)
@@ -222,7 +243,7 @@
         atexit.register(output.flush)
     else:
         events.configure(settings.log_level)
-    sys.exit(run(settings, sys.argv[1]))
+    sys.exit(run(settings, sys.argv[1], sockets_by_address))
 
 
 if __name__ == "__main__":
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -28,6 +28,7 @@
 )
 from lacewingstair.caller.forwarding import Forwarder
 from lacewingstair.caller.ingress import Ingress
+from lacewingstair.early_listening import SocketsByAddress
 from lacewingstair.errors import ConnectError, ListenError, SettingsError
 from lacewingstair.http_server import application_runner, listen_all
 from lacewingstair.loop_monitor import LoopMonitor
@@ -234,12 +235,20 @@
         self._runners: list[web.AppRunner | web.ServerRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
 
-    async def start(self) -> Result[None, ListenError]:
-        """Listen on all interfaces and start the tasks."""
+    async def start(
+        self, sockets_by_address: SocketsByAddress | None = None
+    ) -> Result[None, ListenError]:
+        """Listen on all interfaces and start the tasks.
+
+        Parameters
+        ----------
+        sockets_by_address : mapping, optional
+            Sockets that listen already.
+        """
         listening = await self.call_server.listen()
         if isinstance(listening, Err):
             return listening
-        served = await listen_all(self._interfaces(), self._runners)
+        served = await listen_all(self._interfaces(), self._runners, sockets_by_address)
         if isinstance(served, Err):
             return served
         runs = [self.operator_reading.run(), self._mesh_tail.run()]
--- a/tests/test_sidecar_stop.py
+++ b/tests/test_sidecar_stop.py
@@ -492,7 +492,7 @@
     """Guards against a stop that takes calls which the kill of the platform cuts."""
 
     class Daemon:
-        async def start(self):
+        async def start(self, sockets_by_address):
             return Ok(None)
 
         async def stop(self, signalled_at):
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -12,7 +12,7 @@
 from unittest import mock
 from lacewingstair import entry, process
 
-def show():
+def show(sockets_by_address):
     from aiohttp import connector
     print(connector._SSL_CONTEXT_VERIFIED.cert_store_stats()["x509"], gc.isenabled())
 
