Bodies of open calls are bounded in memory and in time

Cause: an upload was read whole with no limit but that of one body (64 MiB), and for as long as its caller took: many at once ended the process for its memory, and a caller that stopped in mid-body was never answered.

Change: a body is read before a backend server gets the call, within the deadline (408, not run), and all bodies together have at most 32 MiB; a further one is refused before it is read (503, not run).

Found by the tests of this: input that is no request ended the connection without an answer since calls run ahead; a request without a Host header asked a name server, which blocks the event loop.

--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -11,6 +11,7 @@
 from lacewingstair import events
 from lacewingstair.backend_server.admission_proxy import AdmissionProxy
 from lacewingstair.caller import request_checks
+from lacewingstair.caller.body_budget import BodyBudget, BodyReservation
 from lacewingstair.caller.elapsed_wait import ElapsedWaitEstimator
 from lacewingstair.caller.forwarding import ForwardedCall, Forwarder, ForwardingFailure
 from lacewingstair.caller.raw_response import RawResponse
@@ -31,6 +32,7 @@
 MIN_RETRY_AFTER_SECONDS = 0.1
 NO_CONFIGURATION_RETRY_AFTER_SECONDS = 0.3
 STOPPING_RETRY_AFTER_SECONDS = 0.3
+FULL_OF_BODIES_RETRY_AFTER_SECONDS = 0.5
 # Jitter, as a share of the delay, that spreads retries of calls refused at the same
 # time.
 RETRY_AFTER_JITTER = 0.5
@@ -124,6 +126,7 @@
         self._on_answer = on_answer
         self._splits = SplitChooser(rng)
         self._elapsed_wait = ElapsedWaitEstimator()
+        self._body_budget = BodyBudget()
         self._open_calls: set[_OpenCall] = set()
         self._server: CallServer | None = None
         self.newest_call_at = clock.monotonic()
@@ -173,9 +176,10 @@
         started_at = now - request.waited_seconds
         open_call = _OpenCall(request, started_at, asyncio.current_task())
         self._open_calls.add(open_call)
+        reservation = self._body_budget.reserve()
         status = 0
         try:
-            prepared = await self._prepare(request, started_at)
+            prepared = await self._prepare(request, started_at, reservation)
             if isinstance(prepared, Err):
                 status = prepared.err_value.status
                 return prepared.err_value
@@ -194,6 +198,7 @@
             return response
         finally:
             self._open_calls.discard(open_call)
+            reservation.release()
             if not 200 <= status < 300:
                 parent_id = headers.parent_id(open_call.request_id)
                 self._gate.note_unserved_call(
@@ -211,7 +216,7 @@
             return False
         path = request.raw_path.partition("?")[0]
         table = self._configurations.current.table
-        named = table.find(request.host, path, request.method)
+        named = table.find(request_checks.host_of(request), path, request.method)
         if named is None:
             return False
         return named.route.allows_repeat and not named.route.has_large_answers
@@ -243,7 +248,10 @@
         )
 
     async def _prepare(
-        self, request: web.BaseRequest, started_at: float
+        self,
+        request: web.BaseRequest,
+        started_at: float,
+        reservation: BodyReservation,
     ) -> Result[ForwardedCall, RawResponse]:
         request_id = request.headers.get(headers.REQUEST_ID, "")
         refusal = request_checks.check_request(request)
@@ -258,7 +266,9 @@
             delay = NO_CONFIGURATION_RETRY_AFTER_SECONDS
             return Err(self._refuse(request, 503, "no configuration yet", delay))
         path = target.ok_value.partition("?")[0]
-        named = configuration.table.find(request.host, path, request.method)
+        named = configuration.table.find(
+            request_checks.host_of(request), path, request.method
+        )
         if named is None:
             reason = f"no route in configuration {configuration.number}"
             return Err(self._refuse(request, 404, reason))
@@ -266,7 +276,8 @@
         deadline_at = started_at + timeout_ms / 1000
         if not self.stop_admission.admits(named.name, deadline_at):
             return Err(self._refuse_stopping(request))
-        body = await self._read_body(request, configuration.limits.max_body_bytes)
+        limit = configuration.limits.max_body_bytes
+        body = await self._read_body(request, limit, deadline_at, reservation)
         if isinstance(body, Err):
             return body
         # The process may have begun to stop while the body arrived.
@@ -327,23 +338,48 @@
         )
 
     async def _read_body(
-        self, request: web.BaseRequest, limit: int
+        self,
+        request: web.BaseRequest,
+        limit: int,
+        deadline_at: float,
+        reservation: BodyReservation,
     ) -> Result[bytes, RawResponse]:
         if not request.can_read_body:
             return Ok(b"")
+        length = request.content_length or 0
+        if length > limit:
+            return Err(self._refuse_long_body(request, limit))
+        if not reservation.grow_to(length):
+            return Err(self._refuse_full(request))
         parts: list[bytes] = []
         size = 0
+        left = deadline_at - self._clock.monotonic()
         try:
-            while chunk := await request.content.readany():
-                parts.append(chunk)
-                size += len(chunk)
-                if size > limit:
-                    reason = f"the body has over the allowed {limit} bytes"
-                    return Err(self._refuse(request, 413, reason))
+            async with asyncio.timeout(max(0.0, left)):
+                while chunk := await request.content.readany():
+                    parts.append(chunk)
+                    size += len(chunk)
+                    if size > limit:
+                        return Err(self._refuse_long_body(request, limit))
+                    if not reservation.grow_to(size):
+                        return Err(self._refuse_full(request))
+        except TimeoutError:
+            reason = f"{size} bytes of the body arrived before the deadline"
+            return Err(self._refuse(request, 408, reason))
         except (ClientError, ValueError, OSError) as error:
             return Err(self._refuse(request, 400, f"the body is malformed: {error}"))
         return Ok(b"".join(parts))
 
+    def _refuse_long_body(self, request: web.BaseRequest, limit: int) -> RawResponse:
+        reason = f"the body has over the allowed {limit} bytes"
+        return self._refuse(request, 413, reason)
+
+    def _refuse_full(self, request: web.BaseRequest) -> RawResponse:
+        held = self._body_budget.held_bytes
+        reason = f"the bodies of open calls have {held} bytes"
+        delay = FULL_OF_BODIES_RETRY_AFTER_SECONDS
+        return self._refuse(request, 503, reason, delay)
+
     async def _forward(
         self, request: web.BaseRequest, call: ForwardedCall, open_call: _OpenCall
     ) -> web.StreamResponse:
--- a/src/lacewingstair/caller/pipelining.py
+++ b/src/lacewingstair/caller/pipelining.py
@@ -15,6 +15,7 @@
 from aiohttp import EMPTY_PAYLOAD, StreamReader, web
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http import RawRequestMessage, StreamWriter
+from multidict import CIMultiDictProxy
 
 from lacewingstair.caller.raw_response import RawResponse
 
@@ -163,6 +164,9 @@
         return request
 
     def _is_repeatable(self, request: web.BaseRequest, payload: StreamReader) -> bool:
+        # aiohttp makes a request with plain headers for input that is no request.
+        if not isinstance(request.headers, CIMultiDictProxy):
+            return False
         return payload is EMPTY_PAYLOAD and self._may_run_ahead(request)
 
     def _run_ahead(self) -> None:
--- a/src/lacewingstair/caller/request_checks.py
+++ b/src/lacewingstair/caller/request_checks.py
@@ -48,6 +48,15 @@
     return None
 
 
+def host_of(request: web.BaseRequest) -> str:
+    """Return the host that a request names, or an empty string.
+
+    aiohttp's property asks a name server for this VM's name if there is none, and
+    blocks meanwhile.
+    """
+    return request.headers.get("Host", "")
+
+
 def parse_target(request: web.BaseRequest) -> Result[str, Refusal]:
     """Return the path and query in the form that is forwarded."""
     raw = request.raw_path
--- a/src/lacewingstair/caller/server.py
+++ b/src/lacewingstair/caller/server.py
@@ -230,9 +230,15 @@
         if state.is_empty:
             return Err(Refusal(503, "no configuration yet", True, 1))
         path = target.ok_value.partition("?")[0]
-        named = state.route_table.find(request.host, path, request.method)
+        named = state.route_table.find(
+            request_checks.host_of(request), path, request.method
+        )
         if named is None:
-            return Err(Refusal(404, f"no route for {request.host}{path[:200]}"))
+            return Err(
+                Refusal(
+                    404, f"no route for {request_checks.host_of(request)}{path[:200]}"
+                )
+            )
         service = state.services[named.route.service]
         return await self._prepare_routed(request, named, service, target.ok_value)
 
--- a/tests/caller/test_pipelining.py
+++ b/tests/caller/test_pipelining.py
@@ -210,6 +210,23 @@
     asyncio.run(main())
 
 
+def test_input_that_is_no_request_is_answered_behind_the_calls_before_it():
+    """Guards against a connection that ends without a word."""
+
+    async def main():
+        handler = Handler()
+        async with serving(handler) as (_, reader, writer):
+            writer.write(request_of("a"))
+            await handler.until(lambda: handler.begun == ["a"])
+            writer.write(b"no request\r\n\r\n")
+            await handler.allow("a")
+            assert (await next_answer(reader))[0] == "a"
+            async with asyncio.timeout(LIMIT_SECONDS):
+                assert b" 400 Bad Request\r\n" in await reader.read()
+
+    asyncio.run(main())
+
+
 CALLS = st.lists(
     st.tuples(st.sampled_from(["GET", "GET", "POST"]), st.sampled_from([0, 300_000])),
     min_size=1,
