--- a/src/lacewingstair/metadata/tail.py
+++ b/src/lacewingstair/metadata/tail.py
@@ -107,9 +107,13 @@
             return
         self._answered(began_at)
         self.skip_to(page.ok_value.next_offset)
-        if page.ok_value.records:
-            self._deliver(page.ok_value.records, page.ok_value.next_offset)
-            await self._clock.sleep(self._pause_seconds())
+        if not page.ok_value.records:
+            return
+        self._deliver(page.ok_value.records, page.ok_value.next_offset)
+        if page.ok_value.end_offset > page.ok_value.next_offset:
+            await self._read_newest(self._clock.monotonic())
+            return
+        await self._clock.sleep(self._pause_seconds())
 
     async def _read_newest(self, began_at: float) -> None:
         newest = await self._store.newest(self._topic)
--- a/src/lacewingstair/platform/store.py
+++ b/src/lacewingstair/platform/store.py
@@ -20,13 +20,16 @@
 STATUS_TOPIC = "keyed.status"
 MESH_TOPIC = "keyed.mesh"
 ONLY_PARTITION = 0
-MAX_READ_KB = 1024
+# Holds at least one record of the largest size. A reader that lags further behind gets
+# the newest values instead of all that have been replaced.
+MAX_READ_KB = 300
 # Reads ask for 1 MiB and pages of the newest values hold 1 MB, before their encoding.
 MAX_ANSWER_BYTES = 8 << 20
 # The kernel repeats a lost opening packet after 1, 3, 7 and 15 s; a new attempt finds a
 # store that is back sooner.
 CONNECT_TIMEOUT_SECONDS = 1.0
 _LENGTH_BYTES = 4
+_END_BYTES = 8
 _OFFSETS_BYTES = 16
 _MAX_KEY_BYTES = 255
 # Everything that JSON of an unexpected form raises while it is decoded.
@@ -61,10 +64,21 @@
 
 @attrs.frozen
 class KeyedPage:
-    """Records and the offset from which to read on."""
+    """Records of a topic.
+
+    Parameters
+    ----------
+    records : tuple of KeyedRecord
+        What was read.
+    next_offset : int
+        Offset from which to read on.
+    end_offset : int
+        Offset of the next record that will be written.
+    """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    end_offset: int
 
 
 ReadResult = Result[KeyedPage, OffsetExpired | StoreUnavailable]
@@ -151,7 +165,7 @@
                 )
             records.extend(found)
             if not has_more or not found:
-                return Ok(KeyedPage(tuple(records), next_offset))
+                return Ok(KeyedPage(tuple(records), next_offset, next_offset))
             after = found[-1].key
 
     async def read(self, topic: str, offset: int, wait_seconds: float) -> ReadResult:
@@ -172,8 +186,9 @@
             return first.and_then(lambda found: Err(OffsetExpired(offset, found)))
         if status != 200 or len(body) < _OFFSETS_BYTES:
             return Err(_refused("log-read", status, body))
+        end_offset = int.from_bytes(body[:_END_BYTES], "big")
         records = tuple(_records(body[_OFFSETS_BYTES:], offset))
-        return Ok(KeyedPage(records, offset + _count(body[_OFFSETS_BYTES:])))
+        return Ok(KeyedPage(records, offset + len(records), end_offset))
 
     async def close(self) -> None:
         """Release the connections."""
@@ -252,10 +267,6 @@
         position += length
 
 
-def _count(data: bytes) -> int:
-    return sum(1 for _ in _contents(data))
-
-
 def _records(data: bytes, offset: int) -> Iterator[KeyedRecord]:
     """Yield the records; one that cannot be read has an empty key and no value."""
     for index, content in enumerate(_contents(data)):
--- a/tests/metadata/test_operator_reading.py
+++ b/tests/metadata/test_operator_reading.py
@@ -19,7 +19,7 @@
         self.fails_next = False
 
     async def newest(self, topic):
-        return Ok(KeyedPage((KeyedRecord("a", b"b", 4),), 5))
+        return Ok(KeyedPage((KeyedRecord("a", b"b", 4),), 5, 5))
 
     async def read(self, topic, offset, wait_seconds):
         await asyncio.sleep(0.02)
@@ -27,7 +27,7 @@
             self.fails_next = False
             raise AttributeError("an answer of a form that nobody expected")
         await asyncio.sleep(wait_seconds)
-        return Ok(KeyedPage((), offset))
+        return Ok(KeyedPage((), offset, offset))
 
 
 class Fetcher:
