Streams between VMs share the decoders of their messages

Change: a stream holds a decoder only while a message is incomplete; few are kept, none that has decoded 64 KiB, as their buffers never shrink. Counts of incomplete bytes and of the sizes of messages no longer take the read part of a header for the message before.

--- a/src/lacewingstair/vm/call_messages.py
+++ b/src/lacewingstair/vm/call_messages.py
@@ -19,6 +19,7 @@
 from lacewingstair.vm.entries import VmEntry, entry_from_values, entry_to_values
 
 MAX_MESSAGE_BYTES = 80 << 20
+FIRST_BUFFER_BYTES = 4 << 10
 
 MessageType = TypeVar("MessageType", bound=type)
 _TYPES_BY_CODE: dict[int, type] = {}
@@ -396,5 +397,9 @@
 
 
 def unpacker() -> msgpack.Unpacker:
-    """Return an incremental decoder of msgpack arrays."""
-    return msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES, strict_map_key=False)
+    """Return an incremental decoder of msgpack arrays; its buffer grows as needed."""
+    return msgpack.Unpacker(
+        read_size=FIRST_BUFFER_BYTES,
+        max_buffer_size=MAX_MESSAGE_BYTES,
+        strict_map_key=False,
+    )
--- a/src/lacewingstair/vm/call_streams.py
+++ b/src/lacewingstair/vm/call_streams.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 from typing import Any
 
 import msgpack
@@ -13,6 +13,7 @@
 from lacewingstair.errors import ConnectError
 from lacewingstair.sockets import detect_silence
 from lacewingstair.vm import call_messages, distances
+from lacewingstair.vm.decoder_pool import DecoderPool, StreamDecoder
 from lacewingstair.vm.stream_traffic import RECEIVED, SENT, StreamTraffic
 
 READ_BYTES = 256 << 10
@@ -20,6 +21,8 @@
 # A peer that reads too slowly is disconnected when its write buffer exceeds this.
 MAX_QUEUED_BYTES = 64 << 20
 
+_decoder_pool = DecoderPool(call_messages.unpacker)
+
 
 class CallStream:
     """Messages to and from one peer over one connection.
@@ -50,7 +53,7 @@
         self._reader = reader
         self._writer = writer
         self._traffic = traffic or StreamTraffic()
-        self._unpacker = call_messages.unpacker()
+        self._decoder = StreamDecoder(_decoder_pool)
         self.bytes_received = 0
         self.distance = distances.UNKNOWN
         self.peer_bandwidth_kbps = 0
@@ -64,7 +67,7 @@
     @property
     def incomplete_bytes(self) -> int:
         """Bytes received of an incomplete message."""
-        return self.bytes_received - self._unpacker.tell()
+        return self._decoder.incomplete_bytes
 
     @property
     def is_closing(self) -> bool:
@@ -99,8 +102,7 @@
                 return
             self.bytes_received += len(data)
             try:
-                self._unpacker.feed(data)
-                arrays = list(self._complete_arrays())
+                arrays = self._decoder.feed(data)
             except (msgpack.UnpackException, ValueError) as error:
                 events.warning("stream_unreadable", error=error)
                 return
@@ -112,14 +114,6 @@
                 self._count(message.ok_value, RECEIVED, size)
                 yield message.ok_value
 
-    def _complete_arrays(self) -> Iterator[tuple[Any, int]]:
-        """Yield each complete array in the buffer and its size in bytes."""
-        start = self._unpacker.tell()
-        for array in self._unpacker:
-            end = self._unpacker.tell()
-            yield array, end - start
-            start = end
-
     def _count(self, message: Any, direction: str, size: int) -> None:
         kind = type(message).__name__
         self._traffic.count(kind, self.distance, direction, size)
