--- a/src/lacewingstair/backend_server/admission_proxy.py
+++ b/src/lacewingstair/backend_server/admission_proxy.py
@@ -13,7 +13,6 @@
 import attrs
 from aiohttp import ClientError
 from aiohttp.http_exceptions import HttpProcessingError
-from aiohttp.streams import StreamReader
 from result import Err, Ok, Result
 
 from lacewingstair import events
@@ -26,6 +25,11 @@
 from lacewingstair.backend_server.connection import UpstreamConnection
 from lacewingstair.backend_server.pool import ConnectionPool
 from lacewingstair.backend_server.response_memory import ResponseMemory
+from lacewingstair.backend_server.response_reader import (
+    FailedExchange,
+    ResponseReader,
+    UpstreamResponse,
+)
 from lacewingstair.errors import ConnectError, ConnectionsBusy
 from lacewingstair.platform import headers
 from lacewingstair.runtime import Clock
@@ -42,14 +46,10 @@
 )
 from lacewingstair.vm.entries import UpstreamState
 
-MAX_RESPONSE_BYTES = 64 << 20
 # Limit for all responses that are being received; the smallest VMs have 200 MB.
 MAX_BUFFERED_RESPONSE_BYTES = 64 << 20
 # The backend server responds at the deadline itself, so its response comes just after.
 RESPONSE_GRACE_SECONDS = 0.1
-DEFAULT_IDLE_REUSE_SECONDS = 4.0
-# Idle connections are not reused this shortly before the backend server closes them.
-KEEP_ALIVE_MARGIN_SECONDS = 1.0
 DEFAULT_CONNECTIONS = 64
 # Time after a failed connect for which calls run only on established connections.
 CONNECTION_LIMIT_SECONDS = 1.0
@@ -61,8 +61,6 @@
 # The backend server counts as unreachable once connects have timed out or been reset
 # for this long; a single lost packet delays a connect by a second.
 UNREACHABLE_AFTER_SECONDS = 1.5
-# Responses to other calls are skipped; with this many, the connection is closed.
-MAX_STRAY_RESPONSES = 3
 
 OnOutcome = Callable[[str, int, float, bool], None]
 
@@ -77,26 +75,6 @@
     state: UpstreamState = UpstreamState.ABSENT
 
 
-@attrs.frozen
-class _Response:
-    """Complete response to a call."""
-
-    status: int
-    reason: str
-    fields: object
-    raw_headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
-
-
-@attrs.frozen
-class _FailedExchange:
-    """Reason why there is no complete response."""
-
-    reason: str
-    is_sent: bool
-    is_timeout: bool = False
-
-
 @attrs.define(eq=False)
 class _RunningCall:
     """A call that is running at the backend server.
@@ -190,7 +168,7 @@
         # and would drop connections to a backend server that pauses reading.
         self._pool = pool or ConnectionPool(clock, sharing_vms=1, tcp_user_timeout_ms=0)
         self._response_memory = ResponseMemory(max_buffered_bytes)
-        self._idle_reuse_seconds = DEFAULT_IDLE_REUSE_SECONDS
+        self._reader = ResponseReader(self._response_memory)
         self._listeners: list[Callable[[LoadReport], None]] = []
         self._running_by_request_id: dict[str, _RunningCall] = {}
         self._in_use: set[UpstreamConnection] = set()
@@ -367,7 +345,7 @@
             )
         connection = acquired.ok_value
         received = await self._exchange(call, connection, deadline)
-        if isinstance(received, _FailedExchange):
+        if isinstance(received, FailedExchange):
             return self._failure_outcome(call, received)
         if headers.is_not_run(received.status, received.fields):
             return CallRefused(
@@ -401,7 +379,7 @@
     ) -> Result[UpstreamConnection, ConnectError | ConnectionsBusy]:
         started_at = self._clock.monotonic()
         acquired = await self._pool.acquire(
-            self._address, self._max_connections(), self._idle_reuse_seconds
+            self._address, self._max_connections(), self._reader.idle_reuse_seconds
         )
         if isinstance(acquired, Ok):
             self._connects_failing_since = None
@@ -462,7 +440,7 @@
         return sum(connection.is_connected() for connection in self._in_use)
 
     def _failure_outcome(
-        self, call: CallRequest, failure: _FailedExchange
+        self, call: CallRequest, failure: FailedExchange
     ) -> CallOutcome:
         events.warning(
             "upstream_failed",
@@ -479,7 +457,7 @@
 
     async def _exchange(
         self, call: CallRequest, connection: UpstreamConnection, deadline: float
-    ) -> _Response | _FailedExchange:
+    ) -> UpstreamResponse | FailedExchange:
         """Send a call and return its response; release or close the connection."""
         remaining_ms = (deadline - self._clock.monotonic()) * 1000
         head = b"%b %b HTTP/1.1\r\n%b%b%b\r\n" % (
@@ -496,16 +474,16 @@
             async with asyncio.timeout(remaining_ms / 1000 + RESPONSE_GRACE_SECONDS):
                 if not connection.write(head + call.body):
                     self._limit_after_early_reset(connection)
-                    return _FailedExchange("connection was already closed", False)
+                    return FailedExchange("connection was already closed", False)
                 self.arrivals_by_origin[call.origin] += 1
-                received = await self._receive(call, connection)
-                is_complete = isinstance(received, _Response)
+                received = await self._reader.receive(call.request_id, connection)
+                is_complete = isinstance(received, UpstreamResponse)
                 return received
         except TimeoutError:
-            return _FailedExchange("no answer in time", True, is_timeout=True)
+            return FailedExchange("no answer in time", True, is_timeout=True)
         except (ClientError, HttpProcessingError, OSError) as error:
             self._limit_after_early_reset(connection)
-            return _FailedExchange(str(error) or type(error).__name__, True)
+            return FailedExchange(str(error) or type(error).__name__, True)
         finally:
             self._in_use.discard(connection)
             if is_complete:
@@ -513,61 +491,6 @@
             else:
                 self._pool.discard(self._address, connection)
 
-    async def _receive(
-        self, call: CallRequest, connection: UpstreamConnection
-    ) -> _Response | _FailedExchange:
-        for _ in range(MAX_STRAY_RESPONSES):
-            message, payload = await connection.read_response_head()
-            if message.code == 101:
-                return _FailedExchange(
-                    "unexpected 101 Switching Protocols response", True
-                )
-            body = await self._receive_body(connection, payload)
-            if isinstance(body, _FailedExchange):
-                return body
-            if connection.was_reset:
-                return _FailedExchange("connection was reset during the response", True)
-            found = message.headers.get(headers.REQUEST_ID)
-            is_not_run = headers.is_not_run(message.code, message.headers)
-            # On a reused connection, a refusal without an id may belong to an earlier
-            # call.
-            is_certain = connection.calls == 1 or not call.request_id
-            is_refusal = is_not_run and found is None and is_certain
-            if found == call.request_id or is_refusal:
-                self._update_idle_reuse(message.headers)
-                if message.code < 300 and headers.SIGNATURE not in message.headers:
-                    return _FailedExchange("successful response is not signed", True)
-                return _Response(
-                    message.code,
-                    message.reason,
-                    message.headers,
-                    message.raw_headers,
-                    body,
-                )
-            if found is None and not is_not_run:
-                return _FailedExchange("response has no request id", True)
-            events.warning("stray_answer", call=call.request_id, answer_of=found)
-        return _FailedExchange("too many responses to other calls", True)
-
-    async def _receive_body(
-        self, connection: UpstreamConnection, payload: StreamReader
-    ) -> bytes | _FailedExchange:
-        parts: list[bytes] = []
-        with self._response_memory.receiving(connection) as partial:
-            while chunk := await payload.readany():
-                parts.append(chunk)
-                self._response_memory.add(partial, len(chunk))
-                if partial.size > MAX_RESPONSE_BYTES:
-                    return _FailedExchange(
-                        f"response body exceeds {partial.size} bytes", True
-                    )
-        return b"".join(parts)
-
-    def _update_idle_reuse(self, fields: object) -> None:
-        seconds = headers.keep_alive_seconds(fields)
-        if seconds is not None:
-            self._idle_reuse_seconds = max(0.0, seconds - KEEP_ALIVE_MARGIN_SECONDS)
-
 
 def _content_length_header(call: CallRequest) -> bytes:
     if call.body or call.method in ("POST", "PUT", "PATCH"):
