--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -38,6 +38,7 @@
 from lacewingstair.metadata.records import StoreRecords
 from lacewingstair.metadata.tail import KeyedTail, Record
 from lacewingstair.metrics.sidecar import SidecarMetrics
+from lacewingstair.metrics.sidecar_totals import SidecarTotals
 from lacewingstair.operator.sidecar_api import SidecarApi
 from lacewingstair.planned_stop import PlannedStop
 from lacewingstair.platform import store as platform_store
@@ -75,7 +76,7 @@
 # only the store tells them is that a late write has replaced their own entry there.
 RELAXED_MESH_BATCH_SECONDS = 15.0
 SWEEP_SECONDS = 1.0
-SWEEPS_PER_TRAFFIC_LINE = 10
+SWEEPS_PER_TOTALS = 10
 CONFIGURATION_CHECK_SECONDS = 0.05
 # The entry of an earlier process is waited for until so long after the start; the store
 # may not answer.
@@ -101,9 +102,6 @@
         self.bounds = parse_bounds(settings.platform.bounds).unwrap()
         self.metrics = SidecarMetrics()
         self.traffic = StreamTraffic()
-        self.metrics.mesh_bytes = self._mesh_bytes
-        self.metrics.store_calls = self._store_calls
-        self.metrics.upstream_arrivals = self._arrivals
         self.loop_monitor = LoopMonitor(clock, self.metrics.loop_lag_seconds.observe)
         self.configurations = ConfigurationStore()
         self.view = MeshView(settings.vm_id)
@@ -131,6 +129,8 @@
             on_outcome=self._count_run,
             on_unreachable=self._upstream_unreachable,
         )
+        self.totals = SidecarTotals(self.gate, self.store, self.traffic)
+        self.totals.show_in(self.metrics)
         self.registration = Registration(
             _own_entry(settings, clock), self.view, self._write_entry, clock, rng
         )
@@ -358,49 +358,8 @@
             await self.clock.sleep(SWEEP_SECONDS)
             self.gate.sweep()
             self._apply_register()
-            if number % SWEEPS_PER_TRAFFIC_LINE == 0:
-                self._log_traffic()
-                self._log_store_calls()
-                self._log_arrivals()
-
-    def _log_traffic(self) -> None:
-        """Log the bytes since the start, one field for each set of labels."""
-        totals = self._mesh_bytes().items()
-        fields = {"_".join(labels): size for labels, size in sorted(totals) if size}
-        events.info(
-            "traffic_total", **{n.replace("-", "_"): s for n, s in fields.items()}
-        )
-
-    def _store_calls(self) -> dict[tuple[str], int]:
-        """Return the calls to the store, by operation."""
-        counts = self.store.calls_by_operation.items()
-        return {(operation,): count for operation, count in counts}
-
-    def _log_store_calls(self) -> None:
-        """Log the calls to the store since the start, one field for each operation."""
-        fields = {
-            operation.replace("-", "_"): count
-            for (operation,), count in sorted(self._store_calls().items())
-        }
-        events.info("store_calls_total", **fields)
-
-    def _arrivals(self) -> dict[tuple[str], int]:
-        """Return the calls sent to the backend server, by why they were sent."""
-        counts = self.gate.arrivals_by_origin.items()
-        return {(origin.name.lower(),): count for origin, count in counts}
-
-    def _log_arrivals(self) -> None:
-        """Log the calls sent to the backend server since the start."""
-        totals = {origin: count for (origin,), count in self._arrivals().items()}
-        events.info("arrivals_total", service=self.gate.service, **totals)
-
-    def _mesh_bytes(self) -> dict[tuple[str, str, str], int]:
-        """Return the bytes between VMs and with the store, by their labels."""
-        with_store = {
-            (operation, "store", direction): size
-            for (operation, direction), size in self.store.bytes_by_labels.items()
-        }
-        return {**self.traffic.bytes_by_labels, **with_store}
+            if number % SWEEPS_PER_TOTALS == 0:
+                self.totals.log()
 
     def _entry(self) -> VmEntry:
         return self.registration.entry
