--- a/src/lacewingstair/metadata/configuration.py
+++ b/src/lacewingstair/metadata/configuration.py
@@ -1,4 +1,4 @@
-"""Configuration as a VM that forwards calls uses it: routes, services and limits."""
+"""Configuration of a VM that forwards calls: routes, services and limits."""
 
 import random
 from collections.abc import Callable, Mapping
@@ -27,7 +27,7 @@
 
 @attrs.frozen
 class CallRoute:
-    """Route of calls with all that decides how they are forwarded.
+    """Route of calls, with the parameters of forwarding.
 
     Parameters
     ----------
@@ -46,7 +46,7 @@
     timeout_ms : float
         Longest time that a call may be kept waiting.
     target_latency_ms : float
-        Time in which an answer has its full worth.
+        Time within which an answer has its full value to the caller.
     priority : int
         Rank among the calls of a service; 0 is the highest.
     """
@@ -66,7 +66,7 @@
 
 @attrs.frozen
 class ServiceTerms:
-    """What the configuration says about the backend servers of a service.
+    """Parameters of the backend servers of a service.
 
     Parameters
     ----------
@@ -82,7 +82,7 @@
 
 @attrs.frozen
 class RequestLimits:
-    """Bounds of what a caller may send.
+    """Limits on the requests of callers.
 
     Parameters
     ----------
@@ -129,7 +129,7 @@
     limits : RequestLimits
         Bounds of requests.
     source : bytes
-        The document from which it was decoded, as other VMs get it.
+        Document from which it was decoded, which is sent to other VMs.
     table : RouteTable
         Compiled from the routes.
     route_rows : RouteRows
@@ -168,7 +168,7 @@
         self._listeners.append(listener)
 
     def adopt(self, configuration: Configuration) -> bool:
-        """Take a configuration over if it is newer; return whether it was."""
+        """Replace the configuration if this one is newer; return whether it was."""
         if configuration.number <= self.current.number:
             return False
         self.current = configuration
--- a/src/lacewingstair/metadata/operator_reading.py
+++ b/src/lacewingstair/metadata/operator_reading.py
@@ -1,4 +1,4 @@
-"""Follows the operators' records in the store while this VM is one of the readers."""
+"""Reads the operators' records from the store while this VM is a reader."""
 
 import asyncio
 from collections.abc import Callable, Iterator
@@ -12,13 +12,13 @@
 from lacewingstair.vm.store_readers import Peer, StoreReaderElection
 
 CHECK_SECONDS = 0.25
-# Pause after a reading has ended, so that an answer that always makes it fail does not
-# flood the store with reads.
+# Pause before a failed reading is restarted, so that a response that always makes it
+# fail does not flood the store with requests.
 RESTART_SECONDS = 0.5
 
 
 class OperatorReading:
-    """Starts and stops the reading as `StoreReaderElection` decides.
+    """Starts and stops reading as `StoreReaderElection` decides.
 
     Parameters
     ----------
@@ -29,16 +29,16 @@
     links : CallLinks
         Links to other VMs.
     fetcher : RecordFetcher
-        Gets records from other VMs.
+        Fetches records from other VMs.
     on_change : callable
-        Called when this VM begins or ceases to follow the store.
+        Called when this VM starts or stops reading the store.
     clock : Clock
-        Time.
+        Source of time.
 
     Attributes
     ----------
     is_reading : bool
-        Whether this VM follows the topic and the store answers.
+        Whether this VM reads the topic and the store responds.
     """
 
     def __init__(
@@ -62,7 +62,7 @@
         self.is_reading = False
 
     async def run(self) -> None:
-        """Decide again and again until cancelled."""
+        """Reevaluate the election periodically until cancelled."""
         try:
             while True:
                 self._decide()
@@ -71,7 +71,7 @@
             self._stop()
 
     def skip_to(self, offset: int) -> None:
-        """Read from an offset on, as what lies before it came from another VM."""
+        """Continue at an offset, as earlier records were received from another VM."""
         self._tail.skip_to(offset)
 
     def _decide(self) -> None:
@@ -92,7 +92,7 @@
             self._on_change()
 
     def _ended(self, task: asyncio.Task[None]) -> None:
-        """Let the next decision start a reading that has failed again."""
+        """Allow a reading that has failed to be restarted."""
         if task is self._reading:
             self._reading = None
             self._restart_at = self._clock.monotonic() + RESTART_SECONDS
@@ -110,5 +110,5 @@
         if self._reading is not None:
             self._reading.cancel()
             self._reading = None
-            # The cancelled run is not over yet, and two must not overlap.
+            # The cancelled task has not finished yet, and two must not overlap.
             self._restart_at = self._clock.monotonic() + RESTART_SECONDS
--- a/src/lacewingstair/metadata/operator_records.py
+++ b/src/lacewingstair/metadata/operator_records.py
@@ -7,9 +7,9 @@
 
 from lacewingstair.metadata.tail import Record
 
-# Earlier values that a difference can refer to.
+# Recent values that a delta can have as its base.
 HISTORY_VALUES = 6
-# Smaller values are always passed on whole.
+# Smaller values are always sent whole.
 LEAST_HISTORY_BYTES = 1024
 NO_OFFSET = -1
 
@@ -21,11 +21,11 @@
     Parameters
     ----------
     key : str
-        What it is about.
+        Key within the topic.
     value : bytes or None
         None when the key was dropped.
     offset : int
-        Place in the topic's log; a higher one is newer.
+        Position in the topic's log; a higher one is newer.
     """
 
     key: str
@@ -34,13 +34,13 @@
 
 
 class OperatorRecords:
-    """Keeps the newest record of each key; VMs pass on what lies after an offset.
+    """Holds the newest record of each key, to be sent to other VMs.
 
     Attributes
     ----------
     position : int
         Offset up to which the newest record of each key is held; `NO_OFFSET` before
-        anything was read.
+        the first read.
     """
 
     def __init__(self) -> None:
@@ -49,14 +49,14 @@
         self.position = NO_OFFSET
 
     def take(self, records: Iterable[Record], position: int) -> list[OperatorRecord]:
-        """Take records; return those that are newer than what is held, by offset.
+        """Store records; return the newer ones, ordered by offset.
 
         Parameters
         ----------
         records : iterable of Record
             Newest record of each key that has changed.
         position : int
-            Offset up to which they are complete, together with what is held.
+            Offset up to which these and the held records are complete.
         """
         newer_by_key: dict[str, OperatorRecord] = {}
         for record in records:
@@ -74,16 +74,16 @@
         return newer
 
     def after(self, offset: int) -> list[OperatorRecord]:
-        """Return the newest records beyond an offset, in their order."""
+        """Return the newest records after an offset, ordered by offset."""
         found = (r for r in self._records_by_key.values() if r.offset > offset)
         return sorted(found, key=lambda record: record.offset)
 
     def remembered_offsets(self) -> list[int]:
-        """Return the offsets of the values that a difference can refer to."""
+        """Return the offsets of the values that a delta can have as its base."""
         return list(self._values_by_offset)
 
     def remembered(self, offset: int) -> bytes | None:
-        """Return the value of a record that was held lately."""
+        """Return the value of a recent record, or None if it is no longer held."""
         return self._values_by_offset.get(offset)
 
     def _remember(self, record: OperatorRecord) -> None:
--- a/src/lacewingstair/metadata/record_transfer.py
+++ b/src/lacewingstair/metadata/record_transfer.py
@@ -1,8 +1,8 @@
-"""Form in which VMs pass the operators' records on: compressed, or as a difference.
+"""Encoding of the operators' records for transfers between VMs.
 
-A value is compressed against an earlier one that both sides hold, where there is one.
-A configuration then costs about what has changed in it. The whole state is the
-fallback, so that any two VMs can always bring each other up to date.
+A value is sent as a delta against an earlier one that both sides hold, if there is one,
+so that a configuration costs about as much as its changes. Otherwise the whole value is
+compressed, so that any VM can update any other.
 """
 
 from collections import OrderedDict
@@ -21,21 +21,21 @@
 )
 
 MAX_VALUE_BYTES = 32 << 20
-# The cheapest level; a higher one saves little on JSON that repeats itself.
+# A higher level saves little on repetitive JSON.
 COMPRESSION_LEVEL = 3
 CACHED_VALUES = 16
 
 
 @attrs.frozen
 class Transfer:
-    """Records that one VM passes on.
+    """Records that one VM sends to another.
 
     Parameters
     ----------
     position : int
-        Offset up to which the receiver is complete with them.
+        Offset up to which the receiver holds all records after the transfer.
     records : tuple of OperatorRecord
-        The records, in their order.
+        The records, ordered by offset.
     """
 
     position: int
@@ -43,15 +43,15 @@
 
 
 class TransferEncoder:
-    """Packs what another VM lacks.
+    """Encodes the records that another VM lacks.
 
-    The receivers of one version mostly hold the same one before, so that compressed
-    values are kept for the next of them.
+    Most receivers of a version hold the same earlier version, so compressed values are
+    cached.
 
     Parameters
     ----------
     records : OperatorRecords
-        What this VM holds.
+        Records that this VM holds.
     """
 
     def __init__(self, records: OperatorRecords) -> None:
@@ -59,14 +59,14 @@
         self._data_by_offsets: OrderedDict[tuple[int, int], bytes] = OrderedDict()
 
     def pack(self, after: int, remembered: Iterable[int]) -> bytes:
-        """Return the records beyond an offset for a VM that remembers some values.
+        """Return the encoded records after an offset.
 
         Parameters
         ----------
         after : int
-            Offset up to which the receiver is complete.
+            Offset up to which the receiver holds all records.
         remembered : iterable of int
-            Offsets of values that it holds.
+            Offsets of values that the receiver holds.
         """
         base = max(filter(self._is_remembered, remembered), default=NO_OFFSET)
         rows = [
@@ -92,14 +92,14 @@
 
 
 def unpack(data: bytes, records: OperatorRecords) -> Result[Transfer, FrameError]:
-    """Return the transfer in its packed form.
+    """Decode a transfer.
 
     Parameters
     ----------
     data : bytes
-        What `TransferEncoder.pack` has made.
+        Result of `TransferEncoder.pack`.
     records : OperatorRecords
-        What this VM holds, for the values that differences refer to.
+        Records that this VM holds, which are the bases of deltas.
     """
     try:
         position, rows = msgpack.unpackb(data)
@@ -115,7 +115,7 @@
 
 
 def compress(value: bytes, base: bytes | None) -> bytes:
-    """Return a value compressed by itself, or against an earlier one."""
+    """Compress a value, as a delta if a base is given."""
     parameters = zstandard.ZstdCompressionParameters.from_level(
         COMPRESSION_LEVEL,
         source_size=len(value),
--- a/src/lacewingstair/metadata/records.py
+++ b/src/lacewingstair/metadata/records.py
@@ -1,4 +1,4 @@
-"""Takes what the store holds: configurations, orders and entries of VMs."""
+"""Applies records of the store: configurations, rollout orders and entries of VMs."""
 
 from collections.abc import Iterable
 
@@ -21,25 +21,25 @@
 
 
 class StoreRecords:
-    """Decodes records and gives them to the parts that keep what they say.
+    """Decodes records and passes them to the components that hold their state.
 
-    What cannot be read is logged and passed over; the other records count.
+    Records that cannot be decoded are logged and skipped.
 
     Parameters
     ----------
     configurations : ConfigurationStore
-        Gets configurations.
+        Receives configurations.
     rollouts : RolloutCoordinator
-        Gets orders.
+        Receives rollout orders.
     registration : Registration
-        Gets this VM's entry as the store has it.
+        Receives this VM's entry as it stands in the store.
     view : MeshView
-        Gets the entries of the others.
+        Receives the entries of other VMs.
 
     Attributes
     ----------
     operator : OperatorRecords
-        Newest records of the operators, as they are passed on to other VMs.
+        Newest records of the operators, which are also sent to other VMs.
     """
 
     def __init__(
@@ -56,19 +56,19 @@
         self.operator = OperatorRecords()
 
     def take_operator_records(self, records: Iterable[Record], position: int) -> None:
-        """Take configurations and orders from the store.
+        """Apply configurations and rollout orders that were read from the store.
 
         Parameters
         ----------
         records : iterable of Record
-            What was read.
+            Records of the operators' topic.
         position : int
             Offset up to which the topic was read.
         """
         self._take_operator_records(records, position, "store")
 
     def take_transfer(self, data: bytes) -> bool:
-        """Take records that another VM passes on; return whether they are usable."""
+        """Apply records that another VM sent; return whether they could be decoded."""
         unpacked = unpack(data, self.operator)
         if isinstance(unpacked, Err):
             events.warning("records_unreadable", error=unpacked.err_value)
@@ -92,15 +92,15 @@
     def _take_newest_configuration(
         self, records: list[Record], origin: str
     ) -> list[Record]:
-        """Take the highest version that can be used; return its record.
+        """Adopt the highest version that can be decoded; return its record.
 
-        Versions that are superseded already are not decoded.
+        Versions that are already superseded are not decoded.
         """
         current = self._configurations.current.number
         found = [(version_of(record.value), record) for record in records]
         found.sort(key=lambda pair: pair[0], reverse=True)
         for number, record in found:
-            # A document without a version is decoded, so that its fault is logged.
+            # A document without a version is decoded so that its error is logged.
             if 0 < number <= current:
                 break
             if self._take_configuration(record.value, origin):
@@ -119,7 +119,7 @@
         self._rollouts.apply_order(decoded.ok_value)
 
     def _take_configuration(self, value: bytes, origin: str) -> bool:
-        """Take a configuration; return whether it is in force now."""
+        """Adopt a configuration; return whether it is now in force."""
         decoded = decode_configuration(value, self._configurations.current)
         if isinstance(decoded, Err):
             error = decoded.err_value
@@ -139,7 +139,7 @@
         return taken
 
     def take_entries(self, records: Iterable[Record], position: int) -> None:
-        """Take entries of VMs."""
+        """Apply entries of VMs."""
         for record in records:
             if record.value is None:
                 self._drop_entry(record)
@@ -148,7 +148,7 @@
             if isinstance(decoded, Err) or decoded.ok_value.vm_id != record.key:
                 events.warning("entry_unreadable", key=record.key, offset=record.offset)
                 if record.key == self._registration.entry.vm_id:
-                    # VMs that start now cannot know this one until it is written again.
+                    # VMs that start now cannot find this one until it is rewritten.
                     self._registration.handle_missing_entry(record.offset)
                 continue
             entry = decoded.ok_value
--- a/src/lacewingstair/metadata/tail.py
+++ b/src/lacewingstair/metadata/tail.py
@@ -24,19 +24,19 @@
 
 
 class KeyedTail:
-    """Reads a topic from its newest records on, for ever.
+    """Reads the newest record of each key of a topic, then all further records.
 
     Parameters
     ----------
     store : MetadataStore
         Client of the store.
     topic : str
-        What is followed.
+        Name of the topic.
     on_records : callable
-        Takes records that are newer than those before, by key, and the offset up to
-        which the topic has been read.
+        Called with records that are newer than the earlier ones of their keys, and the
+        offset up to which the topic has been read.
     clock, rng
-        Time and randomness.
+        Clock and random generator.
     wait_seconds : float
         Longest wait of one read.
     pause_seconds : callable
@@ -77,7 +77,7 @@
         self.read_began_at = -math.inf
 
     async def run(self) -> None:
-        """Follow the topic until cancelled; a further run goes on where it ended."""
+        """Follow the topic until cancelled; a later run continues at its offset."""
         try:
             while True:
                 await self._follow()
@@ -85,7 +85,7 @@
             self.is_up = False
 
     def skip_to(self, offset: int) -> None:
-        """Read from an offset on, as what lies before it came another way."""
+        """Continue at an offset, as earlier records were received from another VM."""
         self._next_offset = max(self._next_offset or 0, offset)
 
     async def _follow(self) -> None:
@@ -93,8 +93,8 @@
         if self._next_offset is None:
             await self._read_newest(began_at)
             return
-        # While nothing is written a long read tells nothing about the store, so that
-        # the first one of a run, or after a failure, does not wait.
+        # A long poll on an idle topic does not show whether the store is up, so the
+        # first read of a run, or after a failure, does not wait.
         wait_seconds = self._wait_seconds if self.is_up else 0.0
         page = await self._store.read(self._topic, self._next_offset, wait_seconds)
         if isinstance(page, Err):
@@ -123,7 +123,8 @@
         self._answered(began_at)
         self.skip_to(newest.ok_value.next_offset)
         self._deliver(newest.ok_value.records, newest.ok_value.next_offset)
-        # Most VMs that start find others that follow the topic for them meanwhile.
+        # During the pause, most VMs that start find others that read the topic for
+        # them.
         await self._clock.sleep(self._pause_seconds())
 
     def _deliver(self, records, next_offset: int) -> None:
--- a/tests/metadata/test_records.py
+++ b/tests/metadata/test_records.py
@@ -1,4 +1,4 @@
-"""Guards against records of other writers that harm the ones beside them."""
+"""Records of other writers, which must not affect the records beside them."""
 
 import json
 import random
