A call looks at far VMs only when near ones cost more than the distance

Cause: each call rated every VM of its service: 0.38 ms for 89 of them and 0.08 ms for 18 (a loop over choose_candidate on this machine), so the cost of a call grew with the fleet.

The index of services is built when it is next read, not for each entry that arrives.

--- a/src/lacewingstair/caller/forwarding.py
+++ b/src/lacewingstair/caller/forwarding.py
@@ -326,21 +326,29 @@
         )
 
     def _choose_vm(self, call: ForwardedCall, progress: _Progress) -> str | None:
-        candidates = list(self._candidates(call.service, progress))
-        if not candidates and progress.prefers_new_version:
+        chosen = self._choose_candidate(call, progress)
+        if (
+            chosen is None
+            and progress.prefers_new_version
+            and next(self._candidates(call.service, progress), None) is None
+        ):
             progress.prefers_new_version = False
-            candidates = list(self._candidates(call.service, progress))
+            chosen = self._choose_candidate(call, progress)
+        if chosen is not None:
+            return chosen.vm_id
+        return self._choose_disconnected(call.service, progress)
+
+    def _choose_candidate(
+        self, call: ForwardedCall, progress: _Progress
+    ) -> Candidate | None:
         now = self._clock.monotonic()
-        chosen = choose_candidate(
-            candidates,
+        return choose_candidate(
+            self._candidates(call.service, progress),
             (call.target_at - now) * 1000,
             (call.deadline_at - now) * 1000,
             self._body_kib(call),
             self._rng,
         )
-        if chosen is not None:
-            return chosen.vm_id
-        return self._choose_disconnected(call.service, progress)
 
     def _body_kib(self, call: ForwardedCall) -> float:
         """Return the expected size of both bodies of a call."""
@@ -372,6 +380,7 @@
         )
 
     def _candidates(self, service: str, progress: _Progress) -> Iterator[Candidate]:
+        """Yield the VMs that may run a call, the nearest first."""
         own = self._own_entry()
         now = self._clock.monotonic()
         for entry in self._view.entries_of_service(service):
--- a/src/lacewingstair/caller/placement.py
+++ b/src/lacewingstair/caller/placement.py
@@ -10,6 +10,8 @@
   backend server.
 * A burst at one VM: calls that were sent since its newest load report are added to the
   reported load, so that a stale report does not attract the whole burst.
+* A large service: VMs of another region are not looked at while one of the zone costs
+  less than the distance alone, so that a call costs the same in a larger fleet.
 * An overload of all VMs: a VM outside of the zone is skipped if the call would wait in
   its queue until it is late, so that the caller is refused without delay. A VM with a
   free slot is not skipped, because a late response there delays no other call.
@@ -126,7 +128,8 @@
     Parameters
     ----------
     candidates : iterable of Candidate
-        VMs that may run the call.
+        VMs that may run the call, the nearest first. Those of a distance whose cost
+        alone is higher than that of the best nearer one are not asked for.
     target_ms : float
         Time until the latency target, after which a response loses most of its value.
     remaining_ms : float
@@ -145,6 +148,8 @@
     best_cost = 0.0
     for candidate in candidates:
         distance = candidate.distance
+        if best is not None and penalty_ms[distance] >= best_cost:
+            break
         wait_ms = expected_wait_ms(candidate)
         time_ms = expected_service_ms(candidate) + wait_ms
         time_ms += ROUND_TRIP_MS_BY_DISTANCE[distance]
--- a/src/lacewingstair/vm/entries.py
+++ b/src/lacewingstair/vm/entries.py
@@ -18,6 +18,7 @@
 MAX_INTEGER = 1 << 53
 MAX_SLOTS = 100_000
 _MAX_NAME_CHARACTERS = 255
+_DISTANCES = (distances.ZONE, distances.REGION, distances.OTHER_REGION)
 
 
 class UpstreamState(enum.Enum):
@@ -167,7 +168,8 @@
     def __init__(self, own_vm_id: str) -> None:
         self._own_vm_id = own_vm_id
         self._entries_by_vm_id: dict[str, VmEntry] = {}
-        self._vm_ids_by_service: dict[str, list[str]] = {}
+        # Rebuilt when it is next read after a change.
+        self._vm_ids_by_service: dict[str, list[str]] | None = None
         self._listeners: list[Callable[[VmEntry], None]] = []
 
     def subscribe(self, listener: Callable[[VmEntry], None]) -> None:
@@ -180,8 +182,8 @@
         if held is not None and entry.order <= held.order:
             return False
         self._entries_by_vm_id[entry.vm_id] = entry
-        if held is None or held.service != entry.service:
-            self._rebuild_service_index()
+        if held is None or _index_values(held) != _index_values(entry):
+            self._vm_ids_by_service = None
         for listener in self._listeners:
             listener(entry)
         return True
@@ -189,14 +191,16 @@
     def remove(self, vm_id: str) -> None:
         """Remove a VM that will not return, unless it is this one."""
         if vm_id != self._own_vm_id and self._entries_by_vm_id.pop(vm_id, None):
-            self._rebuild_service_index()
+            self._vm_ids_by_service = None
 
     def get(self, vm_id: str) -> VmEntry | None:
         """Return the entry of a VM, or None if it is unknown."""
         return self._entries_by_vm_id.get(vm_id)
 
     def entries_of_service(self, service: str) -> Iterator[VmEntry]:
-        """Yield the entries of the VMs whose backend server provides a service."""
+        """Yield the entries of the VMs of a service, the nearest first."""
+        if self._vm_ids_by_service is None:
+            self._vm_ids_by_service = self._service_index()
         for vm_id in self._vm_ids_by_service.get(service, ()):
             yield self._entries_by_vm_id[vm_id]
 
@@ -206,7 +210,22 @@
     def __len__(self) -> int:
         return len(self._entries_by_vm_id)
 
-    def _rebuild_service_index(self) -> None:
-        self._vm_ids_by_service = {}
-        for vm_id, entry in self._entries_by_vm_id.items():
-            self._vm_ids_by_service.setdefault(entry.service, []).append(vm_id)
+    def _service_index(self) -> dict[str, list[str]]:
+        found: dict[str, list[str]] = {}
+        entries = self._entries_by_vm_id.values()
+        own = self._entries_by_vm_id.get(self._own_vm_id)
+        if own is not None:
+            entries = sorted(entries, key=lambda entry: _distance_rank(own, entry))
+        for entry in entries:
+            found.setdefault(entry.service, []).append(entry.vm_id)
+        return found
+
+
+def _index_values(entry: VmEntry) -> tuple[str, str, str]:
+    return entry.service, entry.region, entry.availability_zone
+
+
+def _distance_rank(own: VmEntry, other: VmEntry) -> int:
+    if other.vm_id == own.vm_id:
+        return 0
+    return 1 + _DISTANCES.index(entry_distance(own, other))
