--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -14,6 +14,7 @@
 from lacewingstair.caller.body_budget import BodyBudget, BodyReservation
 from lacewingstair.caller.elapsed_wait import ElapsedWaitEstimator
 from lacewingstair.caller.forwarding import ForwardedCall, Forwarder, ForwardingFailure
+from lacewingstair.caller.pipelining import waited_seconds
 from lacewingstair.caller.raw_response import RawResponse
 from lacewingstair.http_server import CallServer, call_server
 from lacewingstair.metadata.configuration import (
@@ -173,7 +174,7 @@
         now = self._clock.monotonic()
         self.newest_call_at = now
         # The caller's time runs while a call waits for earlier ones of its connection.
-        started_at = now - request.waited_seconds
+        started_at = now - waited_seconds(request)
         open_call = _OpenCall(request, started_at, asyncio.current_task())
         self._open_calls.add(open_call)
         reservation = self._body_budget.reserve()
--- a/src/lacewingstair/caller/pipelining.py
+++ b/src/lacewingstair/caller/pipelining.py
@@ -30,6 +30,11 @@
 MayRunAhead = Callable[[web.BaseRequest], bool]
 
 
+def waited_seconds(request: web.BaseRequest) -> float:
+    """Return how long a request has waited for earlier ones of its connection."""
+    return getattr(request, "waited_seconds", 0.0)
+
+
 @attrs.define(eq=False)
 class _CallAhead:
     """Call that was begun before its turn."""
--- a/src/lacewingstair/caller/server.py
+++ b/src/lacewingstair/caller/server.py
@@ -16,6 +16,7 @@
 from lacewingstair.caller.body import REPLAY_BYTES, Body, read_prefix
 from lacewingstair.caller.dispatch import Dispatcher
 from lacewingstair.caller.options import DEFAULT_OPTIONS, CallOptions
+from lacewingstair.caller.pipelining import waited_seconds
 from lacewingstair.caller.refusals import Refusal
 from lacewingstair.caller.relay import as_raw_response
 from lacewingstair.events import DecisionLog
@@ -256,7 +257,7 @@
         if timeout.ok_value == 0:
             return Err(Refusal(504, "the deadline has passed"))
         deadline = (
-            self._clock.monotonic() - request.waited_seconds + timeout.ok_value / 1000
+            self._clock.monotonic() - waited_seconds(request) + timeout.ok_value / 1000
         )
         if not self._stop_admission.admits(named.name, deadline):
             return Err(_LEAVING)
