Taken back: service times assumed from the targets of calls

The whole test run on failed: test_queued_calls_run_on_established_connections has calls with a target of 3 s that take 0.1 s, and those that wait before the first one has ended were refused as full. That is a fault of the change: a call of another VM that has its deadline as its target would be refused so after each start.

--- a/src/lacewingstair/backend_server/admission.py
+++ b/src/lacewingstair/backend_server/admission.py
@@ -13,9 +13,6 @@
   refusal at once.
 * A backend server that becomes slow: the elapsed time of running calls is part of the
   estimated service time before the first of them ends.
-* All callers back at once after a restart: no call has ended yet, so the service time
-  is assumed from the targets of the calls. With a constant, the queue fills with calls
-  that are all late.
 * Calls that have already missed their target, for instance after a slow upstream: they
   run when no call that can still meet its target waits, so that they delay no other
   call. During sustained overload they are refused on arrival, as they would wait until
@@ -38,9 +35,6 @@
 # estimated service time; it shows that the mean is too low before the calls end.
 MIN_RUNNING_FOR_AGE = 4
 DEFAULT_SERVICE_MS = 100.0
-# Before any call has ended, a call is assumed to take this share of the time to its
-# target, as targets leave some room above the usual service time.
-UNKNOWN_SERVICE_SHARE = 0.3
 # A call is not started if its time left is below this fraction of the service time.
 MIN_SERVICE_FRACTION = 0.5
 MIN_RETRY_AFTER_MS = 50.0
@@ -171,14 +165,10 @@
         """Return the estimated service time over all routes."""
         return max(self._mean.ms, self._mean_running_ms(now))
 
-    def expected_service_ms(self, request: AdmissionRequest, now: float) -> float:
-        """Return the estimated service time of a call."""
-        mean = self._mean_by_route.get(request.route, self._mean)
-        service_ms = max(mean.ms, self._mean_running_ms(now))
-        if mean.count:
-            return service_ms
-        target_left_ms = (request.target_at - now) * 1000
-        return max(service_ms, UNKNOWN_SERVICE_SHARE * target_left_ms)
+    def expected_service_ms(self, route: str, now: float) -> float:
+        """Return the estimated service time of a call on a route."""
+        mean = self._mean_by_route.get(route, self._mean)
+        return max(mean.ms, self._mean_running_ms(now))
 
     def expected_wait_ms(self, now: float) -> float:
         """Return the estimated wait of a further call of the lowest priority."""
@@ -201,7 +191,7 @@
         on_decision: Callable[[Refusal | None], None],
     ) -> ScheduledCall | Refusal:
         """Start, queue or refuse a call."""
-        service_ms = self.expected_service_ms(request, now)
+        service_ms = self.expected_service_ms(request.route, now)
         left_ms = (request.deadline - now) * 1000
         if left_ms < service_ms * MIN_SERVICE_FRACTION:
             return Refusal(RefusalReason.NO_TIME, 0.0)
@@ -264,7 +254,7 @@
                 continue
             self._dequeue(queued)
             left_ms = (queued.request.deadline - now) * 1000
-            service_ms = self.expected_service_ms(queued.request, now)
+            service_ms = self.expected_service_ms(queued.request.route, now)
             if left_ms < service_ms * MIN_SERVICE_FRACTION:
                 queued.on_decision(Refusal(RefusalReason.NO_TIME, 0.0))
                 continue
