--- a/src/lacewingstair/process.py
+++ b/src/lacewingstair/process.py
@@ -13,9 +13,8 @@
 import uvloop
 from result import Err, Result
 
-from lacewingstair import events
+from lacewingstair import events, reload_signals
 from lacewingstair.early_listening import SocketsByAddress
-from lacewingstair.entry import release_reload_signals
 from lacewingstair.errors import ListenError
 from lacewingstair.garbage_collection import tune_garbage_collection
 from lacewingstair.registry import Registry
@@ -123,7 +122,7 @@
         self._daemon = build(self.settings, self._clock, random.Random())
         if self.settings_path and hasattr(self._daemon, "reload"):
             loop.add_signal_handler(signal.SIGHUP, self._on_reload)
-        release_reload_signals()
+        reload_signals.release()
         started = await self._daemon.start(self._sockets_by_address)
         if isinstance(started, Err):
             print(f"lacewingstaird: {started.err_value}", file=sys.stderr)
