--- a/src/lacewingstair/caller/answer_sizes.py
+++ b/src/lacewingstair/caller/answer_sizes.py
@@ -5,7 +5,7 @@
 # Sizes that are assumed before the first answer of a route.
 DEFAULT_BYTES = 2 << 10
 DEFAULT_LARGE_BYTES = 90 << 10
-# Configurations may bring new routes for ever.
+# Each configuration may add new routes.
 MAX_ROUTES = 4096
 
 
--- a/src/lacewingstair/caller/body_budget.py
+++ b/src/lacewingstair/caller/body_budget.py
@@ -6,7 +6,7 @@
 upload is refused before it is read, instead of the process ending for its memory.
 """
 
-# A part of the memory of the smallest VMs, which have 200 MB.
+# The smallest VMs have 200 MB, which the responses being received share.
 MAX_HELD_BYTES = 32 << 20
 
 
@@ -40,7 +40,7 @@
         return True
 
     def release(self, size: int) -> None:
-        """Give bytes back."""
+        """Release reserved bytes."""
         self.held_bytes -= size
 
 
@@ -68,6 +68,6 @@
         return True
 
     def release(self) -> None:
-        """Give everything back."""
+        """Release the whole reservation."""
         self._budget.release(self._size)
         self._size = 0
--- a/src/lacewingstair/caller/pipelining.py
+++ b/src/lacewingstair/caller/pipelining.py
@@ -142,7 +142,7 @@
         )
         request._task = task
         self._allows_ahead = self._is_repeatable(request, payload)
-        # Later, so that the call whose turn has come begins first.
+        # Deferred, so that the call whose turn has come begins first.
         self._loop.call_soon(self._run_ahead)
         return request
 
--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -35,7 +35,7 @@
 from lacewingstair.vm.options import NodeOptions
 from lacewingstair.vm.transport import TcpTransport
 
-# Left of the time of a planned stop for the answers to calls that its end cuts.
+# Time before the end of a planned stop at which the remaining calls are answered.
 ABORT_SECONDS = 0.2
 
 
@@ -188,7 +188,7 @@
         events.info("daemon_stopped", vm=self.settings.vm_id)
 
     async def _abort_calls_late(self) -> None:
-        """Answer the calls that the end of the stop would cut without a word."""
+        """Answer the calls that are still open shortly before the stop ends."""
         drain_seconds = self.settings.stop.drain_seconds
         await self.clock.sleep(max(0.0, drain_seconds - ABORT_SECONDS))
         self.calls.abort_calls()
