--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -113,10 +113,13 @@
     return json.dumps(document).encode()
 
 
-def _free_port(host):
-    with socket.socket() as opened:
-        opened.bind((host, 0))
-        return opened.getsockname()[1]
+def free_ports(host, count):
+    """Return different ports that nothing listens on."""
+    with contextlib.ExitStack() as stack:
+        opened = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in opened:
+            each.bind((host, 0))
+        return [each.getsockname()[1] for each in opened]
 
 
 class Vm:
@@ -138,7 +141,7 @@
         self.service = service
         self.host = f"127.{os.getpid() % 150 + 60}.{time.time_ns() % 199 + 1}.{number}"
         names = ("inbound", "outbound", "ready", "control", "app")
-        self.ports = {name: _free_port(self.host) for name in names}
+        self.ports = dict(zip(names, free_ports(self.host, len(names)), strict=True))
         self.settings = deployment.directory / f"{self.name}.ini"
         self.log = deployment.directory / f"{self.name}.log"
         self.process = None
@@ -230,7 +233,7 @@
         self.session = ClientSession(timeout=ClientTimeout(total=1.0))
         self._runner = web.AppRunner(self.store.application(), shutdown_timeout=0.5)
         await self._runner.setup()
-        port = _free_port("127.0.0.1")
+        (port,) = free_ports("127.0.0.1", 1)
         await web.TCPSite(self._runner, "127.0.0.1", port).start()
         self.store_address = f"127.0.0.1:{port}"
         await self.store.put("keyed.op", "config", config)
