Count runs that their callers give up, and log the counts of both versions

Neither logs nor metrics told why a version was not found bad: the counts were never written, and a run whose caller gives up before its answer left no trace at all, neither in a counter nor in the evidence of a rollout.

The first VM logs the counts of both versions each second while a rollout is judged (rollout_evidence, two lines). Runs that end with their caller are counted by the time that they had run, in a histogram of the metrics page and in the evidence. No verdict depends on them yet.

--- a/src/lacewingstair/backend_server/admission_proxy.py
+++ b/src/lacewingstair/backend_server/admission_proxy.py
@@ -63,6 +63,7 @@
 UNREACHABLE_AFTER_SECONDS = 1.5
 
 OnOutcome = Callable[[str, int, float, bool], None]
+OnAbandoned = Callable[[str, float], None]
 
 
 @attrs.frozen
@@ -126,6 +127,9 @@
         Called for each call that may have run, with its route, its status (0 without a
         response), its time at the backend server in milliseconds, and whether a call
         that the backend server made while running it was not served.
+    on_abandoned : callable
+        Called for each call whose caller gives up while the backend server runs it,
+        with its route and the time that it has run in milliseconds.
     on_unreachable : callable
         Called when failed connects show that the backend server is down.
     pool : ConnectionPool, optional
@@ -151,6 +155,7 @@
         reads_store: Callable[[], bool] = lambda: False,
         max_connections: Callable[[], int] = lambda: DEFAULT_CONNECTIONS,
         on_outcome: OnOutcome = lambda route, status, ms, has_unserved_call: None,
+        on_abandoned: OnAbandoned = lambda route, ms: None,
         on_unreachable: Callable[[], None] = lambda: None,
         pool: ConnectionPool | None = None,
         max_buffered_bytes: int = MAX_BUFFERED_RESPONSE_BYTES,
@@ -162,6 +167,7 @@
         self._reads_store = reads_store
         self._max_connections = max_connections
         self._on_outcome = on_outcome
+        self._on_abandoned = on_abandoned
         self._on_unreachable = on_unreachable
         # No packets are lost between processes on one VM, and the kernel acknowledges
         # data while the backend server lives. TCP_USER_TIMEOUT would detect nothing,
@@ -285,6 +291,10 @@
                 status = outcome.status if isinstance(outcome, CallAnswer) else 0
                 self._on_outcome(call.route, status, service_ms, run.has_unserved_call)
             return outcome
+        except asyncio.CancelledError:
+            run_ms = (self._clock.monotonic() - admitted.started_at) * 1000
+            self._on_abandoned(call.route, run_ms)
+            raise
         finally:
             self._running_by_request_id.pop(call.request_id, None)
             now = self._clock.monotonic()
--- a/src/lacewingstair/metrics/sidecar.py
+++ b/src/lacewingstair/metrics/sidecar.py
@@ -52,6 +52,9 @@
         Calls of callers, and calls at the backend server; status 0 is no answer.
     call_seconds, run_seconds, loop_lag_seconds : HistogramValues
         Durations in seconds.
+    abandoned_run_seconds : HistogramValues
+        Time that calls had run at the backend server when their caller gave up, in
+        seconds.
     mesh_bytes, store_calls, upstream_arrivals : callable
         Return values that other parts keep, by their labels.
     """
@@ -61,6 +64,7 @@
         self.runs_by_status: Counter[int] = Counter()
         self.call_seconds = HistogramValues(CALL_BUCKETS)
         self.run_seconds = HistogramValues(CALL_BUCKETS)
+        self.abandoned_run_seconds = HistogramValues(CALL_BUCKETS)
         self.loop_lag_seconds = HistogramValues(LAG_BUCKETS)
         self.mesh_bytes: Callable[[], LabelledValues] = dict
         self.store_calls: Callable[[], LabelledValues] = dict
@@ -75,3 +79,7 @@
         """Count one call at the backend server."""
         self.runs_by_status[status] += 1
         self.run_seconds.observe(ms / 1000)
+
+    def count_abandoned_run(self, ms: float) -> None:
+        """Count one call whose caller gave up while the backend server ran it."""
+        self.abandoned_run_seconds.observe(ms / 1000)
--- a/src/lacewingstair/metrics/sidecar_page.py
+++ b/src/lacewingstair/metrics/sidecar_page.py
@@ -64,6 +64,11 @@
             "Time that a call takes at the gate and the backend server, seconds.",
             metrics.run_seconds,
         )
+        yield _histogram(
+            "lacewingstair_upstream_abandoned_run_seconds",
+            "Time that a call had run when its caller gave up, seconds.",
+            metrics.abandoned_run_seconds,
+        )
         yield _histogram(
             "lacewingstair_loop_lag_seconds",
             "Delay of the event loop at checks, four a second, seconds.",
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -127,6 +127,7 @@
             reads_store=lambda: self.operator_reading.is_reading,
             max_connections=self._max_connections,
             on_outcome=self._count_run,
+            on_abandoned=self._count_abandoned,
             on_unreachable=self._upstream_unreachable,
         )
         self.totals = SidecarTotals(self.gate, self.store, self.traffic)
@@ -446,6 +447,11 @@
             None if is_cold else ms,
         )
 
+    def _count_abandoned(self, route: str, ms: float) -> None:
+        self.metrics.count_abandoned_run(ms)
+        service, version = self.gate.service, self.gate.identity.version
+        self.rollouts.record_abandoned_call(service, version, route, ms)
+
     def _take_report(self, report: UpstreamReport) -> ReportOutcome:
         now = self.clock.monotonic()
         verdict = self.register.apply_report(report, now)
--- a/src/lacewingstair/staged_rollouts/coordinator.py
+++ b/src/lacewingstair/staged_rollouts/coordinator.py
@@ -6,6 +6,7 @@
 ones take over after a delay. The first final report in the store is authoritative.
 """
 
+import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -15,7 +16,11 @@
 from lacewingstair import events
 from lacewingstair.errors import StoreConflict, StoreUnavailable
 from lacewingstair.runtime import Clock
-from lacewingstair.staged_rollouts.evidence import GateEvidence, sum_by_route
+from lacewingstair.staged_rollouts.evidence import (
+    GateEvidence,
+    RouteCounts,
+    sum_by_route,
+)
 from lacewingstair.staged_rollouts.marks import RolloutMark
 from lacewingstair.staged_rollouts.policy import (
     ALLOWED_SHARE,
@@ -32,6 +37,7 @@
 OLD_EVIDENCE_INTERVAL_SECONDS = 1.0
 # Each further live VM in the order of ids waits this much longer before it takes over.
 TAKEOVER_SECONDS = 1.0
+EVIDENCE_LOG_INTERVAL_SECONDS = 1.0
 
 WriteReport = Callable[
     [Order, Stage], Awaitable[Result[Stage, StoreUnavailable | StoreConflict]]
@@ -56,6 +62,7 @@
     stage: Stage = Stage.TRIAL
     reported: Stage | None = None
     credit: float = 0.0
+    evidence_logged_at: float = -math.inf
     evidence_by_vm_id: dict[str, GateEvidence] = attrs.field(factory=dict)
 
 
@@ -177,17 +184,31 @@
         self, service: str, version: str, route: str, is_bad: bool, ms: float | None
     ) -> None:
         """Count a call at the gate of this VM; ms is None if not meaningful."""
+        own = self._own_evidence_of(service, version)
+        if own is not None:
+            own.count(route, is_bad, ms)
+
+    def record_abandoned_call(
+        self, service: str, version: str, route: str, ms: float
+    ) -> None:
+        """Count a call at the gate of this VM whose caller gave up after `ms`."""
+        own = self._own_evidence_of(service, version)
+        if own is not None:
+            own.count_abandoned(route, ms)
+
+    def _own_evidence_of(self, service: str, version: str) -> GateEvidence | None:
+        """Return the counts of this VM's gate, or None while nothing is rolled out."""
         rollout = self._rollouts_by_service.get(service)
         if rollout is None or rollout.stage.is_final:
-            return
+            return None
         own = self._own_evidence
         offset = rollout.order.offset
         if own is None or (own.version, own.order_offset) != (version, offset):
             own = GateEvidence(self._vm_id, service, version, offset)
             self._own_evidence = own
-        own.count(route, is_bad, ms)
         rollout.evidence_by_vm_id[self._vm_id] = own
         self._has_unpublished_evidence = True
+        return own
 
     def selects_new_version(self, service: str) -> bool | None:
         """Return whether the next call goes to the new version; None if no rollout."""
@@ -263,6 +284,8 @@
         self._evaluate(rollout)
         now = self._clock.monotonic()
         takeover_rank = self._takeover_rank()
+        if takeover_rank == 0:
+            self._log_evidence(rollout, now)
         waited = now - rollout.stage_entered_at - TAKEOVER_SECONDS * takeover_rank
         if waited < 0:
             return
@@ -286,6 +309,30 @@
         if needs_report:
             await self._report(rollout, rollout.stage)
 
+    def _log_evidence(self, rollout: Rollout, now: float) -> None:
+        """Log the counts of both versions, at most once a second."""
+        is_due = now - rollout.evidence_logged_at >= EVIDENCE_LOG_INTERVAL_SECONDS
+        if rollout.stage.is_final or not is_due:
+            return
+        rollout.evidence_logged_at = now
+        target = rollout.order.target_version
+        gates = rollout.evidence_by_vm_id.values()
+        for is_new in (False, True):
+            found = sum_by_route(g for g in gates if (g.version == target) is is_new)
+            total = RouteCounts()
+            for counts in found.values():
+                total.add(counts)
+            events.info(
+                "rollout_evidence",
+                service=rollout.order.service,
+                is_new=is_new,
+                stage=rollout.stage.name.lower(),
+                calls=total.calls,
+                bad=total.bad,
+                buckets=str(dict(sorted(total.calls_by_bucket.items()))),
+                abandoned=str(dict(sorted(total.abandoned_by_bucket.items()))),
+            )
+
     async def _report(self, rollout: Rollout, stage: Stage) -> bool:
         written = await self._write_report(rollout.order, stage)
         if isinstance(written, Err):
--- a/src/lacewingstair/staged_rollouts/evidence.py
+++ b/src/lacewingstair/staged_rollouts/evidence.py
@@ -27,11 +27,14 @@
         Calls, and those that failed or were not answered.
     calls_by_bucket : dict
         Latency histogram of the answered calls.
+    abandoned_by_bucket : dict
+        Histogram of the time that calls had run when their caller gave up.
     """
 
     calls: int = 0
     bad: int = 0
     calls_by_bucket: dict[int, int] = attrs.field(factory=dict)
+    abandoned_by_bucket: dict[int, int] = attrs.field(factory=dict)
 
     def count(self, is_bad: bool, ms: float | None) -> None:
         """Count one call; ms is None if its latency is not meaningful."""
@@ -43,12 +46,20 @@
         bucket = latency_bucket(ms)
         self.calls_by_bucket[bucket] = self.calls_by_bucket.get(bucket, 0) + 1
 
+    def count_abandoned(self, ms: float) -> None:
+        """Count a call whose caller gave up after it had run for this time."""
+        bucket = latency_bucket(ms)
+        self.abandoned_by_bucket[bucket] = self.abandoned_by_bucket.get(bucket, 0) + 1
+
     def add(self, other: "RouteCounts") -> None:
         """Add the counts of another VM."""
         self.calls += other.calls
         self.bad += other.bad
         for bucket, count in other.calls_by_bucket.items():
             self.calls_by_bucket[bucket] = self.calls_by_bucket.get(bucket, 0) + count
+        for bucket, count in other.abandoned_by_bucket.items():
+            before = self.abandoned_by_bucket.get(bucket, 0)
+            self.abandoned_by_bucket[bucket] = before + count
 
     def median_bucket(self) -> int:
         """Return the bucket that contains the median latency."""
@@ -81,6 +92,10 @@
         """Count one call."""
         self.counts_by_route.setdefault(route, RouteCounts()).count(is_bad, ms)
 
+    def count_abandoned(self, route: str, ms: float) -> None:
+        """Count a call whose caller gave up."""
+        self.counts_by_route.setdefault(route, RouteCounts()).count_abandoned(ms)
+
     @property
     def calls(self) -> int:
         """Number of calls of all routes."""
--- a/src/lacewingstair/vm/call_messages.py
+++ b/src/lacewingstair/vm/call_messages.py
@@ -326,7 +326,12 @@
 
 def _evidence_to_values(evidence: GateEvidence) -> list[Any]:
     counts = {
-        route: [found.calls, found.bad, found.calls_by_bucket]
+        route: [
+            found.calls,
+            found.bad,
+            found.calls_by_bucket,
+            found.abandoned_by_bucket,
+        ]
         for route, found in evidence.counts_by_route.items()
     }
     return [
--- a/tests/backend_server/test_admission_proxy.py
+++ b/tests/backend_server/test_admission_proxy.py
@@ -270,3 +270,21 @@
         }
 
     with_proxy(check)
+
+
+def test_run_whose_caller_gives_up_is_counted_with_its_duration():
+    """Guards against slow runs that leave no trace because their callers give up."""
+
+    async def check(proxy, upstream):
+        abandoned = []
+        proxy._on_abandoned = lambda *run: abandoned.append(run)
+        upstream.seconds = 5.0
+        running = asyncio.create_task(proxy.run(request("a")))
+        await asyncio.sleep(0.2)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        ((route, ms),) = abandoned
+        assert route == request("a").route
+        assert ms >= 100.0
+
+    with_proxy(check)
