Judge a new version by how sure its counts are, slice of time by slice

Cause: one decision with constants in place of certainty, over sums since the order. An excess under 0.2 of slow answers or 0.08 of failures passed however many answers there were; sums never aged, so good calls of before diluted late failures and an old slowness hid a new one; counts of a process that started again were passed over until they exceeded those of its former life; a version on trial became part of the old one with the next order, to be judged by nobody.

Both versions are now compared within slices of a second, over all routes and route by route, by a sequential test with a stated rate of false verdicts (likelihood ratios, Ville's inequality). A limit for slow answers comes from earlier slices of the old version. Calls count in the slice in which they began, runs that their callers gave up count as slow if they had run for longer than the limit, and each process has counts of its own. A version that is suspicious stays at a small share until no time remains. The trial uses more of its allowance, most of it late, and all of it where calls are few. A version that another order replaces gets no more calls; its mark is passed on to VMs that start. Bad calls of a version with many calls are published at once.

--- a/src/lacewingstair/platform/bounds.py
+++ b/src/lacewingstair/platform/bounds.py
@@ -6,6 +6,7 @@
 from lacewingstair.errors import Fault
 from lacewingstair.platform.durations import parse_duration
 from lacewingstair.routing.limits import RetryAllowance
+from lacewingstair.staged_rollouts.policy import TrialAllowance
 
 
 @attrs.frozen
@@ -19,8 +20,9 @@
     repeat_share, extra_repeats, repeat_window_ms : float
         Repeats of all VMs together in a window, as a share of the calls of a service
         and beyond that share.
-    trial_share : float
-        Share of a service's calls that a bad version may get.
+    trial_share, extra_trial_calls : float
+        Calls of a service that a bad version may get, as a share of all and beyond
+        that share.
     """
 
     stop_ms: float = 6000.0
@@ -28,6 +30,7 @@
     extra_repeats: float = 60.0
     repeat_window_ms: float = 10_000.0
     trial_share: float = 0.1
+    extra_trial_calls: float = 50.0
 
     @property
     def repeats(self) -> RetryAllowance:
@@ -36,12 +39,18 @@
             self.repeat_share, self.extra_repeats, self.repeat_window_ms / 1000
         )
 
+    @property
+    def trial(self) -> TrialAllowance:
+        """Calls that a version may get before it is trusted."""
+        return TrialAllowance(self.trial_share, self.extra_trial_calls)
+
 
 _DURATIONS_BY_NAME = {"grace": "stop_ms", "budget_window": "repeat_window_ms"}
 _NUMBERS_BY_NAME = {
     "retry_budget_ratio": "repeat_share",
     "budget_slack": "extra_repeats",
     "canary_share": "trial_share",
+    "canary_slack": "extra_trial_calls",
 }
 
 
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -153,13 +153,14 @@
         )
         self.rollouts = RolloutCoordinator(
             settings.vm_id,
+            self.registration.entry.incarnation,
             self._live_vm_ids,
             lambda mark: self.call_server.broadcast(MarkChanged(mark)),
             lambda evidence: self.call_server.broadcast(EvidenceChanged(evidence)),
             RolloutReports(self.store).write,
             clock,
             rng,
-            self.bounds.trial_share,
+            self.bounds.trial,
         )
         self.records = StoreRecords(
             self.configurations, self.rollouts, self.registration, self.view
--- a/src/lacewingstair/staged_rollouts/coordinator.py
+++ b/src/lacewingstair/staged_rollouts/coordinator.py
@@ -16,27 +16,42 @@
 from lacewingstair import events
 from lacewingstair.errors import StoreConflict, StoreUnavailable
 from lacewingstair.runtime import Clock
-from lacewingstair.staged_rollouts.evidence import (
-    GateEvidence,
-    RouteCounts,
-    sum_by_route,
-)
+from lacewingstair.staged_rollouts.comparison import Verdict
+from lacewingstair.staged_rollouts.evidence import GateEvidence, RouteCounts
+from lacewingstair.staged_rollouts.evidence_log import EvidenceLog
 from lacewingstair.staged_rollouts.marks import RolloutMark
 from lacewingstair.staged_rollouts.policy import (
-    ALLOWED_SHARE,
+    LOAD_TRIAL_SECONDS,
     Order,
     Stage,
-    compare_versions,
+    TrialAllowance,
+    is_concentrated,
     new_version_share,
     next_stage,
 )
 
 STEP_SECONDS = 0.25
+# Steps while the new version gets more than a small share of the calls.
+FAST_STEP_SECONDS = 0.1
 # Counts of the old version change little and are published at this interval; those of
 # the new version are published at each step.
 OLD_EVIDENCE_INTERVAL_SECONDS = 1.0
+# A bad call of the new version is published this long after the last publication.
+BAD_CALL_INTERVAL_SECONDS = 0.05
+# Length of the slices of time in which versions are compared; longer rollouts have at
+# most MAX_SLICES of them.
+SLICE_SECONDS = 1.0
+MAX_SLICES = 32
+# The calls of an order are estimated from those of this time on.
+RATE_ESTIMATE_SECONDS = 1.0
 # Each further live VM in the order of ids waits this much longer before it takes over.
 TAKEOVER_SECONDS = 1.0
+# A VM that joins a rollout later than this has not seen the evidence of before; it
+# takes over after this many others more.
+LATE_JOIN_SECONDS = 2.0
+LATE_JOIN_RANK = 1
+# Rolled-back versions of a service that are remembered.
+MAX_ROLLED_BACK_VERSIONS = 8
 EVIDENCE_LOG_INTERVAL_SECONDS = 1.0
 
 WriteReport = Callable[
@@ -54,16 +69,56 @@
 
 @attrs.define
 class Rollout:
-    """State of one order on this VM."""
+    """State of one order on this VM.
+
+    Parameters
+    ----------
+    order : Order
+        The order.
+    evidence : EvidenceLog
+        Counts of all gates.
+    started_at, stage_entered_at, received_at : float
+        When the order was given, when the stage was entered and when this VM received
+        the order, in monotonic seconds.
+    stage : Stage
+        Current stage.
+    reported : Stage or None
+        Stage of the newest report in the store.
+    credit : float
+        Part of a call that the new version is owed.
+    verdict : Verdict
+        Newest comparison of the versions.
+    expected_calls : float
+        Calls of both versions during the order; 0 if nothing is known of them.
+    evidence_logged_at : float
+        When the evidence was logged last, in monotonic seconds.
+    """
 
     order: Order
+    evidence: EvidenceLog
     started_at: float
     stage_entered_at: float
+    received_at: float
     stage: Stage = Stage.TRIAL
     reported: Stage | None = None
     credit: float = 0.0
+    verdict: Verdict = Verdict()
+    expected_calls: float = 0.0
     evidence_logged_at: float = -math.inf
-    evidence_by_vm_id: dict[str, GateEvidence] = attrs.field(factory=dict)
+
+    def slice_at(self, now: float) -> int:
+        """Return the index of the slice of time that contains a moment."""
+        length = max(SLICE_SECONDS, self.order.duration_seconds / MAX_SLICES)
+        return max(0, int((now - self.started_at) / length))
+
+    def is_concentrated(self, now: float) -> bool:
+        """Return whether one backend server gets all calls of the new version."""
+        return is_concentrated(self.stage, now - self.stage_entered_at)
+
+    @property
+    def is_joined_late(self) -> bool:
+        """Whether this VM has not seen the beginning of the rollout."""
+        return self.received_at - self.started_at > LATE_JOIN_SECONDS
 
 
 class RolloutCoordinator:
@@ -73,6 +128,8 @@
     ----------
     vm_id : str
         Id of this VM.
+    incarnation : int
+        Identifies this process of the VM.
     live_vm_ids : callable
         Returns the ids of the VMs that this one is linked to, and its own.
     publish_mark, publish_evidence : callable
@@ -82,23 +139,25 @@
         stage that the store holds afterwards.
     clock, rng
         Time and random number sources.
-    allowed_share : float
-        Share of the calls of a service that a bad version may get.
+    allowance : TrialAllowance
+        Calls of a service that a bad version may get.
     """
 
     def __init__(
         self,
         vm_id: str,
+        incarnation: int,
         live_vm_ids: Callable[[], list[str]],
         publish_mark: Callable[[RolloutMark], None],
         publish_evidence: Callable[[GateEvidence], None],
         write_report: WriteReport,
         clock: Clock,
         rng: random.Random,
-        allowed_share: float = ALLOWED_SHARE,
+        allowance: TrialAllowance = TrialAllowance(),  # noqa: B008 - immutable
     ) -> None:
-        self._allowed_share = allowed_share
+        self._allowance = allowance
         self._vm_id = vm_id
+        self._incarnation = incarnation
         self._live_vm_ids = live_vm_ids
         self._publish_mark = publish_mark
         self._publish_evidence = publish_evidence
@@ -106,7 +165,8 @@
         self._clock = clock
         self._rng = rng
         self._rollouts_by_service: dict[str, Rollout] = {}
-        self._bad_versions_by_service: dict[str, set[str]] = {}
+        # Marks of rolled-back versions by service and version, the oldest first.
+        self._rolled_back_by_service: dict[str, dict[str, RolloutMark]] = {}
         self._early_marks_by_service: dict[str, _EarlyMark] = {}
         self._own_evidence: GateEvidence | None = None
         self._has_unpublished_evidence = False
@@ -121,12 +181,17 @@
         current = self._rollouts_by_service.get(order.service)
         if current is not None and order.offset <= current.order.offset:
             return
+        if current is not None and current.order.target_version != order.target_version:
+            self._supersede(current)
         now = self._clock.monotonic()
-        rollout = Rollout(order, now, now, credit=self._rng.random() - 1.0)
+        evidence = EvidenceLog(
+            order.target_version,
+            lambda version: not self._is_rolled_back(order.service, version),
+        )
+        rollout = Rollout(order, evidence, now, now, now, credit=self._rng.random())
         self._rollouts_by_service[order.service] = rollout
         # A version that is ordered again has been fixed under the same name.
-        bad = self._bad_versions_by_service.get(order.service, set())
-        bad.discard(order.target_version)
+        self._trust_again(order)
         events.info(
             "rollout_ordered",
             service=order.service,
@@ -136,6 +201,34 @@
         )
         self._apply_early_mark(order)
 
+    def _supersede(self, rollout: Rollout) -> None:
+        """Take the calls from a version on trial once another one is ordered.
+
+        Without a verdict it is neither trusted nor part of the old version.
+        """
+        self._advance(rollout, Stage.ROLLED_BACK, "a later order")
+
+    def _is_rolled_back(self, service: str, version: str) -> bool:
+        return version in self._rolled_back_by_service.get(service, ())
+
+    def _remember_rolled_back(self, mark: RolloutMark) -> None:
+        marks_by_version = self._rolled_back_by_service.setdefault(mark.service, {})
+        known = marks_by_version.pop(mark.target_version, mark)
+        newest = max(known, mark, key=lambda found: found.order_offset)
+        marks_by_version[mark.target_version] = newest
+        while len(marks_by_version) > MAX_ROLLED_BACK_VERSIONS:
+            del marks_by_version[next(iter(marks_by_version))]
+
+    def _trust_again(self, order: Order) -> None:
+        marks_by_version = self._rolled_back_by_service.get(order.service, {})
+        marks_by_version.pop(order.target_version, None)
+
+    def _apply_earlier_mark(self, mark: RolloutMark, current: Order) -> None:
+        """Apply the mark of an order that a later one has replaced."""
+        is_ordered_again = mark.target_version == current.target_version
+        if mark.stage is Stage.ROLLED_BACK and not is_ordered_again:
+            self._remember_rolled_back(mark)
+
     def _apply_early_mark(self, order: Order) -> None:
         early = self._early_marks_by_service.pop(order.service, None)
         if early is None or early.mark.order_offset != order.offset:
@@ -159,6 +252,7 @@
             self._keep_early_mark(mark)
             return
         if rollout.order.offset != mark.order_offset:
+            self._apply_earlier_mark(mark, rollout.order)
             return
         started_at = self._clock.monotonic() - mark.elapsed_seconds
         rollout.started_at = min(rollout.started_at, started_at)
@@ -167,55 +261,81 @@
         if mark.is_reported and mark.stage.is_final:
             self._adopt_reported_stage(rollout, mark.stage)
             return
-        self._advance(rollout, mark.stage, "another VM")
+        self._advance(rollout, mark.stage, "another VM", mark.stage_seconds)
 
     def apply_evidence(self, evidence: GateEvidence) -> None:
         """Replace the counts of another gate by newer ones."""
         rollout = self._rollouts_by_service.get(evidence.service)
         if rollout is None or rollout.order.offset != evidence.order_offset:
             return
-        current = rollout.evidence_by_vm_id.get(evidence.vm_id)
-        is_same = current is not None and current.version == evidence.version
-        if not is_same or evidence.calls >= current.calls:
-            rollout.evidence_by_vm_id[evidence.vm_id] = evidence
-        self._evaluate(rollout)
+        rollout.evidence.apply(evidence)
+        is_new = evidence.version == rollout.order.target_version
+        if is_new and rollout.stage in (Stage.LOAD_TRIAL, Stage.SHIFTED):
+            self._evaluate(rollout)
 
     def record_call(
         self, service: str, version: str, route: str, is_bad: bool, ms: float | None
     ) -> None:
         """Count a call at the gate of this VM; ms is None if not meaningful."""
-        own = self._own_evidence_of(service, version)
-        if own is not None:
-            own.count(route, is_bad, ms)
+        counts = self._own_counts_of(service, version, route, ms or 0.0)
+        if counts is None:
+            return
+        counts.count(is_bad, ms)
+        if is_bad:
+            self._publish_bad_call(service, version)
 
     def record_abandoned_call(
         self, service: str, version: str, route: str, ms: float
     ) -> None:
         """Count a call at the gate of this VM whose caller gave up after `ms`."""
-        own = self._own_evidence_of(service, version)
-        if own is not None:
-            own.count_abandoned(route, ms)
+        counts = self._own_counts_of(service, version, route, ms)
+        if counts is not None:
+            counts.count_abandoned(ms)
+
+    def _own_counts_of(
+        self, service: str, version: str, route: str, ms: float
+    ) -> RouteCounts | None:
+        """Return where to count a call at this VM's gate that began `ms` ago.
 
-    def _own_evidence_of(self, service: str, version: str) -> GateEvidence | None:
-        """Return the counts of this VM's gate, or None while nothing is rolled out."""
+        Calls are counted by their begin: the ones that end last are the slowest, and
+        calls of the old version still end after the last one has begun. None is
+        returned while nothing is rolled out.
+        """
         rollout = self._rollouts_by_service.get(service)
         if rollout is None or rollout.stage.is_final:
             return None
         own = self._own_evidence
         offset = rollout.order.offset
         if own is None or (own.version, own.order_offset) != (version, offset):
-            own = GateEvidence(self._vm_id, service, version, offset)
+            own = GateEvidence(self._vm_id, self._incarnation, service, version, offset)
             self._own_evidence = own
-        rollout.evidence_by_vm_id[self._vm_id] = own
         self._has_unpublished_evidence = True
-        return own
+        began_at = self._clock.monotonic() - ms / 1000
+        return own.at(rollout.slice_at(began_at), route)
+
+    def _publish_bad_call(self, service: str, version: str) -> None:
+        """Publish the counts at once while a bad version could get many calls."""
+        rollout = self._rollouts_by_service[service]
+        is_new = version == rollout.order.target_version
+        if not is_new or rollout.stage not in (Stage.LOAD_TRIAL, Stage.SHIFTED):
+            return
+        if self._clock.monotonic() - self._published_at >= BAD_CALL_INTERVAL_SECONDS:
+            self._publish_own_evidence()
+            self._evaluate(rollout)
 
     def selects_new_version(self, service: str) -> bool | None:
         """Return whether the next call goes to the new version; None if no rollout."""
         rollout = self._rollouts_by_service.get(service)
         if rollout is None:
             return None
-        share = new_version_share(rollout.stage, self._allowed_share)
+        now = self._clock.monotonic()
+        share = new_version_share(
+            rollout.stage,
+            now - rollout.stage_entered_at,
+            (now - rollout.started_at) / rollout.order.duration_seconds,
+            self._allowance,
+            rollout.expected_calls,
+        )
         if share >= 1.0:
             return True
         rollout.credit += share
@@ -236,7 +356,7 @@
         wants_new : bool or None
             What `selects_new_version` returned for the call.
         """
-        if version in self._bad_versions_by_service.get(service, ()):
+        if self._is_rolled_back(service, version):
             return False
         rollout = self._rollouts_by_service.get(service)
         if rollout is None or wants_new is None:
@@ -244,40 +364,57 @@
         is_new = version == rollout.order.target_version
         if rollout.stage is Stage.COMPLETED:
             return is_new
-        if is_new and wants_new and rollout.stage is Stage.LOAD_TRIAL:
+        if (
+            is_new
+            and wants_new
+            and rollout.stage is Stage.LOAD_TRIAL
+            and rollout.is_concentrated(self._clock.monotonic())
+        ):
             return vm_id == self._load_trial_vm_id(rollout)
         return is_new == wants_new
 
     def _load_trial_vm_id(self, rollout: Rollout) -> str | None:
         """Return the VM whose backend server gets all calls of the load trial."""
-        target = rollout.order.target_version
-        gates = rollout.evidence_by_vm_id.values()
         live = set(self._live_vm_ids())
-        candidates = [g.vm_id for g in gates if g.version == target and g.vm_id in live]
+        candidates = [vm for vm in rollout.evidence.new_vm_ids if vm in live]
         return min(candidates, default=None)
 
     async def run(self) -> None:
         """Evaluate, advance and report the rollouts until cancelled."""
         while True:
-            await self._clock.sleep(STEP_SECONDS)
+            await self._clock.sleep(self._step_seconds())
             self._publish_own_evidence()
             for rollout in list(self._rollouts_by_service.values()):
                 await self._step(rollout)
 
+    def _step_seconds(self) -> float:
+        stages = {rollout.stage for rollout in self._rollouts_by_service.values()}
+        is_fast = bool(stages & {Stage.LOAD_TRIAL, Stage.SHIFTED})
+        return FAST_STEP_SECONDS if is_fast else STEP_SECONDS
+
     def marks(self) -> list[RolloutMark]:
         """Return the marks to send to a VM when a link to it is established."""
-        return [self._mark(rollout) for rollout in self._rollouts_by_service.values()]
+        earlier = [
+            mark
+            for marks_by_version in self._rolled_back_by_service.values()
+            for mark in marks_by_version.values()
+        ]
+        current = [self._mark(found) for found in self._rollouts_by_service.values()]
+        return [*earlier, *current]
 
     def _publish_own_evidence(self) -> None:
         own, now = self._own_evidence, self._clock.monotonic()
         if own is None or not self._has_unpublished_evidence:
             return
         rollout = self._rollouts_by_service[own.service]
+        if own.order_offset != rollout.order.offset:
+            return
         is_new = own.version == rollout.order.target_version
         if not is_new and now - self._published_at < OLD_EVIDENCE_INTERVAL_SECONDS:
             return
         self._has_unpublished_evidence = False
         self._published_at = now
+        rollout.evidence.apply(own.copy())
         self._publish_evidence(own)
 
     async def _step(self, rollout: Rollout) -> None:
@@ -286,6 +423,8 @@
         takeover_rank = self._takeover_rank()
         if takeover_rank == 0:
             self._log_evidence(rollout, now)
+        if rollout.is_joined_late:
+            takeover_rank += LATE_JOIN_RANK
         waited = now - rollout.stage_entered_at - TAKEOVER_SECONDS * takeover_rank
         if waited < 0:
             return
@@ -295,12 +434,15 @@
                 rollout.stage,
                 now - rollout.started_at - TAKEOVER_SECONDS * takeover_rank,
                 waited,
-                self._new_version_calls(rollout),
+                rollout.evidence.new_calls,
+                rollout.verdict,
             )
             # Completion is reported first, since the report makes the old version's
             # backend servers stop.
             if stage is not Stage.COMPLETED:
-                self._advance(rollout, stage, "time")
+                is_bad = stage is Stage.ROLLED_BACK
+                reason = rollout.verdict.reason if is_bad else "time"
+                self._advance(rollout, stage, reason)
             elif await self._report(rollout, stage):
                 return
         needs_report = rollout.reported is None or (
@@ -315,18 +457,14 @@
         if rollout.stage.is_final or not is_due:
             return
         rollout.evidence_logged_at = now
-        target = rollout.order.target_version
-        gates = rollout.evidence_by_vm_id.values()
         for is_new in (False, True):
-            found = sum_by_route(g for g in gates if (g.version == target) is is_new)
-            total = RouteCounts()
-            for counts in found.values():
-                total.add(counts)
+            total = rollout.evidence.total(is_new=is_new)
             events.info(
                 "rollout_evidence",
                 service=rollout.order.service,
                 is_new=is_new,
                 stage=rollout.stage.name.lower(),
+                log_capital=round(rollout.verdict.log_capital, 1),
                 calls=total.calls,
                 bad=total.bad,
                 buckets=str(dict(sorted(total.calls_by_bucket.items()))),
@@ -357,35 +495,44 @@
     def _evaluate(self, rollout: Rollout) -> None:
         if rollout.stage.is_final:
             return
-        target = rollout.order.target_version
-        gates = rollout.evidence_by_vm_id.values()
-        new = sum_by_route(gate for gate in gates if gate.version == target)
-        old = sum_by_route(gate for gate in gates if gate.version != target)
-        verdict = compare_versions(new, old)
-        if verdict.is_bad:
-            self._advance(rollout, Stage.ROLLED_BACK, verdict.reason)
+        now = self._clock.monotonic()
+        rollout.verdict = rollout.evidence.evaluate(rollout.slice_at(now))
+        elapsed_seconds = now - rollout.started_at
+        if elapsed_seconds >= RATE_ESTIMATE_SECONDS and not rollout.is_joined_late:
+            rate = rollout.evidence.calls / elapsed_seconds
+            rollout.expected_calls = rate * rollout.order.duration_seconds
+        if rollout.verdict.is_bad:
+            self._advance(rollout, Stage.ROLLED_BACK, rollout.verdict.reason)
 
     def _adopt_reported_stage(self, rollout: Rollout, stage: Stage) -> None:
         """Adopt the final stage reported in the store, overriding the local verdict."""
         if rollout.stage.is_final and rollout.stage is not stage:
             rollout.stage = Stage.SHIFTED
-            service = rollout.order.service
-            bad = self._bad_versions_by_service.get(service, set())
-            bad.discard(rollout.order.target_version)
+            self._trust_again(rollout.order)
         rollout.reported = stage
         self._advance(rollout, stage, "the report in the store")
 
-    def _advance(self, rollout: Rollout, stage: Stage, reason: str) -> None:
+    def _advance(
+        self,
+        rollout: Rollout,
+        stage: Stage,
+        reason: str,
+        stage_seconds: float = 0.0,
+    ) -> None:
         # Two different final stages are resolved by the report in the store, in
         # `_adopt_reported_stage`.
         if stage <= rollout.stage or rollout.stage.is_final:
             return
         before, rollout.stage = rollout.stage, stage
-        rollout.stage_entered_at = self._clock.monotonic()
+        entered_at = self._clock.monotonic() - stage_seconds
+        rollout.stage_entered_at = entered_at
         order = rollout.order
+        if stage is Stage.LOAD_TRIAL:
+            first = rollout.slice_at(entered_at)
+            last = rollout.slice_at(entered_at + LOAD_TRIAL_SECONDS)
+            rollout.evidence.concentrate(first, last)
         if stage is Stage.ROLLED_BACK:
-            bad = self._bad_versions_by_service.setdefault(order.service, set())
-            bad.add(order.target_version)
+            self._remember_rolled_back(self._mark(rollout))
         events.info(
             "rollout_advanced",
             service=order.service,
@@ -393,7 +540,7 @@
             stage=stage.name.lower(),
             before=before.name.lower(),
             reason=reason,
-            calls=self._new_version_calls(rollout),
+            calls=rollout.evidence.new_calls,
         )
         self._publish_mark(self._mark(rollout))
 
@@ -404,13 +551,10 @@
             rollout.stage,
             self._clock.monotonic() - rollout.started_at,
             rollout.reported is not None and rollout.reported >= rollout.stage,
+            rollout.order.target_version,
+            self._clock.monotonic() - rollout.stage_entered_at,
         )
 
-    def _new_version_calls(self, rollout: Rollout) -> int:
-        target = rollout.order.target_version
-        gates = rollout.evidence_by_vm_id.values()
-        return sum(gate.calls for gate in gates if gate.version == target)
-
     def _takeover_rank(self) -> int:
         """Return the number of live VMs that take precedence over this one."""
         return sum(vm_id < self._vm_id for vm_id in self._live_vm_ids())
--- a/src/lacewingstair/staged_rollouts/evidence.py
+++ b/src/lacewingstair/staged_rollouts/evidence.py
@@ -1,13 +1,15 @@
 """Call counts and latency histograms of each version of a service."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import attrs
 
 # Latencies are counted in a histogram with exponential buckets of this ratio.
-BUCKET_RATIO = 1.5
-BUCKET_COUNT = 32
+BUCKET_RATIO = 1.25
+BUCKET_COUNT = 56
+# Slices that calls may still be counted in; those of calls that took longer are lost.
+KEPT_SLICES = 4
 
 
 def latency_bucket(ms: float) -> int:
@@ -36,6 +38,11 @@
     calls_by_bucket: dict[int, int] = attrs.field(factory=dict)
     abandoned_by_bucket: dict[int, int] = attrs.field(factory=dict)
 
+    @property
+    def observations(self) -> int:
+        """Number of calls, with those whose callers gave up."""
+        return self.calls + sum(self.abandoned_by_bucket.values())
+
     def count(self, is_bad: bool, ms: float | None) -> None:
         """Count one call; ms is None if its latency is not meaningful."""
         self.calls += 1
@@ -43,69 +50,122 @@
             self.bad += 1
         if is_bad or ms is None:
             return
-        bucket = latency_bucket(ms)
-        self.calls_by_bucket[bucket] = self.calls_by_bucket.get(bucket, 0) + 1
+        _add_to(self.calls_by_bucket, latency_bucket(ms), 1)
 
     def count_abandoned(self, ms: float) -> None:
         """Count a call whose caller gave up after it had run for this time."""
-        bucket = latency_bucket(ms)
-        self.abandoned_by_bucket[bucket] = self.abandoned_by_bucket.get(bucket, 0) + 1
+        _add_to(self.abandoned_by_bucket, latency_bucket(ms), 1)
 
     def add(self, other: "RouteCounts") -> None:
         """Add the counts of another VM."""
         self.calls += other.calls
         self.bad += other.bad
         for bucket, count in other.calls_by_bucket.items():
-            self.calls_by_bucket[bucket] = self.calls_by_bucket.get(bucket, 0) + count
+            _add_to(self.calls_by_bucket, bucket, count)
         for bucket, count in other.abandoned_by_bucket.items():
-            before = self.abandoned_by_bucket.get(bucket, 0)
-            self.abandoned_by_bucket[bucket] = before + count
+            _add_to(self.abandoned_by_bucket, bucket, count)
 
     def median_bucket(self) -> int:
-        """Return the bucket that contains the median latency."""
-        answered = sum(self.calls_by_bucket.values())
-        seen = 0
-        for bucket in sorted(self.calls_by_bucket):
-            seen += self.calls_by_bucket[bucket]
-            if 2 * seen >= answered:
+        """Return the bucket that contains the median latency of the answers."""
+        return self.bucket_of_tail(0.5)
+
+    def bucket_of_tail(self, share: float) -> int:
+        """Return the lowest bucket above which at most a share of the answers lie."""
+        allowed = share * sum(self.calls_by_bucket.values())
+        above = 0
+        for bucket in sorted(self.calls_by_bucket, reverse=True):
+            above += self.calls_by_bucket[bucket]
+            if above > allowed:
                 return bucket
         return 0
 
-    def calls_above(self, limit: int) -> int:
-        """Return the number of answered calls above a bucket."""
-        return sum(
-            count for bucket, count in self.calls_by_bucket.items() if bucket > limit
+    def unserved_and_known(self, limit: int) -> tuple[int, int]:
+        """Return the calls that failed or were slow, and all that may be compared.
+
+        Parameters
+        ----------
+        limit : int
+            Answers above this bucket are slow. A call whose caller gave up is known to
+            be slow if it had run for longer by then; otherwise nothing is known of it.
+        """
+        abandoned = _above(self.abandoned_by_bucket, limit)
+        slow = _above(self.calls_by_bucket, limit)
+        answered = sum(self.calls_by_bucket.values())
+        return slow + abandoned + self.bad, answered + abandoned + self.bad
+
+    def copy(self) -> "RouteCounts":
+        """Return counts that do not change with these."""
+        return RouteCounts(
+            self.calls,
+            self.bad,
+            dict(self.calls_by_bucket),
+            dict(self.abandoned_by_bucket),
         )
 
 
+CountsByRoute = Mapping[str, RouteCounts]
+
+
 @attrs.define
 class GateEvidence:
-    """Call counts of one gate for one version since a rollout was ordered."""
+    """Call counts of one gate for one version since a rollout was ordered.
+
+    Parameters
+    ----------
+    vm_id : str
+        VM of the gate.
+    incarnation : int
+        Identifies the process of the gate, whose counts begin at zero.
+    service, version : str
+        What the calls were run by.
+    order_offset : int
+        Offset of the order.
+    counts_by_route_by_slice : dict
+        Counts by route, by the slice of time since the order.
+    """
 
     vm_id: str
+    incarnation: int
     service: str
     version: str
     order_offset: int
-    counts_by_route: dict[str, RouteCounts] = attrs.field(factory=dict)
-
-    def count(self, route: str, is_bad: bool, ms: float | None) -> None:
-        """Count one call."""
-        self.counts_by_route.setdefault(route, RouteCounts()).count(is_bad, ms)
-
-    def count_abandoned(self, route: str, ms: float) -> None:
-        """Count a call whose caller gave up."""
-        self.counts_by_route.setdefault(route, RouteCounts()).count_abandoned(ms)
-
-    @property
-    def calls(self) -> int:
-        """Number of calls of all routes."""
-        return sum(counts.calls for counts in self.counts_by_route.values())
-
-
-def sum_by_route(evidence: Iterable[GateEvidence]) -> dict[str, RouteCounts]:
-    """Return the sums over several gates, by route."""
-    sums: dict[str, RouteCounts] = {}
-    for gate in evidence:
-        for route, counts in gate.counts_by_route.items():
-            sums.setdefault(route, RouteCounts()).add(counts)
-    return sums
+    counts_by_route_by_slice: dict[int, dict[str, RouteCounts]] = attrs.field(
+        factory=dict
+    )
+
+    def at(self, slice_index: int, route: str) -> RouteCounts:
+        """Return the counts of a slice and a route; older slices are dropped."""
+        by_slice = self.counts_by_route_by_slice
+        newest = max(by_slice, default=slice_index)
+        if slice_index <= newest - KEPT_SLICES:
+            return RouteCounts()
+        if slice_index not in by_slice:
+            by_slice[slice_index] = {}
+            for index in list(by_slice):
+                if index <= slice_index - KEPT_SLICES:
+                    del by_slice[index]
+        return by_slice[slice_index].setdefault(route, RouteCounts())
+
+    def copy(self) -> "GateEvidence":
+        """Return evidence that does not change with this one."""
+        copied = {
+            index: {route: counts.copy() for route, counts in by_route.items()}
+            for index, by_route in self.counts_by_route_by_slice.items()
+        }
+        return attrs.evolve(self, counts_by_route_by_slice=copied)
+
+
+def sum_of(counts: Iterable[RouteCounts]) -> RouteCounts:
+    """Return the sum of several counts."""
+    total = RouteCounts()
+    for found in counts:
+        total.add(found)
+    return total
+
+
+def _add_to(histogram: dict[int, int], bucket: int, count: int) -> None:
+    histogram[bucket] = histogram.get(bucket, 0) + count
+
+
+def _above(histogram: Mapping[int, int], limit: int) -> int:
+    return sum(count for bucket, count in histogram.items() if bucket > limit)
--- a/src/lacewingstair/staged_rollouts/marks.py
+++ b/src/lacewingstair/staged_rollouts/marks.py
@@ -21,6 +21,10 @@
         Time since the order.
     is_reported : bool
         Whether the report in the store has reached this stage.
+    target_version : str
+        Version that is rolled out.
+    stage_seconds : float
+        Time since the stage was entered.
     """
 
     service: str
@@ -28,3 +32,5 @@
     stage: Stage
     elapsed_seconds: float
     is_reported: bool
+    target_version: str
+    stage_seconds: float = 0.0
--- a/src/lacewingstair/staged_rollouts/policy.py
+++ b/src/lacewingstair/staged_rollouts/policy.py
@@ -6,6 +6,8 @@
 
 * The version fails or is slow from the start, or later: it gets a small share of the
   calls, and is rolled back as soon as its counts differ from those of the old version.
+* It is bad for few of its calls only: while its counts make it suspicious, it keeps the
+  small share until they decide, or until no time remains.
 * It is bad on one route only: routes are also compared one by one.
 * It is bad under load only: before all calls shift, one of its backend servers briefly
   gets as many calls as it can run.
@@ -15,33 +17,29 @@
 """
 
 import enum
-from collections.abc import Mapping
 
 import attrs
 
-from lacewingstair.staged_rollouts.evidence import RouteCounts
-
-# Share of all calls during an order that a bad version may get.
-ALLOWED_SHARE = 0.1
-# Shares in the trial and in the load trial, as multiples of the allowed share: the
-# trial takes most of the time, while the load trial is short.
-TRIAL_SHARE_FACTOR = 0.4
+from lacewingstair.staged_rollouts.comparison import Verdict
+
+# Shares in the trial, as multiples of the allowed share. The later part of the trial
+# uses more: it also finds versions that turn bad late, and fewer calls are spent while
+# faults of both versions hide a bad one. What is left of the allowance is for the load
+# trial and for the calls that a version gets after the shift until it is found bad.
+EARLY_TRIAL_SHARE_FACTOR = 0.4
+LATE_TRIAL_SHARE_FACTOR = 1.6
+LATE_TRIAL_START_FRACTION = 0.4
+MAX_TRIAL_SHARE = 0.5
+# Share of the calls in the load trial, as a multiple of the allowed share.
 LOAD_TRIAL_SHARE_FACTOR = 3.0
-LOAD_TRIAL_SECONDS = 2.0
-# Fractions of the duration of the order.
-LOAD_TRIAL_START_FRACTION = 0.45
-LATEST_SHIFT_FRACTION = 0.7
+LOAD_TRIAL_SECONDS = 1.5
+# Fractions of the duration of the order. A late start leaves a version that turns bad
+# late less time with all calls.
+LOAD_TRIAL_START_FRACTION = 0.62
+LATEST_SHIFT_FRACTION = 0.74
 # All calls of the old version have ended after this time, so that it may stop.
 OLD_VERSION_DRAIN_SECONDS = 2.0
 MIN_TRIAL_CALLS = 25
-# A version is bad if at least this many calls failed and the failure ratio exceeds that
-# of the old version by at least this much.
-MIN_BAD_CALLS = 4
-MIN_BAD_RATIO_INCREASE = 0.08
-# A call is slow if it takes more than 1.5 ** 3 = 3.4 times the old version's median.
-SLOW_BUCKETS = 3
-MIN_SLOW_CALLS = 6
-MIN_SLOW_RATIO_INCREASE = 0.2
 
 
 class Stage(enum.IntEnum):
@@ -59,6 +57,42 @@
         return self in (Stage.COMPLETED, Stage.ROLLED_BACK)
 
 
+@attrs.frozen
+class TrialAllowance:
+    """Calls of a service that a bad version may get during an order.
+
+    Parameters
+    ----------
+    share : float
+        Share of all calls.
+    extra_calls : float
+        Calls beyond that share.
+    """
+
+    share: float = 0.1
+    extra_calls: float = 0.0
+
+    def trial_share(self, elapsed_fraction: float, expected_calls: float) -> float:
+        """Return the share of the calls that the new version gets in its trial.
+
+        Parameters
+        ----------
+        elapsed_fraction : float
+            Time since the order, as a part of its duration.
+        expected_calls : float
+            Calls of both versions during the order; 0 if nothing is known of them.
+        """
+        is_late = elapsed_fraction >= LATE_TRIAL_START_FRACTION
+        factor = LATE_TRIAL_SHARE_FACTOR if is_late else EARLY_TRIAL_SHARE_FACTOR
+        extra_share = self.extra_calls / expected_calls if expected_calls else 0.0
+        return min(factor * (self.share + extra_share), MAX_TRIAL_SHARE)
+
+    @property
+    def load_trial_share(self) -> float:
+        """Share of the calls that one backend server gets in the load trial."""
+        return min(1.0, LOAD_TRIAL_SHARE_FACTOR * self.share)
+
+
 @attrs.frozen
 class Order:
     """Order to roll out a version of a service.
@@ -79,51 +113,55 @@
     offset: int
 
 
-@attrs.frozen
-class Verdict:
-    """Result of a comparison: why a version is bad, empty if it is not."""
-
-    reason: str = ""
-
-    @property
-    def is_bad(self) -> bool:
-        """Whether the version is to be rolled back."""
-        return bool(self.reason)
-
-
-GOOD = Verdict()
+def new_version_share(
+    stage: Stage,
+    stage_seconds: float,
+    elapsed_fraction: float,
+    allowance: TrialAllowance,
+    expected_calls: float = 0.0,
+) -> float:
+    """Return the share of the calls that the new version gets.
 
-
-def compare_versions(
-    new_by_route: Mapping[str, RouteCounts], old_by_route: Mapping[str, RouteCounts]
-) -> Verdict:
-    """Compare the calls of both versions, over all routes and route by route."""
-    verdict = _compare_counts("all routes", _sum(new_by_route), _sum(old_by_route))
-    if verdict.is_bad:
-        return verdict
-    for route, new in new_by_route.items():
-        verdict = _compare_counts(route, new, old_by_route.get(route, RouteCounts()))
-        if verdict.is_bad:
-            return verdict
-    return GOOD
-
-
-def new_version_share(stage: Stage, allowed_share: float = ALLOWED_SHARE) -> float:
-    """Return the share of the calls that the new version gets."""
+    Parameters
+    ----------
+    stage : Stage
+        Current stage.
+    stage_seconds : float
+        Time since it was entered.
+    elapsed_fraction : float
+        Time since the order, as a part of its duration.
+    allowance : TrialAllowance
+        Calls that a bad version may get.
+    expected_calls : float
+        Calls of both versions during the order; 0 if nothing is known of them.
+    """
     match stage:
-        case Stage.TRIAL:
-            return TRIAL_SHARE_FACTOR * allowed_share
-        case Stage.LOAD_TRIAL:
-            return min(1.0, LOAD_TRIAL_SHARE_FACTOR * allowed_share)
+        case Stage.TRIAL | Stage.LOAD_TRIAL:
+            if is_concentrated(stage, stage_seconds):
+                return allowance.load_trial_share
+            return allowance.trial_share(elapsed_fraction, expected_calls)
         case Stage.SHIFTED | Stage.COMPLETED:
             return 1.0
     return 0.0
 
 
+def is_concentrated(stage: Stage, stage_seconds: float) -> bool:
+    """Return whether one backend server gets all calls of the new version."""
+    return stage is Stage.LOAD_TRIAL and stage_seconds < LOAD_TRIAL_SECONDS
+
+
 def next_stage(
-    order: Order, stage: Stage, elapsed_seconds: float, stage_seconds: float, calls: int
+    order: Order,
+    stage: Stage,
+    elapsed_seconds: float,
+    stage_seconds: float,
+    calls: int,
+    verdict: Verdict,
 ) -> Stage:
-    """Return the next or current stage of a version that is not bad so far.
+    """Return the next or current stage of a rollout.
+
+    A version that is suspicious stays at a small share of the calls, so that further
+    calls decide, until the last moment at which its rollout can still be completed.
 
     Parameters
     ----------
@@ -137,52 +175,31 @@
         Time since the current stage was entered.
     calls : int
         Number of calls of the new version that have been counted.
+    verdict : Verdict
+        Comparison of the new version with the old one.
     """
-    elapsed_fraction = elapsed_seconds / order.duration_seconds
+    if stage.is_final:
+        return stage
+    if verdict.is_bad:
+        return Stage.ROLLED_BACK
+    latest_shift = LATEST_SHIFT_FRACTION * order.duration_seconds
     match stage:
         case Stage.TRIAL:
-            has_enough_calls = calls >= MIN_TRIAL_CALLS
-            if (
-                elapsed_fraction
-                >= LATEST_SHIFT_FRACTION - LOAD_TRIAL_SECONDS / order.duration_seconds
-            ):
-                has_enough_calls = calls > 0
-            if elapsed_fraction >= LOAD_TRIAL_START_FRACTION and has_enough_calls:
-                return Stage.LOAD_TRIAL
+            if elapsed_seconds < LOAD_TRIAL_START_FRACTION * order.duration_seconds:
+                return stage
+            has_time = elapsed_seconds < latest_shift - LOAD_TRIAL_SECONDS
+            if has_time and (calls < MIN_TRIAL_CALLS or verdict.is_suspicious):
+                return stage
+            if verdict.is_suspicious:
+                return Stage.ROLLED_BACK
+            return Stage.LOAD_TRIAL if calls else stage
         case Stage.LOAD_TRIAL:
-            if stage_seconds >= LOAD_TRIAL_SECONDS:
-                return Stage.SHIFTED
+            if stage_seconds < LOAD_TRIAL_SECONDS:
+                return stage
+            if elapsed_seconds < latest_shift and verdict.is_suspicious:
+                return stage
+            return Stage.ROLLED_BACK if verdict.is_suspicious else Stage.SHIFTED
         case Stage.SHIFTED:
             if stage_seconds >= OLD_VERSION_DRAIN_SECONDS:
                 return Stage.COMPLETED
     return stage
-
-
-def _sum(counts_by_route: Mapping[str, RouteCounts]) -> RouteCounts:
-    total = RouteCounts()
-    for counts in counts_by_route.values():
-        total.add(counts)
-    return total
-
-
-def _compare_counts(name: str, new: RouteCounts, old: RouteCounts) -> Verdict:
-    if new.bad >= MIN_BAD_CALLS:
-        new_ratio = new.bad / new.calls
-        old_ratio = old.bad / old.calls if old.calls else 0.0
-        if new_ratio - old_ratio >= MIN_BAD_RATIO_INCREASE:
-            return Verdict(
-                f"{name}: {new.bad} of {new.calls} calls failed,"
-                f" {old.bad} of {old.calls} on the old version"
-            )
-    if not old.calls_by_bucket or not new.calls_by_bucket:
-        return GOOD
-    limit = old.median_bucket() + SLOW_BUCKETS
-    slow = new.calls_above(limit)
-    answered, old_answered = (
-        sum(new.calls_by_bucket.values()),
-        sum(old.calls_by_bucket.values()),
-    )
-    excess = slow / answered - old.calls_above(limit) / old_answered
-    if slow >= MIN_SLOW_CALLS and excess >= MIN_SLOW_RATIO_INCREASE:
-        return Verdict(f"{name}: {slow} of {answered} answers were slow")
-    return GOOD
--- a/src/lacewingstair/vm/call_messages.py
+++ b/src/lacewingstair/vm/call_messages.py
@@ -325,27 +325,35 @@
 
 
 def _evidence_to_values(evidence: GateEvidence) -> list[Any]:
-    counts = {
-        route: [
-            found.calls,
-            found.bad,
-            found.calls_by_bucket,
-            found.abandoned_by_bucket,
-        ]
-        for route, found in evidence.counts_by_route.items()
+    by_slice = {
+        index: {route: _counts_to_values(found) for route, found in by_route.items()}
+        for index, by_route in evidence.counts_by_route_by_slice.items()
     }
     return [
         evidence.vm_id,
+        evidence.incarnation,
         evidence.service,
         evidence.version,
         evidence.order_offset,
-        counts,
+        by_slice,
+    ]
+
+
+def _counts_to_values(counts: RouteCounts) -> list[Any]:
+    return [
+        counts.calls,
+        counts.bad,
+        counts.calls_by_bucket,
+        counts.abandoned_by_bucket,
     ]
 
 
 def _evidence_from_values(values: Any) -> GateEvidence:
-    *names, counts = values
-    found = {route: RouteCounts(*fields) for route, fields in counts.items()}
+    *names, by_slice = values
+    found = {
+        int(index): {route: RouteCounts(*fields) for route, fields in by_route.items()}
+        for index, by_route in by_slice.items()
+    }
     return GateEvidence(*names, found)
 
 
@@ -356,12 +364,14 @@
         int(mark.stage),
         mark.elapsed_seconds,
         mark.is_reported,
+        mark.target_version,
+        mark.stage_seconds,
     ]
 
 
 def _mark_from_values(values: Any) -> RolloutMark:
-    service, offset, stage, elapsed_seconds, is_reported = values
-    return RolloutMark(service, offset, Stage(stage), elapsed_seconds, is_reported)
+    service, offset, stage, *others = values
+    return RolloutMark(service, offset, Stage(stage), *others)
 
 
 _FIELD_NAMES_BY_TYPE = {
--- a/tests/staged_rollouts/test_coordinator.py
+++ b/tests/staged_rollouts/test_coordinator.py
@@ -48,6 +48,7 @@
 
         return RolloutCoordinator(
             vm_id,
+            1,
             lambda: self.live,
             lambda mark: self.deliver(vm_id, "apply_mark", mark),
             lambda evidence: self.deliver(vm_id, "apply_evidence", evidence),
@@ -184,7 +185,7 @@
                 published.append(mark),
                 publish(mark) if len(published) < 50 else None,
             )
-        late = RolloutMark("board", ORDER.offset, Stage.ROLLED_BACK, 12.0, False)
+        late = RolloutMark("board", ORDER.offset, Stage.ROLLED_BACK, 12.0, False, "v2")
         mesh.by_vm_id["b"].apply_mark(late)
         assert mesh.stages() == {Stage.COMPLETED}
         assert published == []
@@ -205,9 +206,43 @@
                 published.append(mark),
                 publish(mark) if len(published) < 500 else None,
             )
-        report = RolloutMark("board", ORDER.offset, Stage.COMPLETED, 12.0, True)
+        report = RolloutMark("board", ORDER.offset, Stage.COMPLETED, 12.0, True, "v2")
         mesh.by_vm_id["d"].apply_mark(report)
         assert mesh.stages() == {Stage.COMPLETED}
         assert len(published) <= 2 * len(mesh.by_vm_id)
 
     run_virtual(main())
+
+
+def test_a_vm_that_starts_after_a_second_order_sends_no_calls_to_the_first_version():
+    """Guards against a version on trial that counts as old once another is ordered."""
+
+    async def main():
+        mesh = Mesh("abc")
+        mesh.order(ORDER)
+        await mesh.simulate(2, is_bad=False)
+        mesh.order(Order("board", "v3", 20.0, 9))
+        started = mesh.coordinator("d")
+        for mark in mesh.by_vm_id["a"].marks():
+            started.apply_mark(mark)
+        started.apply_order(Order("board", "v3", 20.0, 9))
+        for mark in mesh.by_vm_id["a"].marks():
+            started.apply_mark(mark)
+        for coordinator in (*mesh.by_vm_id.values(), started):
+            assert not coordinator.allows("board", "c", "v2", False)
+            assert coordinator.allows("board", "b", "v1", False)
+
+    run_virtual(main())
+
+
+def test_a_version_that_is_ordered_again_gets_calls_again():
+    async def main():
+        mesh = Mesh("abc")
+        mesh.order(ORDER)
+        await mesh.simulate(10, is_bad=True)
+        mesh.order(Order("board", "v2", 20.0, 9))
+        late = RolloutMark("board", ORDER.offset, Stage.ROLLED_BACK, 12.0, True, "v2")
+        mesh.by_vm_id["a"].apply_mark(late)
+        assert mesh.by_vm_id["a"].allows("board", "c", "v2", True)
+
+    run_virtual(main())
--- a/tests/staged_rollouts/test_coordinator_late_order.py
+++ b/tests/staged_rollouts/test_coordinator_late_order.py
@@ -19,7 +19,7 @@
 
     async def main():
         late = Mesh(["a", "b"]).by_vm_id["b"]
-        late.apply_mark(RolloutMark("board", ORDER.offset, stage, 9.0, True))
+        late.apply_mark(RolloutMark("board", ORDER.offset, stage, 9.0, True, "v2"))
         late.apply_order(ORDER)
         assert late.get("board").stage is stage
         is_completed = stage is Stage.COMPLETED
@@ -36,7 +36,7 @@
     def late(_):
         found = Mesh(["a"]).by_vm_id["a"]
         found.apply_mark(
-            RolloutMark("board", ORDER.offset, Stage.COMPLETED, 16.0, True)
+            RolloutMark("board", ORDER.offset, Stage.COMPLETED, 16.0, True, "v2")
         )
         found.apply_order(ORDER)
         return found
