Send only the slices of evidence that changed

A gate sent the counts of all slices that it keeps, up to four, with each publication. The counts of a slice change while its calls end, mostly within the next one, so that the rest was sent for nothing; on a large fleet every VM receives them from every gate. Only the slices that changed since the last publication are sent.

--- a/src/lacewingstair/staged_rollouts/coordinator.py
+++ b/src/lacewingstair/staged_rollouts/coordinator.py
@@ -169,7 +169,7 @@
         self._rolled_back_by_service: dict[str, dict[str, RolloutMark]] = {}
         self._early_marks_by_service: dict[str, _EarlyMark] = {}
         self._own_evidence: GateEvidence | None = None
-        self._has_unpublished_evidence = False
+        self._unpublished_slices: set[int] = set()
         self._published_at = 0.0
 
     def get(self, service: str) -> Rollout | None:
@@ -309,9 +309,10 @@
         if own is None or (own.version, own.order_offset) != (version, offset):
             own = GateEvidence(self._vm_id, self._incarnation, service, version, offset)
             self._own_evidence = own
-        self._has_unpublished_evidence = True
         began_at = self._clock.monotonic() - ms / 1000
-        return own.at(rollout.slice_at(began_at), route)
+        slice_index = rollout.slice_at(began_at)
+        self._unpublished_slices.add(slice_index)
+        return own.at(slice_index, route)
 
     def _publish_bad_call(self, service: str, version: str) -> None:
         """Publish the counts at once while a bad version could get many calls."""
@@ -404,7 +405,7 @@
 
     def _publish_own_evidence(self) -> None:
         own, now = self._own_evidence, self._clock.monotonic()
-        if own is None or not self._has_unpublished_evidence:
+        if own is None or not self._unpublished_slices:
             return
         rollout = self._rollouts_by_service[own.service]
         if own.order_offset != rollout.order.offset:
@@ -412,10 +413,11 @@
         is_new = own.version == rollout.order.target_version
         if not is_new and now - self._published_at < OLD_EVIDENCE_INTERVAL_SECONDS:
             return
-        self._has_unpublished_evidence = False
+        changed = own.copy(self._unpublished_slices)
+        self._unpublished_slices = set()
         self._published_at = now
-        rollout.evidence.apply(own.copy())
-        self._publish_evidence(own)
+        rollout.evidence.apply(changed)
+        self._publish_evidence(changed)
 
     async def _step(self, rollout: Rollout) -> None:
         self._evaluate(rollout)
--- a/src/lacewingstair/staged_rollouts/evidence.py
+++ b/src/lacewingstair/staged_rollouts/evidence.py
@@ -1,7 +1,7 @@
 """Call counts and latency histograms of each version of a service."""
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 
 import attrs
 
@@ -146,11 +146,12 @@
                     del by_slice[index]
         return by_slice[slice_index].setdefault(route, RouteCounts())
 
-    def copy(self) -> "GateEvidence":
-        """Return evidence that does not change with this one."""
+    def copy(self, slices: Container[int] = range(1 << 62)) -> "GateEvidence":
+        """Return the counts of some slices, which do not change with these."""
         copied = {
             index: {route: counts.copy() for route, counts in by_route.items()}
             for index, by_route in self.counts_by_route_by_slice.items()
+            if index in slices
         }
         return attrs.evolve(self, counts_by_route_by_slice=copied)
 
