Count the answers of calls that take seconds, at a cost that does not grow

Calls count in the slice in which they began, and only the last four slices were kept, so that answers later than four seconds counted nowhere: a version that is eight times slower than one of half a second was compared without its slow answers. Twelve slices are kept now (test_hidden_versions, answers that take longer than seconds).

--- a/src/lacewingstair/staged_rollouts/comparison.py
+++ b/src/lacewingstair/staged_rollouts/comparison.py
@@ -73,6 +73,13 @@
     old_by_route: CountsByRoute = attrs.field(factory=dict)
     is_concentrated: bool = False
 
+    @property
+    def observations(self) -> tuple[int, int, bool]:
+        """Numbers of calls, which differ from those at any other state of the slice."""
+        new = sum(counts.observations for counts in self.new_by_route.values())
+        old = sum(counts.observations for counts in self.old_by_route.values())
+        return new, old, self.is_concentrated
+
 
 @attrs.frozen
 class Verdict:
@@ -231,6 +238,15 @@
         return min(max(0, shift), MAX_SHIFT)
 
 
+@attrs.frozen
+class _State:
+    """Tests and totals after a slice, and the slice's observations then."""
+
+    observations: tuple[int, int, bool]
+    tests: dict[tuple[str, str], _Test]
+    totals: _Totals
+
+
 class VersionComparison:
     """Tests of a new version against the old one, slice by slice."""
 
@@ -238,6 +254,9 @@
         self._tests: dict[tuple[str, str], _Test] = {}
         self._slices: list[Slice] = []
         self._closed = _Totals()
+        # States after the open slices of the last evaluation; those before the first
+        # slice that has changed since are used again.
+        self._states: list[_State] = []
 
     def close_slice(self, found: Slice) -> None:
         """Add a slice that gets no more calls."""
@@ -245,31 +264,48 @@
         shift = self._closed.shift(found)
         self._tests = _after(self._tests, found, self._slices, shift)
         self._slices.append(found)
+        self._states.clear()
 
     def evaluate(self, open_slices: list[Slice]) -> Verdict:
         """Return the verdict after the closed slices and the given ones."""
-        tests, earlier, totals = self._tests, list(self._slices), self._closed.copy()
-        for found in open_slices:
+        observations = [found.observations for found in open_slices]
+        unchanged = 0
+        for state, observed in zip(self._states, observations, strict=False):
+            if state.observations != observed:
+                break
+            unchanged += 1
+        del self._states[unchanged:]
+        tests = self._states[-1].tests if unchanged else self._tests
+        totals = self._states[-1].totals if unchanged else self._closed
+        earlier = [*self._slices, *open_slices[:unchanged]]
+        for found in open_slices[unchanged:]:
+            totals = totals.copy()
             totals.add(found)
             tests = _after(tests, found, earlier, totals.shift(found))
             earlier.append(found)
-        verdict = Verdict()
-        route_tests = sum(route != ALL_ROUTES for route, _ in tests)
-        for (route, statistic), test in tests.items():
-            if route == ALL_ROUTES:
-                part = ALL_ROUTES_ERROR_SHARE / (len(tests) - route_tests)
-            else:
-                part = (1.0 - ALL_ROUTES_ERROR_SHARE) / route_tests
-            log_capital = test.log_capital + math.log(part)
-            if log_capital <= verdict.log_capital:
-                continue
-            total = test.total
-            verdict = Verdict(
-                log_capital,
-                f"{route}: {total.new_bad} of {total.new_calls} {statistic},"
-                f" {total.old_bad} of {total.old_calls} on the old version",
-            )
-        return verdict
+            self._states.append(_State(found.observations, tests, totals))
+        return _verdict(tests)
+
+
+def _verdict(tests: dict[tuple[str, str], _Test]) -> Verdict:
+    """Return the verdict by the test that speaks most against the version."""
+    verdict = Verdict()
+    route_tests = sum(route != ALL_ROUTES for route, _ in tests)
+    for (route, statistic), test in tests.items():
+        if route == ALL_ROUTES:
+            part = ALL_ROUTES_ERROR_SHARE / (len(tests) - route_tests)
+        else:
+            part = (1.0 - ALL_ROUTES_ERROR_SHARE) / route_tests
+        log_capital = test.log_capital + math.log(part)
+        if log_capital <= verdict.log_capital:
+            continue
+        total = test.total
+        verdict = Verdict(
+            log_capital,
+            f"{route}: {total.new_bad} of {total.new_calls} {statistic},"
+            f" {total.old_bad} of {total.old_calls} on the old version",
+        )
+    return verdict
 
 
 def _after(
--- a/src/lacewingstair/staged_rollouts/coordinator.py
+++ b/src/lacewingstair/staged_rollouts/coordinator.py
@@ -36,7 +36,8 @@
 # Counts of the old version change little and are published at this interval; those of
 # the new version are published at each step.
 OLD_EVIDENCE_INTERVAL_SECONDS = 1.0
-# A bad call of the new version is published this long after the last publication.
+# While the new version gets more than a small share, its bad calls are published, and
+# published ones evaluated, this long after the last time.
 BAD_CALL_INTERVAL_SECONDS = 0.05
 # Length of the slices of time in which versions are compared; longer rollouts have at
 # most MAX_SLICES of them.
@@ -90,6 +91,8 @@
         Newest comparison of the versions.
     expected_calls : float
         Calls of both versions during the order; 0 if nothing is known of them.
+    evaluated_at : float
+        When the versions were compared last, in monotonic seconds.
     evidence_logged_at : float
         When the evidence was logged last, in monotonic seconds.
     """
@@ -104,6 +107,7 @@
     credit: float = 0.0
     verdict: Verdict = Verdict()
     expected_calls: float = 0.0
+    evaluated_at: float = -math.inf
     evidence_logged_at: float = -math.inf
 
     def slice_at(self, now: float) -> int:
@@ -270,7 +274,9 @@
             return
         rollout.evidence.apply(evidence)
         is_new = evidence.version == rollout.order.target_version
-        if is_new and rollout.stage in (Stage.LOAD_TRIAL, Stage.SHIFTED):
+        now = self._clock.monotonic()
+        is_due = now - rollout.evaluated_at >= BAD_CALL_INTERVAL_SECONDS
+        if is_new and is_due and rollout.stage in (Stage.LOAD_TRIAL, Stage.SHIFTED):
             self._evaluate(rollout)
 
     def record_call(
@@ -384,7 +390,8 @@
         """Evaluate, advance and report the rollouts until cancelled."""
         while True:
             await self._clock.sleep(self._step_seconds())
-            self._publish_own_evidence()
+            if self._clock.monotonic() - self._published_at >= STEP_SECONDS:
+                self._publish_own_evidence()
             for rollout in list(self._rollouts_by_service.values()):
                 await self._step(rollout)
 
@@ -497,7 +504,7 @@
     def _evaluate(self, rollout: Rollout) -> None:
         if rollout.stage.is_final:
             return
-        now = self._clock.monotonic()
+        now = rollout.evaluated_at = self._clock.monotonic()
         rollout.verdict = rollout.evidence.evaluate(rollout.slice_at(now))
         elapsed_seconds = now - rollout.started_at
         if elapsed_seconds >= RATE_ESTIMATE_SECONDS and not rollout.is_joined_late:
--- a/src/lacewingstair/staged_rollouts/evidence.py
+++ b/src/lacewingstair/staged_rollouts/evidence.py
@@ -8,8 +8,9 @@
 # Latencies are counted in a histogram with exponential buckets of this ratio.
 BUCKET_RATIO = 1.25
 BUCKET_COUNT = 56
-# Slices that calls may still be counted in; those of calls that took longer are lost.
-KEPT_SLICES = 4
+# Calls are counted in the slice in which they began, while it is one of this many last
+# ones. Slices are at least a second long, and few calls have deadlines beyond 12 s.
+KEPT_SLICES = 12
 
 
 def latency_bucket(ms: float) -> int:
@@ -79,6 +80,15 @@
                 return bucket
         return 0
 
+    def subtract(self, other: "RouteCounts") -> None:
+        """Subtract counts that were added before."""
+        self.calls -= other.calls
+        self.bad -= other.bad
+        for bucket, count in other.calls_by_bucket.items():
+            _add_to(self.calls_by_bucket, bucket, -count)
+        for bucket, count in other.abandoned_by_bucket.items():
+            _add_to(self.abandoned_by_bucket, bucket, -count)
+
     def unserved_and_known(self, limit: int) -> tuple[int, int]:
         """Return the calls that failed or were slow, and all that may be compared.
 
--- a/tests/staged_rollouts/test_hidden_versions.py
+++ b/tests/staged_rollouts/test_hidden_versions.py
@@ -18,6 +18,9 @@
         "slow", 0.5, impatient_share=0.5, impatient_ms=150.0, **SMALL_SERVERS
     ),
     "slow while the old version was slow": Load("slow", 0.5, old_slow_until=8.0),
+    "answers that take longer than seconds": Load(
+        "slow", 0.5, median_ms=535.0, patience_ms=8200.0, slots=100
+    ),
     "few failures": Load("errors", 0.1, **SMALL_SERVERS),
     "few failures of one route": Load("one_class", 0.3, **SMALL_SERVERS),
     "few failures under load": Load("under_load", 0.15, **SMALL_SERVERS),
