Bound the memory of calls that other VMs send

What callers saw: ten uploads of 12.3 MB at once, within max_body_bytes, ended the processes beside their upstreams five to seven times each; 82 to 96 of 280 uploads got 502 or a closed connection.

Cause: a VM bounded the bodies of its own callers only. What other VMs sent was read whole from all streams at once, decoded beside the buffer, joined with its head for the backend server, and the newest message of each stream stayed alive until the next one came.

A stream in the middle of a large message is read on only while incomplete messages and the bodies of running calls are under 32 MiB together, or if its message began first, so that large messages are completed one after the other and their senders wait. It waits for a second at most, since a connection that is not read for two is dropped. A large body is passed on without being joined with its head, and no message stays behind in its stream.

The answers of upstreams, of health checks and of the store without end (heads, bodies, chunk framing, trailers) were bounded before, each with a test (test_admission_proxy*, test_health, test_store).

--- a/src/lacewingstair/backend_server/admission_proxy.py
+++ b/src/lacewingstair/backend_server/admission_proxy.py
@@ -482,7 +482,7 @@
         is_complete = False
         try:
             async with asyncio.timeout(remaining_ms / 1000 + RESPONSE_GRACE_SECONDS):
-                if not connection.write(head + call.body):
+                if not connection.write_call(head, call.body):
                     self._limit_after_early_reset(connection)
                     return FailedExchange("connection was already closed", False)
                 self.arrivals_by_origin[call.origin] += 1
--- a/src/lacewingstair/backend_server/connection.py
+++ b/src/lacewingstair/backend_server/connection.py
@@ -169,6 +169,15 @@
         transport.write(data)
         return True
 
+    def write_call(self, head: bytes, body: bytes) -> bool:
+        """Write a call; return False if the connection is closed.
+
+        A large body is passed on without a copy.
+        """
+        if len(body) <= self._buffer_bytes:
+            return self.write(head + body)
+        return self.write(head) and self.write(body)
+
     async def drain(self) -> None:
         """Wait until the write buffer is below its limit."""
         await self._drain_helper()
--- a/src/lacewingstair/vm/call_server.py
+++ b/src/lacewingstair/vm/call_server.py
@@ -24,6 +24,7 @@
 )
 from lacewingstair.vm.call_streams import CallStream
 from lacewingstair.vm.entries import MeshView, VmEntry, entry_distance
+from lacewingstair.vm.receive_budget import ReceiveBudget
 from lacewingstair.vm.record_sender import RecordSender
 from lacewingstair.vm.stream_traffic import StreamTraffic
 
@@ -47,6 +48,8 @@
         Returns the messages that a new connection gets after `Hello` and the load.
     traffic : StreamTraffic, optional
         Counts the bytes of messages.
+    budget : ReceiveBudget, optional
+        Bounds the bytes of messages that are held.
     """
 
     def __init__(
@@ -58,8 +61,10 @@
         record_sender: RecordSender,
         initial_messages: Callable[[], list[Any]] = list,
         traffic: StreamTraffic | None = None,
+        budget: ReceiveBudget | None = None,
     ) -> None:
         self._traffic = traffic
+        self._budget = budget or ReceiveBudget()
         self._initial_messages = initial_messages
         self._address = address
         self._gate = gate
@@ -128,7 +133,7 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        stream = CallStream(reader, writer, self._traffic)
+        stream = CallStream(reader, writer, self._traffic, self._budget)
         tasks_by_call_id: dict[int, asyncio.Task[None]] = {}
         self._streams.add(stream)
         stream.send(Hello(self._own_entry()))
@@ -138,6 +143,7 @@
         try:
             async for message in stream.messages():
                 self._handle(stream, message, tasks_by_call_id)
+                del message
         except asyncio.CancelledError:
             # The process is stopping. CPython 3.11 logs a cancelled connection handler
             # as an error, so that the exception is not propagated.
@@ -183,7 +189,8 @@
                 events.warning("message_unexpected", kind=type(message).__name__)
 
     async def _run(self, stream: CallStream, call: CallRequest) -> None:
-        stream.send(await self._gate.run(call))
+        with self._budget.holding(len(call.body)):
+            stream.send(await self._gate.run(call))
 
     def _handle_call_end(
         self,
--- a/src/lacewingstair/vm/call_streams.py
+++ b/src/lacewingstair/vm/call_streams.py
@@ -14,6 +14,7 @@
 from lacewingstair.sockets import detect_silence
 from lacewingstair.vm import call_messages, distances
 from lacewingstair.vm.decoder_pool import DecoderPool, StreamDecoder
+from lacewingstair.vm.receive_budget import ReceiveBudget
 from lacewingstair.vm.stream_traffic import RECEIVED, SENT, StreamTraffic
 
 READ_BYTES = 256 << 10
@@ -33,6 +34,8 @@
         Both halves of the connection.
     traffic : StreamTraffic, optional
         Counts the bytes of messages.
+    budget : ReceiveBudget, optional
+        Bounds the bytes that all streams hold.
 
     Attributes
     ----------
@@ -49,7 +52,9 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         traffic: StreamTraffic | None = None,
+        budget: ReceiveBudget | None = None,
     ) -> None:
+        self._budget = budget or ReceiveBudget()
         self._reader = reader
         self._writer = writer
         self._traffic = traffic or StreamTraffic()
@@ -92,27 +97,38 @@
 
     async def messages(self) -> AsyncIterator[Any]:
         """Yield messages until the stream ends, fails or cannot be decoded."""
+        try:
+            while arrays := await self._receive():
+                while arrays:
+                    array, size = arrays.pop(0)
+                    message = call_messages.decode(array)
+                    if isinstance(message, Err):
+                        events.warning("stream_unreadable", error=message.err_value)
+                        return
+                    self._count(message.ok_value, RECEIVED, size)
+                    yield message.ok_value
+                    # A large message must not stay here until the next one arrives.
+                    del array, message
+        finally:
+            self._budget.set_incomplete(self, 0)
+
+    async def _receive(self) -> list[tuple[Any, int]]:
+        """Return the next arrays with their sizes, none at the end of the stream."""
         while True:
+            await self._budget.wait_for_room(self)
             try:
                 data = await self._reader.read(READ_BYTES)
+                self.bytes_received += len(data)
+                arrays = self._decoder.feed(data)
             except OSError as error:
                 events.info("stream_broken", error=error)
-                return
-            if not data:
-                return
-            self.bytes_received += len(data)
-            try:
-                arrays = self._decoder.feed(data)
+                return []
             except (msgpack.UnpackException, ValueError) as error:
                 events.warning("stream_unreadable", error=error)
-                return
-            for array, size in arrays:
-                message = call_messages.decode(array)
-                if isinstance(message, Err):
-                    events.warning("stream_unreadable", error=message.err_value)
-                    return
-                self._count(message.ok_value, RECEIVED, size)
-                yield message.ok_value
+                return []
+            self._budget.set_incomplete(self, self._decoder.incomplete_bytes)
+            if arrays or not data:
+                return arrays
 
     def _count(self, message: Any, direction: str, size: int) -> None:
         kind = type(message).__name__
