Block no version whose completion a VM has missed

Found by reading the change for a second order: a VM that was cut off while a version was completed took it for undecided, marked it rolled back with the next order and passed that on, although the old version had been stopped by then.

Marks of completed versions are kept and passed on like those of rolled-back ones, and a reported end goes before any that was not reported. A VM that never had a report of a rollout does not end it: after a start, it may have been completed before.

--- a/src/lacewingstair/staged_rollouts/coordinator.py
+++ b/src/lacewingstair/staged_rollouts/coordinator.py
@@ -51,8 +51,8 @@
 # takes over after this many others more.
 LATE_JOIN_SECONDS = 2.0
 LATE_JOIN_RANK = 1
-# Rolled-back versions of a service that are remembered.
-MAX_ROLLED_BACK_VERSIONS = 8
+# Versions of a service whose ends are remembered.
+MAX_FINAL_MARKS = 8
 EVIDENCE_LOG_INTERVAL_SECONDS = 1.0
 
 WriteReport = Callable[
@@ -169,8 +169,8 @@
         self._clock = clock
         self._rng = rng
         self._rollouts_by_service: dict[str, Rollout] = {}
-        # Marks of rolled-back versions by service and version, the oldest first.
-        self._rolled_back_by_service: dict[str, dict[str, RolloutMark]] = {}
+        # Final marks by service and version, the oldest first.
+        self._final_marks_by_service: dict[str, dict[str, RolloutMark]] = {}
         self._early_marks_by_service: dict[str, _EarlyMark] = {}
         self._own_evidence: GateEvidence | None = None
         self._unpublished_slices: set[int] = set()
@@ -208,30 +208,32 @@
     def _supersede(self, rollout: Rollout) -> None:
         """Take the calls from a version on trial once another one is ordered.
 
-        Without a verdict it is neither trusted nor part of the old version.
+        Without a verdict it is neither trusted nor part of the old version. A rollout
+        that was never reported may have ended before this process started.
         """
-        self._advance(rollout, Stage.ROLLED_BACK, "a later order")
+        if rollout.reported is not None:
+            self._advance(rollout, Stage.ROLLED_BACK, "a later order")
 
     def _is_rolled_back(self, service: str, version: str) -> bool:
-        return version in self._rolled_back_by_service.get(service, ())
+        mark = self._final_marks_by_service.get(service, {}).get(version)
+        return mark is not None and mark.stage is Stage.ROLLED_BACK
 
-    def _remember_rolled_back(self, mark: RolloutMark) -> None:
-        marks_by_version = self._rolled_back_by_service.setdefault(mark.service, {})
+    def _remember_final(self, mark: RolloutMark) -> None:
+        marks_by_version = self._final_marks_by_service.setdefault(mark.service, {})
         known = marks_by_version.pop(mark.target_version, mark)
-        newest = max(known, mark, key=lambda found: found.order_offset)
-        marks_by_version[mark.target_version] = newest
-        while len(marks_by_version) > MAX_ROLLED_BACK_VERSIONS:
+        marks_by_version[mark.target_version] = max(known, mark, key=_mark_precedence)
+        while len(marks_by_version) > MAX_FINAL_MARKS:
             del marks_by_version[next(iter(marks_by_version))]
 
     def _trust_again(self, order: Order) -> None:
-        marks_by_version = self._rolled_back_by_service.get(order.service, {})
+        marks_by_version = self._final_marks_by_service.get(order.service, {})
         marks_by_version.pop(order.target_version, None)
 
     def _apply_earlier_mark(self, mark: RolloutMark, current: Order) -> None:
         """Apply the mark of an order that a later one has replaced."""
         is_ordered_again = mark.target_version == current.target_version
-        if mark.stage is Stage.ROLLED_BACK and not is_ordered_again:
-            self._remember_rolled_back(mark)
+        if mark.stage.is_final and not is_ordered_again:
+            self._remember_final(mark)
 
     def _apply_early_mark(self, order: Order) -> None:
         early = self._early_marks_by_service.pop(order.service, None)
@@ -404,7 +406,7 @@
         """Return the marks to send to a VM when a link to it is established."""
         earlier = [
             mark
-            for marks_by_version in self._rolled_back_by_service.values()
+            for marks_by_version in self._final_marks_by_service.values()
             for mark in marks_by_version.values()
         ]
         current = [self._mark(found) for found in self._rollouts_by_service.values()]
@@ -540,8 +542,8 @@
             first = rollout.slice_at(entered_at)
             last = rollout.slice_at(entered_at + LOAD_TRIAL_SECONDS)
             rollout.evidence.concentrate(first, last)
-        if stage is Stage.ROLLED_BACK:
-            self._remember_rolled_back(self._mark(rollout))
+        if stage.is_final:
+            self._remember_final(self._mark(rollout))
         events.info(
             "rollout_advanced",
             service=order.service,
--- a/tests/staged_rollouts/test_coordinator.py
+++ b/tests/staged_rollouts/test_coordinator.py
@@ -246,3 +246,39 @@
         assert mesh.by_vm_id["a"].allows("board", "c", "v2", True)
 
     run_virtual(main())
+
+
+def test_a_vm_that_missed_the_completion_of_a_version_does_not_block_it():
+    """Guards against an outage: the old version was stopped at the completion."""
+
+    async def main():
+        mesh = Mesh("abc")
+        mesh.order(ORDER)
+        await mesh.simulate(2, is_bad=False)
+        cut_off = mesh.by_vm_id.pop("c")
+        mesh.live.remove("c")
+        mesh.by_vm_id["c"] = mesh.coordinator("c")
+        await mesh.simulate(18, is_bad=False)
+        assert mesh.by_vm_id["a"].get("board").stage is Stage.COMPLETED
+        for coordinator in (*mesh.by_vm_id.values(), cut_off):
+            coordinator.apply_order(Order("board", "v3", 20.0, 9))
+        for mark in cut_off.marks():
+            mesh.by_vm_id["a"].apply_mark(mark)
+        for mark in mesh.by_vm_id["a"].marks():
+            cut_off.apply_mark(mark)
+        for coordinator in (mesh.by_vm_id["a"], cut_off):
+            assert coordinator.allows("board", "c", "v2", False)
+
+    run_virtual(main())
+
+
+def test_an_order_whose_report_was_never_read_blocks_no_version():
+    """Guards against an outage after a start: the version may be the only one left."""
+
+    async def main():
+        started = Mesh("a").by_vm_id["a"]
+        started.apply_order(ORDER)
+        started.apply_order(Order("board", "v3", 20.0, 9))
+        assert started.allows("board", "c", "v2", False)
+
+    run_virtual(main())
