Tell VMs that start of versions whose order they never get

Found by reading: a VM that starts gets all marks at the handshake, but until it has an order it kept only the mark of the latest one, so that a version of an earlier order, rolled back or replaced while on trial, counted as old there. A final mark now counts at once (the test of the second order applies the marks before the order and failed before). The time that a mark waits for its order now also counts for its stage.

--- a/src/lacewingstair/staged_rollouts/coordinator.py
+++ b/src/lacewingstair/staged_rollouts/coordinator.py
@@ -6,7 +6,6 @@
 ones take over after a delay. The first final report in the store is authoritative.
 """
 
-import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -16,19 +15,18 @@
 from lacewingstair import events
 from lacewingstair.errors import StoreConflict, StoreUnavailable
 from lacewingstair.runtime import Clock
-from lacewingstair.staged_rollouts.comparison import Verdict
 from lacewingstair.staged_rollouts.evidence import GateEvidence, RouteCounts
 from lacewingstair.staged_rollouts.evidence_log import EvidenceLog
-from lacewingstair.staged_rollouts.marks import RolloutMark
+from lacewingstair.staged_rollouts.marks import FinalMarks, RolloutMark, precedence
 from lacewingstair.staged_rollouts.policy import (
     LOAD_TRIAL_SECONDS,
     Order,
     Stage,
     TrialAllowance,
-    is_concentrated,
     new_version_share,
     next_stage,
 )
+from lacewingstair.staged_rollouts.rollout import Rollout
 
 STEP_SECONDS = 0.25
 # Steps while the new version gets more than a small share of the calls.
@@ -39,20 +37,13 @@
 # While the new version gets more than a small share, its bad calls are published, and
 # published ones evaluated, this long after the last time.
 BAD_CALL_INTERVAL_SECONDS = 0.05
-# Length of the slices of time in which versions are compared; longer rollouts have at
-# most MAX_SLICES of them.
-SLICE_SECONDS = 1.0
-MAX_SLICES = 32
 # The calls of an order are estimated from those of this time on.
 RATE_ESTIMATE_SECONDS = 1.0
 # Each further live VM in the order of ids waits this much longer before it takes over.
 TAKEOVER_SECONDS = 1.0
-# A VM that joins a rollout later than this has not seen the evidence of before; it
-# takes over after this many others more.
-LATE_JOIN_SECONDS = 2.0
+# A VM that has joined a rollout late takes over after this many others more, as it has
+# not seen the evidence of before.
 LATE_JOIN_RANK = 1
-# Versions of a service whose ends are remembered.
-MAX_FINAL_MARKS = 8
 EVIDENCE_LOG_INTERVAL_SECONDS = 1.0
 
 WriteReport = Callable[
@@ -68,63 +59,6 @@
     received_at: float
 
 
-@attrs.define
-class Rollout:
-    """State of one order on this VM.
-
-    Parameters
-    ----------
-    order : Order
-        The order.
-    evidence : EvidenceLog
-        Counts of all gates.
-    started_at, stage_entered_at, received_at : float
-        When the order was given, when the stage was entered and when this VM received
-        the order, in monotonic seconds.
-    stage : Stage
-        Current stage.
-    reported : Stage or None
-        Stage of the newest report in the store.
-    credit : float
-        Part of a call that the new version is owed.
-    verdict : Verdict
-        Newest comparison of the versions.
-    expected_calls : float
-        Calls of both versions during the order; 0 if nothing is known of them.
-    evaluated_at : float
-        When the versions were compared last, in monotonic seconds.
-    evidence_logged_at : float
-        When the evidence was logged last, in monotonic seconds.
-    """
-
-    order: Order
-    evidence: EvidenceLog
-    started_at: float
-    stage_entered_at: float
-    received_at: float
-    stage: Stage = Stage.TRIAL
-    reported: Stage | None = None
-    credit: float = 0.0
-    verdict: Verdict = Verdict()
-    expected_calls: float = 0.0
-    evaluated_at: float = -math.inf
-    evidence_logged_at: float = -math.inf
-
-    def slice_at(self, now: float) -> int:
-        """Return the index of the slice of time that contains a moment."""
-        length = max(SLICE_SECONDS, self.order.duration_seconds / MAX_SLICES)
-        return max(0, int((now - self.started_at) / length))
-
-    def is_concentrated(self, now: float) -> bool:
-        """Return whether one backend server gets all calls of the new version."""
-        return is_concentrated(self.stage, now - self.stage_entered_at)
-
-    @property
-    def is_joined_late(self) -> bool:
-        """Whether this VM has not seen the beginning of the rollout."""
-        return self.received_at - self.started_at > LATE_JOIN_SECONDS
-
-
 class RolloutCoordinator:
     """Coordinates the rollouts of all services.
 
@@ -169,8 +103,7 @@
         self._clock = clock
         self._rng = rng
         self._rollouts_by_service: dict[str, Rollout] = {}
-        # Final marks by service and version, the oldest first.
-        self._final_marks_by_service: dict[str, dict[str, RolloutMark]] = {}
+        self._final_marks = FinalMarks()
         self._early_marks_by_service: dict[str, _EarlyMark] = {}
         self._own_evidence: GateEvidence | None = None
         self._unpublished_slices: set[int] = set()
@@ -190,12 +123,14 @@
         now = self._clock.monotonic()
         evidence = EvidenceLog(
             order.target_version,
-            lambda version: not self._is_rolled_back(order.service, version),
+            lambda version: (
+                not self._final_marks.is_rolled_back(order.service, version)
+            ),
         )
         rollout = Rollout(order, evidence, now, now, now, credit=self._rng.random())
         self._rollouts_by_service[order.service] = rollout
         # A version that is ordered again has been fixed under the same name.
-        self._trust_again(order)
+        self._final_marks.forget(order.service, order.target_version)
         events.info(
             "rollout_ordered",
             service=order.service,
@@ -214,40 +149,34 @@
         if rollout.reported is not None:
             self._advance(rollout, Stage.ROLLED_BACK, "a later order")
 
-    def _is_rolled_back(self, service: str, version: str) -> bool:
-        mark = self._final_marks_by_service.get(service, {}).get(version)
-        return mark is not None and mark.stage is Stage.ROLLED_BACK
-
-    def _remember_final(self, mark: RolloutMark) -> None:
-        marks_by_version = self._final_marks_by_service.setdefault(mark.service, {})
-        known = marks_by_version.pop(mark.target_version, mark)
-        marks_by_version[mark.target_version] = max(known, mark, key=_mark_precedence)
-        while len(marks_by_version) > MAX_FINAL_MARKS:
-            del marks_by_version[next(iter(marks_by_version))]
-
-    def _trust_again(self, order: Order) -> None:
-        marks_by_version = self._final_marks_by_service.get(order.service, {})
-        marks_by_version.pop(order.target_version, None)
-
     def _apply_earlier_mark(self, mark: RolloutMark, current: Order) -> None:
         """Apply the mark of an order that a later one has replaced."""
         is_ordered_again = mark.target_version == current.target_version
         if mark.stage.is_final and not is_ordered_again:
-            self._remember_final(mark)
+            self._final_marks.add(mark)
 
     def _apply_early_mark(self, order: Order) -> None:
         early = self._early_marks_by_service.pop(order.service, None)
         if early is None or early.mark.order_offset != order.offset:
             return
-        elapsed_seconds = (
-            early.mark.elapsed_seconds + self._clock.monotonic() - early.received_at
+        mark, waited = early.mark, self._clock.monotonic() - early.received_at
+        self.apply_mark(
+            attrs.evolve(
+                mark,
+                elapsed_seconds=mark.elapsed_seconds + waited,
+                stage_seconds=mark.stage_seconds + waited,
+            )
         )
-        self.apply_mark(attrs.evolve(early.mark, elapsed_seconds=elapsed_seconds))
 
     def _keep_early_mark(self, mark: RolloutMark) -> None:
-        """Keep a mark until its order arrives, possibly over another path."""
+        """Keep a mark until its order arrives, possibly over another path.
+
+        A final mark counts at once: its order may have been replaced and never arrive.
+        """
+        if mark.stage.is_final:
+            self._final_marks.add(mark)
         current = self._early_marks_by_service.get(mark.service)
-        if current is None or _mark_precedence(mark) > _mark_precedence(current.mark):
+        if current is None or precedence(mark) > precedence(current.mark):
             early = _EarlyMark(mark, self._clock.monotonic())
             self._early_marks_by_service[mark.service] = early
 
@@ -365,7 +294,7 @@
         wants_new : bool or None
             What `selects_new_version` returned for the call.
         """
-        if self._is_rolled_back(service, version):
+        if self._final_marks.is_rolled_back(service, version):
             return False
         rollout = self._rollouts_by_service.get(service)
         if rollout is None or wants_new is None:
@@ -404,13 +333,8 @@
 
     def marks(self) -> list[RolloutMark]:
         """Return the marks to send to a VM when a link to it is established."""
-        earlier = [
-            mark
-            for marks_by_version in self._final_marks_by_service.values()
-            for mark in marks_by_version.values()
-        ]
         current = [self._mark(found) for found in self._rollouts_by_service.values()]
-        return [*earlier, *current]
+        return [*self._final_marks, *current]
 
     def _publish_own_evidence(self) -> None:
         own, now = self._own_evidence, self._clock.monotonic()
@@ -519,7 +443,9 @@
         """Adopt the final stage reported in the store, overriding the local verdict."""
         if rollout.stage.is_final and rollout.stage is not stage:
             rollout.stage = Stage.SHIFTED
-            self._trust_again(rollout.order)
+            self._final_marks.forget(
+                rollout.order.service, rollout.order.target_version
+            )
         rollout.reported = stage
         self._advance(rollout, stage, "the report in the store")
 
@@ -543,7 +469,7 @@
             last = rollout.slice_at(entered_at + LOAD_TRIAL_SECONDS)
             rollout.evidence.concentrate(first, last)
         if stage.is_final:
-            self._remember_final(self._mark(rollout))
+            self._final_marks.add(self._mark(rollout))
         events.info(
             "rollout_advanced",
             service=order.service,
@@ -569,12 +495,3 @@
     def _takeover_rank(self) -> int:
         """Return the number of live VMs that take precedence over this one."""
         return sum(vm_id < self._vm_id for vm_id in self._live_vm_ids())
-
-
-def _mark_precedence(mark: RolloutMark) -> tuple[int, bool, Stage]:
-    """Return the sort key by which one mark supersedes another.
-
-    Within an order, a mark of a final report supersedes any other.
-    """
-    is_decided = mark.is_reported and mark.stage.is_final
-    return (mark.order_offset, is_decided, mark.stage)
--- a/tests/staged_rollouts/test_coordinator.py
+++ b/tests/staged_rollouts/test_coordinator.py
@@ -226,8 +226,6 @@
         for mark in mesh.by_vm_id["a"].marks():
             started.apply_mark(mark)
         started.apply_order(Order("board", "v3", 20.0, 9))
-        for mark in mesh.by_vm_id["a"].marks():
-            started.apply_mark(mark)
         for coordinator in (*mesh.by_vm_id.values(), started):
             assert not coordinator.allows("board", "c", "v2", False)
             assert coordinator.allows("board", "b", "v1", False)
