--- a/src/lacewingstair/staged_rollouts/comparison.py
+++ b/src/lacewingstair/staged_rollouts/comparison.py
@@ -19,7 +19,7 @@
 # Probability of finding a version bad that is no worse than tolerated.
 FALSE_VERDICT_PROBABILITY = 1e-3
 # Capital from which a version is not moved to the next stage while time remains, and is
-# rolled back when none remains.
+# rolled back when none remains: a sound one loses a rollout, a bad one gets all calls.
 SUSPICIOUS_LOG_CAPITAL = math.log(3.0)
 # A version may fail this many times as often as the old one. Backend servers that are
 # down or drop answers are spread unevenly over the versions.
@@ -88,8 +88,8 @@
     Parameters
     ----------
     log_capital : float
-        Logarithm of the largest capital of all tests, relative to the threshold of
-        being found bad at zero.
+        Logarithm of the largest capital of all tests, each multiplied by its part of
+        the error rate.
     reason : str
         Counts of the test with the largest capital.
     """
