--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -10,6 +10,7 @@
 from lacewingstair.settings.declarations import all_settings
 from lacewingstair.settings.reader import parse_settings
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
+from lacewingstair.staged_rollouts.policy import TrialAllowance
 from lacewingstair.ticket_log.options import LogOptions
 from lacewingstair.vm import transport
 from lacewingstair.vm.options import NodeOptions
@@ -185,14 +186,14 @@
     """Guards against a deployment with other bounds than the usual ones."""
 
     async def main():
-        bounds = "retry_budget_ratio=0.4,canary_share=0.05,grace=3s"
+        bounds = "retry_budget_ratio=0.4,canary_share=0.05,canary_slack=70,grace=3s"
         bounds += ",budget_slack=100,budget_window=5s"
         sidecar = sidecar_with(**{"[platform] bounds": bounds})
         assert sidecar.forwarder._allowance == RetryAllowance(0.4, 100, 5.0)
         budget = sidecar.forwarder._budget("rota-board")
         assert budget._share == pytest.approx(0.8 * 0.4)
         assert budget._minimum_per_second == pytest.approx(0.3 * 100 / 5)
-        assert sidecar.rollouts._allowed_share == 0.05
+        assert sidecar.rollouts._allowance == TrialAllowance(0.05, 70.0)
         assert sidecar.bounds.stop_ms == 3000
 
     run_virtual(main())
