--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -9,8 +9,8 @@
 from lacewingstair.routing.limits import RetryAllowance
 from lacewingstair.settings.declarations import all_settings
 from lacewingstair.settings.reader import parse_settings
-from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
 from lacewingstair.staged_rollouts.policy import TrialAllowance
+from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
 from lacewingstair.ticket_log.options import LogOptions
 from lacewingstair.vm import transport
 from lacewingstair.vm.options import NodeOptions
