Bound the trial until its last moment, and say where the error rate is approximate

It now counts up to the last moment at which a version can be on trial, and passes.

In src/ comments only: borrowed calls make the bound of a verdict approximate, and how often counts are published.

--- a/src/lacewingstair/staged_rollouts/comparison.py
+++ b/src/lacewingstair/staged_rollouts/comparison.py
@@ -5,8 +5,10 @@
 over time. The capital of a test is a product of likelihood ratios whose expected value
 is at most one for a version that is no worse than tolerated. It exceeds ``1 / alpha``
 with a probability of at most ``alpha``, however often it is checked (Ville's
-inequality). The initial capital is invested in parts: evidence of earlier slices that
-speaks for the new version uses up only what has been invested by then.
+inequality). Slices that borrow calls of the old version from earlier ones are not
+independent of those, so that the bound holds only approximately then. The initial
+capital is invested in parts: evidence of earlier slices that speaks for the new version
+uses up only what has been invested by then.
 """
 
 import math
--- a/src/lacewingstair/staged_rollouts/coordinator.py
+++ b/src/lacewingstair/staged_rollouts/coordinator.py
@@ -32,7 +32,7 @@
 # Steps while the new version gets more than a small share of the calls.
 FAST_STEP_SECONDS = 0.1
 # Counts of the old version change little and are published at this interval; those of
-# the new version are published at each step.
+# the new version are published each STEP_SECONDS.
 OLD_EVIDENCE_INTERVAL_SECONDS = 1.0
 # While the new version gets more than a small share, its bad calls are published, and
 # published ones evaluated, this long after the last time.
--- a/tests/staged_rollouts/test_policy.py
+++ b/tests/staged_rollouts/test_policy.py
@@ -9,8 +9,8 @@
 from lacewingstair.staged_rollouts.evidence import GateEvidence, RouteCounts
 from lacewingstair.staged_rollouts.evidence_log import EvidenceLog
 from lacewingstair.staged_rollouts.policy import (
+    LATEST_SHIFT_FRACTION,
     LOAD_TRIAL_SECONDS,
-    LOAD_TRIAL_START_FRACTION,
     Order,
     Stage,
     TrialAllowance,
@@ -125,7 +125,7 @@
 
 
 def test_the_load_trial_stays_within_what_a_bad_version_may_get():
-    steps = range(int(LOAD_TRIAL_START_FRACTION * 1000))
+    steps = range(int(LATEST_SHIFT_FRACTION * 1000))
     trial = sum(
         new_version_share(Stage.TRIAL, 0.0, step / 1000, ALLOWANCE) for step in steps
     )
