Log and measure how long VMs can have been behind, and who told them

metadata/freshness.py keeps the last read of the store that found nothing newer: since then at most a change can have existed unknown to this VM. From it come proof_age_ms and source in configuration_read, the line records_were_behind (for how long, who knew it and since when, whether this VM reads the store and when the store last answered it), the gauges lacewingstair_configuration_number and _configuration_age_seconds and the histogram _configuration_delay_seconds.

No decision depends on these values yet.

--- /dev/null
+++ b/src/lacewingstair/metadata/freshness.py
@@ -0,0 +1,154 @@
+"""How recently this VM knew that it holds the newest records of a topic."""
+
+import math
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import attrs
+
+from lacewingstair import events
+from lacewingstair.runtime import Clock
+
+# A version that may have taken longer than this to reach a VM is logged.
+BEHIND_SECONDS = 2.0
+STORE = "store"
+NO_POSITION = -1
+
+
+@attrs.frozen
+class NewerRecords:
+    """News that other records exist than this VM holds.
+
+    Parameters
+    ----------
+    position : int
+        Offset of the newest record.
+    source : str
+        `STORE`, or the id of the VM that holds them.
+    heard_at : float
+        When the news came, monotonic seconds.
+    is_proof : bool
+        Whether the store had no other records at `heard_at`.
+    """
+
+    position: int
+    source: str
+    heard_at: float
+    is_proof: bool = False
+
+
+class Freshness:
+    """Keeps the last proof that this VM holds the newest records.
+
+    A read of the store that does not wait proves where the topic ended when it was
+    made. A VM that holds all records up to that end held the newest ones at that time.
+    The time since the last proof bounds for how long a record can have existed without
+    being known here.
+
+    Parameters
+    ----------
+    position : callable
+        Returns the offset up to which this VM holds all records.
+    clock : Clock
+        Source of time.
+    on_delay : callable
+        Called for each change with how long it took to arrive at most, in seconds.
+    describe : callable, optional
+        Returns fields for the log that tell how this VM reads the store.
+    """
+
+    def __init__(
+        self,
+        position: Callable[[], int],
+        clock: Clock,
+        on_delay: Callable[[float], None],
+        describe: Callable[[], Mapping[str, Any]] = dict,
+    ) -> None:
+        self._position = position
+        self._clock = clock
+        self._on_delay = on_delay
+        self._describe = describe
+        self._started_at = clock.monotonic()
+        self._proven_at = -math.inf
+        self._proven_position = NO_POSITION
+        self._news: NewerRecords | None = None
+
+    @property
+    def proven_at(self) -> float:
+        """When this VM last held the newest records for certain, monotonic seconds."""
+        return self._proven_at
+
+    def age_seconds(self) -> float:
+        """Return the time since the last proof, or since the start without one."""
+        return self._clock.monotonic() - max(self._proven_at, self._started_at)
+
+    def note_end(self, end_offset: int, read_at: float, source: str = STORE) -> None:
+        """Take a proof: the topic ended at an offset at a time.
+
+        Parameters
+        ----------
+        end_offset : int
+            Offset of the next record that would have been written.
+        read_at : float
+            Monotonic seconds.
+        source : str
+            `STORE`, or the id of the VM that has read the store.
+        """
+        if end_offset - 1 <= self._position():
+            self._prove(end_offset - 1, read_at)
+            return
+        if self._news is None or self._news.position < end_offset - 1:
+            self._news = NewerRecords(end_offset - 1, source, read_at, is_proof=True)
+
+    def note_newer(self, position: int, source: str) -> None:
+        """Take the news that another VM holds the records up to an offset."""
+        if position <= self._position():
+            return
+        if self._news is None:
+            now = self._clock.monotonic()
+            self._news = NewerRecords(position, source, now)
+
+    def note_position(self, source: str) -> float | None:
+        """Take the news that this VM's position has changed.
+
+        Returns
+        -------
+        delay_seconds : float or None
+            How long the newest record took to arrive here at most; None if the position
+            has not changed, or before the first proof.
+        """
+        position = self._position()
+        if position <= self._proven_position:
+            return None
+        news, delay_seconds = self._news, None
+        if self._proven_at > -math.inf:
+            delay_seconds = self._clock.monotonic() - self._proven_at
+            self._on_delay(delay_seconds)
+            self._log_if_behind(source, position, delay_seconds)
+        self._proven_position = position
+        if news is not None and news.position <= position:
+            self._news = None
+            if news.is_proof:
+                self._prove(news.position, news.heard_at)
+        return delay_seconds
+
+    def _prove(self, position: int, at: float) -> None:
+        self._proven_at = max(self._proven_at, at)
+        self._proven_position = max(self._proven_position, position)
+
+    def _log_if_behind(self, source: str, position: int, delay_seconds: float) -> None:
+        if delay_seconds < BEHIND_SECONDS:
+            return
+        news = self._news
+        known_ms = 0
+        if news is not None:
+            known_ms = round((self._clock.monotonic() - news.heard_at) * 1000)
+        events.warning(
+            "records_were_behind",
+            behind_ms_at_most=round(delay_seconds * 1000),
+            known_ms=known_ms,
+            known_from=source if news is None else news.source,
+            taken_from=source,
+            position=position,
+            **self._describe(),
+        )
--- a/src/lacewingstair/metadata/operator_reading.py
+++ b/src/lacewingstair/metadata/operator_reading.py
@@ -70,6 +70,11 @@
         finally:
             self._stop()
 
+    @property
+    def answered_at(self) -> float:
+        """When the latest read of the store was answered, monotonic seconds."""
+        return self._tail.answered_at
+
     def skip_to(self, offset: int) -> None:
         """Continue at an offset, as earlier records were received from another VM."""
         self._tail.skip_to(offset)
--- a/src/lacewingstair/metadata/records.py
+++ b/src/lacewingstair/metadata/records.py
@@ -1,11 +1,12 @@
 """Applies records of the store: configurations, rollout orders and entries of VMs."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from result import Err
 
 from lacewingstair import events
 from lacewingstair.metadata.configuration import ConfigurationStore
+from lacewingstair.metadata.freshness import STORE
 from lacewingstair.metadata.operator_records import OperatorRecords
 from lacewingstair.metadata.record_transfer import unpack
 from lacewingstair.metadata.tail import Record
@@ -35,6 +36,8 @@
         Receives this VM's entry as it stands in the store.
     view : MeshView
         Receives the entries of other VMs.
+    proof_age_seconds : callable, optional
+        Returns how long ago this VM last held the newest records for certain.
 
     Attributes
     ----------
@@ -48,7 +51,9 @@
         rollouts: RolloutCoordinator,
         registration: Registration,
         view: MeshView,
+        proof_age_seconds: Callable[[], float] = lambda: 0.0,
     ) -> None:
+        self._proof_age_seconds = proof_age_seconds
         self._configurations = configurations
         self._rollouts = rollouts
         self._registration = registration
@@ -65,32 +70,32 @@
         position : int
             Offset up to which the topic was read.
         """
-        self._take_operator_records(records, position, "store")
+        self._take_operator_records(records, position, STORE)
 
-    def take_transfer(self, data: bytes) -> bool:
+    def take_transfer(self, data: bytes, vm_id: str = "") -> bool:
         """Apply records that another VM sent; return whether they could be decoded."""
         unpacked = unpack(data, self.operator)
         if isinstance(unpacked, Err):
-            events.warning("records_unreadable", error=unpacked.err_value)
+            events.warning("records_unreadable", vm=vm_id, error=unpacked.err_value)
             return False
         transfer = unpacked.ok_value
-        self._take_operator_records(transfer.records, transfer.position, "vm")
+        self._take_operator_records(transfer.records, transfer.position, vm_id)
         return True
 
     def _take_operator_records(
-        self, records: Iterable[Record], position: int, origin: str
+        self, records: Iterable[Record], position: int, source: str
     ) -> None:
         records = list(records)
         documents = [r for r in records if r.key == CONFIGURATION_KEY and r.value]
         others = [r for r in records if r.key != CONFIGURATION_KEY]
-        newest = self._take_newest_configuration(documents, origin)
+        newest = self._take_newest_configuration(documents, source)
         taken = self.operator.take([*others, *newest], position)
         for record in taken:
             if record.key.startswith(platform_rollouts.KEY_PREFIX):
                 self._take_order(record)
 
     def _take_newest_configuration(
-        self, records: list[Record], origin: str
+        self, records: list[Record], source: str
     ) -> list[Record]:
         """Adopt the highest version that can be decoded; return its record.
 
@@ -103,7 +108,7 @@
             # A document without a version is decoded so that its error is logged.
             if 0 < number <= current:
                 break
-            if self._take_configuration(record.value, origin):
+            if self._take_configuration(record, source):
                 return [record]
         return []
 
@@ -118,19 +123,21 @@
             return
         self._rollouts.apply_order(decoded.ok_value)
 
-    def _take_configuration(self, value: bytes, origin: str) -> bool:
+    def _take_configuration(self, record: Record, source: str) -> bool:
         """Adopt a configuration; return whether it is now in force."""
-        decoded = decode_configuration(value, self._configurations.current)
+        decoded = decode_configuration(record.value, self._configurations.current)
         if isinstance(decoded, Err):
             error = decoded.err_value
-            events.warning("configuration_refused", origin=origin, error=error)
+            events.warning("configuration_refused", source=source, error=error)
             return False
         configuration = decoded.ok_value
         before = self._configurations.current.number
         taken = self._configurations.adopt(configuration)
         events.info(
             "configuration_read",
-            origin=origin,
+            source=source,
+            offset=record.offset,
+            proof_age_ms=round(self._proof_age_seconds() * 1000),
             number=configuration.number,
             before=before,
             routes=len(configuration.routes_by_name),
--- a/src/lacewingstair/metadata/tail.py
+++ b/src/lacewingstair/metadata/tail.py
@@ -41,6 +41,9 @@
         Longest wait of one read.
     pause_seconds : callable
         Returns the time after a change in which further ones are collected.
+    on_end : callable, optional
+        Called after each answered read with the offset of the next record that would
+        have been written, and when the read was made in monotonic seconds.
 
     Attributes
     ----------
@@ -48,8 +51,8 @@
         Whether the last call was answered.
     has_read : bool
         Whether the newest records have been read since the start.
-    read_began_at : float
-        When the latest answered call was made, monotonic seconds.
+    read_began_at, answered_at : float
+        When the latest answered call was made, and its answer came; monotonic seconds.
     """
 
     def __init__(
@@ -61,6 +64,7 @@
         rng: random.Random,
         wait_seconds: float,
         pause_seconds: Callable[[], float],
+        on_end: Callable[[int, float], None] = lambda end_offset, read_at: None,
     ) -> None:
         self._store = store
         self._topic = topic
@@ -69,12 +73,14 @@
         self._rng = rng
         self._wait_seconds = wait_seconds
         self._pause_seconds = pause_seconds
+        self._on_end = on_end
         self._offsets_by_key: dict[str, int] = {}
         self._next_offset: int | None = None
         self._failures = 0
         self.is_up = False
         self.has_read = False
         self.read_began_at = -math.inf
+        self.answered_at = -math.inf
 
     async def run(self) -> None:
         """Follow the topic until cancelled; a later run continues at its offset."""
@@ -107,9 +113,11 @@
             return
         self._answered(began_at)
         self.skip_to(page.ok_value.next_offset)
+        if page.ok_value.records:
+            self._deliver(page.ok_value.records, page.ok_value.next_offset)
+        self._on_end(page.ok_value.end_offset, began_at)
         if not page.ok_value.records:
             return
-        self._deliver(page.ok_value.records, page.ok_value.next_offset)
         if page.ok_value.end_offset > page.ok_value.next_offset:
             await self._read_newest(self._clock.monotonic())
             return
@@ -123,6 +131,7 @@
         self._answered(began_at)
         self.skip_to(newest.ok_value.next_offset)
         self._deliver(newest.ok_value.records, newest.ok_value.next_offset)
+        self._on_end(newest.ok_value.end_offset, began_at)
         # During the pause, most VMs that start find others that read the topic for
         # them.
         await self._clock.sleep(self._pause_seconds())
@@ -141,6 +150,7 @@
     def _answered(self, began_at: float) -> None:
         self.has_read = True
         self.read_began_at = began_at
+        self.answered_at = self._clock.monotonic()
         if not self.is_up:
             events.info("store_regained", topic=self._topic, failures=self._failures)
         self.is_up = True
--- a/src/lacewingstair/metrics/sidecar.py
+++ b/src/lacewingstair/metrics/sidecar.py
@@ -12,6 +12,7 @@
 # Bounds in seconds.
 CALL_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.6, 1.2, 2.5, 5.0)
 LAG_BUCKETS = (0.002, 0.01, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
+DELAY_BUCKETS = (0.1, 0.25, 0.5, 1.0, 1.5, 2.0, 2.5, 5.0, 10.0, 20.0)
 
 LabelledValues = Mapping[tuple[str, ...], float]
 
@@ -55,6 +56,12 @@
     abandoned_run_seconds : HistogramValues
         Time that calls had run at the backend server when their caller gave up, in
         seconds.
+    configuration_delay_seconds : HistogramValues
+        Longest time that each change of the operators' records can have taken from the
+        store to this VM, in seconds.
+    configuration_number, configuration_age_seconds : callable
+        Return the version in force, and the time since this VM last held the newest
+        records of the operators for certain.
     mesh_bytes, store_calls, upstream_arrivals : callable
         Return values that other parts keep, by their labels.
     """
@@ -66,6 +73,9 @@
         self.run_seconds = HistogramValues(CALL_BUCKETS)
         self.abandoned_run_seconds = HistogramValues(CALL_BUCKETS)
         self.loop_lag_seconds = HistogramValues(LAG_BUCKETS)
+        self.configuration_delay_seconds = HistogramValues(DELAY_BUCKETS)
+        self.configuration_number: Callable[[], float] = lambda: 0
+        self.configuration_age_seconds: Callable[[], float] = lambda: 0.0
         self.mesh_bytes: Callable[[], LabelledValues] = dict
         self.store_calls: Callable[[], LabelledValues] = dict
         self.upstream_arrivals: Callable[[], LabelledValues] = dict
--- a/src/lacewingstair/metrics/sidecar_page.py
+++ b/src/lacewingstair/metrics/sidecar_page.py
@@ -8,6 +8,7 @@
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import (
     CounterMetricFamily,
+    GaugeMetricFamily,
     HistogramMetricFamily,
     Metric,
 )
@@ -74,6 +75,21 @@
             "Delay of the event loop at checks, four a second, seconds.",
             metrics.loop_lag_seconds,
         )
+        yield _gauge(
+            "lacewingstair_configuration_number",
+            "Version of the configuration in force; 0 before the first.",
+            metrics.configuration_number(),
+        )
+        yield _gauge(
+            "lacewingstair_configuration_age_seconds",
+            "Time since this VM last held the newest configuration for certain.",
+            metrics.configuration_age_seconds(),
+        )
+        yield _histogram(
+            "lacewingstair_configuration_delay_seconds",
+            "Longest time that a change can have taken from the store to this VM.",
+            metrics.configuration_delay_seconds,
+        )
         yield _counter(
             "lacewingstair_mesh_bytes",
             "Bytes between VMs and with the store, by kind, distance and direction.",
@@ -127,6 +143,10 @@
     return family
 
 
+def _gauge(name: str, text: str, value: float) -> GaugeMetricFamily:
+    return GaugeMetricFamily(name, text, value=value)
+
+
 def _histogram(name: str, text: str, values: HistogramValues) -> HistogramMetricFamily:
     bounds = [*map(floatToGoString, values.bounds), "+Inf"]
     buckets = list(zip(bounds, itertools.accumulate(values.counts), strict=True))
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
@@ -33,6 +34,7 @@
 from lacewingstair.http_server import application_runner, listen_all
 from lacewingstair.loop_monitor import LoopMonitor
 from lacewingstair.metadata.configuration import ConfigurationStore
+from lacewingstair.metadata.freshness import STORE, Freshness
 from lacewingstair.metadata.operator_reading import OperatorReading
 from lacewingstair.metadata.record_transfer import TransferEncoder
 from lacewingstair.metadata.records import StoreRecords
@@ -135,12 +137,21 @@
         self.registration = Registration(
             _own_entry(settings, clock), self.view, self._write_entry, clock, rng
         )
+        self.freshness = Freshness(
+            lambda: self.records.operator.position,
+            clock,
+            self.metrics.configuration_delay_seconds.observe,
+            self._reading_fields,
+        )
+        self.metrics.configuration_number = lambda: self.configurations.current.number
+        self.metrics.configuration_age_seconds = self.freshness.age_seconds
         self.record_fetcher = RecordFetcher(
             lambda: self.records.operator.position,
             lambda: self.records.operator.remembered_offsets(),
             self._take_transfer,
             clock,
             rng,
+            self.freshness.note_newer,
         )
         self.links = CallLinks(
             self._entry,
@@ -163,7 +174,11 @@
             self.bounds.trial,
         )
         self.records = StoreRecords(
-            self.configurations, self.rollouts, self.registration, self.view
+            self.configurations,
+            self.rollouts,
+            self.registration,
+            self.view,
+            self.freshness.age_seconds,
         )
         self.call_server = CallStreamServer(
             settings.vm_address,
@@ -211,6 +226,7 @@
                 rng,
                 CONFIGURATION_WAIT_SECONDS,
                 lambda: CONFIGURATION_BATCH_SECONDS,
+                self.freshness.note_end,
             ),
             self._entry,
             self.links,
@@ -325,6 +341,7 @@
         return {
             "vm": self.settings.vm_id,
             "configuration": self.configurations.current.number,
+            "configuration_age_seconds": round(self.freshness.age_seconds(), 3),
             "is_ready": self.is_ready(),
             "upstream": self.gate.identity.upstream_id,
             "upstream_state": self.gate.identity.state.value,
@@ -369,8 +386,18 @@
     def _take_operator_records(self, records: Iterable[Record], position: int) -> None:
         """Take records from the store; the other VMs get them from this one."""
         self.records.take_operator_records(records, position)
+        self.freshness.note_position(STORE)
         self._records_announcer.announce_store_records()
 
+    def _reading_fields(self) -> Mapping[str, Any]:
+        """Return fields for the log that tell how this VM reads the store."""
+        answered_ago = self.clock.monotonic() - self.operator_reading.answered_at
+        is_known = answered_ago < math.inf
+        return {
+            "is_reader": self.operator_reading.is_reading,
+            "store_answered_ms_ago": round(answered_ago * 1000) if is_known else None,
+        }
+
     def _reading_changed(self) -> None:
         """Tell the others whether this VM reads the store for them."""
         self.call_server.announce_load_to_all()
@@ -391,8 +418,10 @@
 
     def _take_transfer(self, data: bytes) -> bool:
         before = self.records.operator.position
-        is_taken = self.records.take_transfer(data)
+        vm_id = self.record_fetcher.transferred_from
+        is_taken = self.records.take_transfer(data, vm_id)
         position = self.records.operator.position
+        self.freshness.note_position(vm_id)
         self.operator_reading.skip_to(position + 1)
         if position > before:
             self._records_announcer.announce_transferred_records()
--- a/src/lacewingstair/vm/record_fetcher.py
+++ b/src/lacewingstair/vm/record_fetcher.py
@@ -93,6 +93,14 @@
         Source of time.
     rng : Random
         Source of randomness.
+    on_newer : callable, optional
+        Called with an offset and the id of a VM that holds records up to it, which this
+        VM lacks.
+
+    Attributes
+    ----------
+    transferred_from : str
+        Id of the VM that sent the latest complete transfer.
     """
 
     def __init__(
@@ -102,10 +110,12 @@
         on_transfer: Callable[[bytes], bool],
         clock: Clock,
         rng: random.Random,
+        on_newer: Callable[[int, str], None] = lambda position, vm_id: None,
     ) -> None:
         self._position = position
         self._base_offsets = base_offsets
         self._on_transfer = on_transfer
+        self._on_newer = on_newer
         self._clock = clock
         self._rng = rng
         self._sources_by_vm_id: dict[str, RecordSource] = {}
@@ -123,11 +133,13 @@
         self._is_complete = False
         self._fetch_task: asyncio.Task[None] | None = None
         self._lagging_since: float | None = None
+        self.transferred_from = ""
 
     def add_source(self, source: RecordSource) -> None:
         """Register a VM that holds records up to `source.position`."""
         if source.position <= self._position():
             return
+        self._on_newer(source.position, source.vm_id)
         if self._lagging_since is None:
             self._lagging_since = self._clock.monotonic()
         self._sources_by_vm_id[source.vm_id] = source
@@ -276,6 +288,7 @@
                 self._part_received.clear()
                 async with asyncio.timeout(timeout_seconds):
                     await self._part_received.wait()
+            self.transferred_from = self._active_source.vm_id
         except TimeoutError:
             vm_id = self._active_source.vm_id
             self._abandoned_by_vm_id[vm_id] = (self._transfer_id, self._active_source)
