Check in turn where the store's topics end, so that no VM relies on a read that waits

Cause: a reader of the store waits up to 20 s (25 s for entries), and nothing shows meanwhile that the store or the connection still responds. The reader counted as working, so that nobody took over, and a VM noticed that it was behind only when another VM held more. When all readers waited on silent connections, all VMs stayed behind. Class: trust in a connection because it is open.

Change: - metadata/store_watch.py: one VM at a time reads without waiting and tells all where the topic ends; each VM checks itself when it has no proof that it holds the newest records for 0.5 s and a delay that grows with its rank. - metadata/tail.py: a waiting read is given up 0.5 s after a record that it waits for is known to exist, or when a check of the same VM has no answer. Progress is noted only after the records were applied. After failures, the tails leave the retries to the watch (pauses up to 4 s, which the first answer ends), so that an outage costs fewer calls. - platform/store.py: each call uses a new connection, as a kept one may have gone silent meanwhile. - The waiting reads of the operators' topic take 10 s instead of 20 s.

--- a/src/lacewingstair/metadata/operator_reading.py
+++ b/src/lacewingstair/metadata/operator_reading.py
@@ -79,6 +79,10 @@
         """Continue at an offset, as earlier records were received from another VM."""
         self._tail.skip_to(offset)
 
+    def note_end(self, end_offset: int) -> None:
+        """Take the news that the topic ends at an offset."""
+        self._tail.note_end(end_offset)
+
     def _decide(self) -> None:
         now = self._clock.monotonic()
         reads = self._readers.decide(
--- /dev/null
+++ b/src/lacewingstair/metadata/store_watch.py
@@ -0,0 +1,186 @@
+"""Checks in turn with the other VMs where the topics of the store end.
+
+A read that waits for records shows nothing while it waits: neither that the store
+responds nor that its connection still works. So one VM at a time reads without waiting
+and tells all others where the topic ends. Each VM learns from that whether it holds the
+newest records, and whether its own waiting reads should have returned.
+
+There is no coordinator. Every VM makes the next check when it has heard of none for the
+interval and a delay that grows with its rank, so that usually the first one checks, and
+the next ones as soon as it does not.
+"""
+
+import asyncio
+import math
+import random
+from collections.abc import Awaitable, Callable
+
+import attrs
+from result import Err, Result
+
+from lacewingstair import events
+from lacewingstair.errors import StoreUnavailable
+from lacewingstair.runtime import Clock
+
+CHECK_INTERVAL_SECONDS = 0.5
+# Entries of VMs also come on links, so that they can be checked less often.
+ENTRIES_INTERVAL_SECONDS = 3.0
+# A VM that starts reads both topics, and opens its links meanwhile.
+START_SECONDS = 2.0
+# Delay of the VMs of rank 1, those of ranks 2 and 3, those of ranks 4 to 7, and so on.
+TURN_SECONDS = 0.15
+# Share of a turn by which VMs of one turn differ.
+TURN_JITTER = 0.3
+# Pause before a VM whose check has not been answered makes the next one.
+RETRY_SECONDS = (0.5, 1.0)
+# The pause grows with the VMs beyond this number, as all of them check while the store
+# is away.
+VMS_OF_SHORTEST_PAUSE = 100
+# Checks that may be open at a time; each uses a connection of its own.
+MAX_OPEN_CHECKS = 4
+
+
+@attrs.frozen
+class Turn:
+    """Place of this VM among those that it has working links to.
+
+    Parameters
+    ----------
+    rank : int
+        Number of VMs that check before this one.
+    vms : int
+        Number of VMs, including this one.
+    """
+
+    rank: int
+    vms: int
+
+    @property
+    def delay_seconds(self) -> float:
+        """How long this VM leaves the check to those before it."""
+        return TURN_SECONDS * self.rank.bit_length()
+
+
+@attrs.frozen
+class WatchedTopic:
+    """A topic that is checked.
+
+    Parameters
+    ----------
+    check : callable
+        Reads without waiting; returns where the topic ends.
+    announce : callable
+        Tells the other VMs where the topic ends, as this VM has just read.
+    give_up_waiting : callable
+        Gives up a waiting read of this VM.
+    """
+
+    check: Callable[[], Awaitable[Result[int, StoreUnavailable]]]
+    announce: Callable[[int], None]
+    give_up_waiting: Callable[[], None]
+
+
+class StoreWatch:
+    """Makes a check whenever it is this VM's turn.
+
+    Parameters
+    ----------
+    operators, entries : WatchedTopic
+        Topics of the operators' records and of the entries of VMs.
+    turn : callable
+        Returns the place of this VM.
+    proven_at : callable
+        Returns when this VM last held the newest of the operators' records for certain,
+        monotonic seconds.
+    clock, rng
+        Clock and random generator.
+    """
+
+    def __init__(
+        self,
+        operators: WatchedTopic,
+        entries: WatchedTopic,
+        turn: Callable[[], Turn],
+        proven_at: Callable[[], float],
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._operators = operators
+        self._entries = entries
+        self._turn = turn
+        self._proven_at = proven_at
+        self._clock = clock
+        self._rng = rng
+        self._first_check_at = clock.monotonic() + START_SECONDS
+        self._entries_heard_at = clock.monotonic()
+        self._retry_at = -math.inf
+        self._failures = 0
+        self._checks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Make checks until cancelled."""
+        try:
+            while True:
+                due_in_seconds = max(self._due_in_seconds(), 0.0)
+                await self._clock.sleep(min(due_in_seconds, CHECK_INTERVAL_SECONDS))
+                # Another VM may have checked meanwhile.
+                if self._due_in_seconds() <= 0:
+                    self._start_check()
+        finally:
+            for check in self._checks:
+                check.cancel()
+
+    def note_entries_check(self) -> None:
+        """Take the news that another VM has checked the topic of the entries."""
+        self._entries_heard_at = self._clock.monotonic()
+
+    def _due_in_seconds(self) -> float:
+        """Return the time until this VM checks, if nothing is heard before."""
+        turn = self._turn()
+        jitter = TURN_JITTER * TURN_SECONDS * self._rng.random() if turn.rank else 0.0
+        next_at = max(self._first_check_at, self._proven_at() + CHECK_INTERVAL_SECONDS)
+        due_at = max(next_at + turn.delay_seconds + jitter, self._retry_at)
+        return due_at - self._clock.monotonic()
+
+    def _start_check(self) -> None:
+        now = self._clock.monotonic()
+        slowdown = max(1.0, self._turn().vms / VMS_OF_SHORTEST_PAUSE)
+        self._retry_at = now + slowdown * self._rng.uniform(*RETRY_SECONDS)
+        if len(self._checks) >= MAX_OPEN_CHECKS:
+            return
+        check = asyncio.create_task(self._check())
+        self._checks.add(check)
+        check.add_done_callback(self._ended)
+
+    async def _check(self) -> None:
+        """Check the operators' topic, and with it that of the entries if it is due."""
+        began_at = self._clock.monotonic()
+        if not await self._check_topic(self._operators):
+            return
+        self._retry_at = began_at + CHECK_INTERVAL_SECONDS
+        now = self._clock.monotonic()
+        if now - self._entries_heard_at < ENTRIES_INTERVAL_SECONDS:
+            return
+        self._entries_heard_at = now
+        await self._check_topic(self._entries)
+
+    async def _check_topic(self, topic: WatchedTopic) -> bool:
+        """Return whether the store has answered."""
+        end_offset = await topic.check()
+        if isinstance(end_offset, Err):
+            if not self._failures:
+                events.warning("store_check_failed", error=end_offset.err_value)
+            self._failures += 1
+            self._operators.give_up_waiting()
+            self._entries.give_up_waiting()
+            return False
+        if self._failures:
+            events.info("store_check_answered", failures=self._failures)
+        self._failures = 0
+        topic.announce(end_offset.ok_value)
+        return True
+
+    def _ended(self, check: asyncio.Task[None]) -> None:
+        self._checks.discard(check)
+        if not check.cancelled() and check.exception() is not None:
+            events.error("store_check_crashed", error=repr(check.exception()))
--- a/src/lacewingstair/metadata/tail.py
+++ b/src/lacewingstair/metadata/tail.py
@@ -1,18 +1,24 @@
 """Follows a log that keeps the newest record of each key."""
 
+import asyncio
+import contextlib
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
-from result import Err
+from result import Err, Ok, Result
 
 from lacewingstair import events
 from lacewingstair.errors import OffsetExpired, StoreUnavailable
 from lacewingstair.runtime import Clock, full_jitter
 
 RETRY_BASE_SECONDS = 0.2
-RETRY_CAP_SECONDS = 1.0
+# News that the store answers again end a pause early.
+RETRY_CAP_SECONDS = 4.0
+# A waiting read is given up if it has not returned for this long although records exist
+# that it waits for.
+OVERDUE_SECONDS = 0.5
 
 
 class Record(Protocol):
@@ -23,6 +29,19 @@
     offset: int
 
 
+class Page(Protocol):
+    """Records that a read returned, and where the topic goes on and ends."""
+
+    records: Sequence[Record]
+    next_offset: int
+    end_offset: int
+
+
+ReadResult = Result[Page, OffsetExpired | StoreUnavailable]
+# None if a waiting read was given up.
+ReadOutcome = Result[Page, StoreUnavailable] | None
+
+
 class KeyedTail:
     """Reads the newest record of each key of a topic, then all further records.
 
@@ -77,6 +96,8 @@
         self._offsets_by_key: dict[str, int] = {}
         self._next_offset: int | None = None
         self._failures = 0
+        self._waiting_read: _WaitingRead | None = None
+        self._answer_known = asyncio.Event()
         self.is_up = False
         self.has_read = False
         self.read_began_at = -math.inf
@@ -93,64 +114,112 @@
     def skip_to(self, offset: int) -> None:
         """Continue at an offset, as earlier records were received from another VM."""
         self._next_offset = max(self._next_offset or 0, offset)
+        self.note_end(offset)
+
+    def note_end(self, end_offset: int) -> None:
+        """Take the news that the topic ends at an offset, and that the store answers.
+
+        A read that waits for records before that offset should have returned. It is
+        given up if it does not soon, since its connection may have gone silent.
+        """
+        self._answer_known.set()
+        if self._waiting_read is not None:
+            self._waiting_read.expect(end_offset)
+
+    def give_up_waiting(self) -> None:
+        """Give up a waiting read, as the store does not answer this VM elsewhere."""
+        if self._waiting_read is not None:
+            self._waiting_read.give_up()
+
+    async def check(self) -> Result[int, StoreUnavailable]:
+        """Read without waiting, beside a waiting read; return the end of the topic."""
+        page = await self._read_now()
+        if isinstance(page, Err):
+            return page
+        return Ok(page.ok_value.end_offset)
 
     async def _follow(self) -> None:
-        began_at = self._clock.monotonic()
-        if self._next_offset is None:
-            await self._read_newest(began_at)
-            return
         # A long poll on an idle topic does not show whether the store is up, so the
         # first read of a run, or after a failure, does not wait.
-        wait_seconds = self._wait_seconds if self.is_up else 0.0
-        page = await self._store.read(self._topic, self._next_offset, wait_seconds)
-        if isinstance(page, Err):
-            error = page.err_value
-            if isinstance(error, OffsetExpired):
-                events.warning("history_expired", topic=self._topic, error=error)
-                self._next_offset = None
-                return
-            await self._wait_after(error)
+        has_started = self._next_offset is not None
+        if not has_started or not self.is_up:
+            page = await self._read_now()
+        else:
+            page = await self._read_waiting()
+        if page is None:
             return
-        self._answered(began_at)
-        self.skip_to(page.ok_value.next_offset)
-        if page.ok_value.records:
-            self._deliver(page.ok_value.records, page.ok_value.next_offset)
-        self._on_end(page.ok_value.end_offset, began_at)
-        if not page.ok_value.records:
-            return
-        if page.ok_value.end_offset > page.ok_value.next_offset:
-            await self._read_newest(self._clock.monotonic())
+        if isinstance(page, Err):
+            await self._wait_after(page.err_value)
             return
-        await self._clock.sleep(self._pause_seconds())
+        self._answered()
+        if page.ok_value.records or not has_started:
+            # During the pause, most VMs that start find others that read the topic for
+            # them.
+            await self._clock.sleep(self._pause_seconds())
 
-    async def _read_newest(self, began_at: float) -> None:
+    async def _read_waiting(self) -> ReadOutcome:
+        """Wait for records; return None if the read was given up."""
+        began_at = self._clock.monotonic()
+        offset = self._next_offset
+        read = self._store.read(self._topic, offset, self._wait_seconds)
+        self._waiting_read = _WaitingRead(offset, asyncio.create_task(read))
+        try:
+            page = await self._waiting_read.result()
+        finally:
+            self._waiting_read = None
+        if page is not None:
+            return await self._take(page, began_at)
+        self.is_up = False
+        waited_ms = round((self._clock.monotonic() - began_at) * 1000)
+        events.warning("store_read_given_up", topic=self._topic, waited_ms=waited_ms)
+        return None
+
+    async def _read_now(self) -> ReadOutcome:
+        if self._next_offset is None:
+            return await self._read_newest()
+        began_at = self._clock.monotonic()
+        page = await self._store.read(self._topic, self._next_offset, 0.0)
+        return await self._take(page, began_at)
+
+    async def _take(self, page: ReadResult, began_at: float) -> ReadOutcome:
+        """Deliver the records of a read; read the newest ones if it has not all."""
+        if isinstance(page, Err):
+            if not isinstance(page.err_value, OffsetExpired):
+                return page
+            events.warning("history_expired", topic=self._topic, error=page.err_value)
+            self._next_offset = None
+            return await self._read_newest()
+        found = page.ok_value
+        self._deliver(found, began_at)
+        if found.records and found.end_offset > found.next_offset:
+            return await self._read_newest()
+        return page
+
+    async def _read_newest(self) -> ReadOutcome:
+        began_at = self._clock.monotonic()
         newest = await self._store.newest(self._topic)
-        if isinstance(newest, Err):
-            await self._wait_after(newest.err_value)
-            return
-        self._answered(began_at)
-        self.skip_to(newest.ok_value.next_offset)
-        self._deliver(newest.ok_value.records, newest.ok_value.next_offset)
-        self._on_end(newest.ok_value.end_offset, began_at)
-        # During the pause, most VMs that start find others that read the topic for
-        # them.
-        await self._clock.sleep(self._pause_seconds())
-
-    def _deliver(self, records, next_offset: int) -> None:
+        if isinstance(newest, Ok):
+            self._deliver(newest.ok_value, began_at)
+        return newest
+
+    def _deliver(self, page: Page, began_at: float) -> None:
+        """Pass on newer records, and note the progress once they are in effect."""
         newer = [
             record
-            for record in records
+            for record in page.records
             if record.key and record.offset > self._offsets_by_key.get(record.key, -1)
         ]
+        if page.records:
+            self._on_records(newer, page.next_offset - 1)
         for record in newer:
             self._offsets_by_key[record.key] = record.offset
-        if newer:
-            self._on_records(newer, next_offset - 1)
+        self.read_began_at = max(self.read_began_at, began_at)
+        self.answered_at = self._clock.monotonic()
+        self.skip_to(page.next_offset)
+        self._on_end(page.end_offset, began_at)
 
-    def _answered(self, began_at: float) -> None:
+    def _answered(self) -> None:
         self.has_read = True
-        self.read_began_at = began_at
-        self.answered_at = self._clock.monotonic()
         if not self.is_up:
             events.info("store_regained", topic=self._topic, failures=self._failures)
         self.is_up = True
@@ -164,4 +233,48 @@
             self._rng, self._failures, RETRY_BASE_SECONDS, RETRY_CAP_SECONDS
         )
         self._failures += 1
-        await self._clock.sleep(delay)
+        self._answer_known.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(delay):
+                await self._answer_known.wait()
+
+
+class _WaitingRead:
+    """A read that waits for records, and can be given up.
+
+    Parameters
+    ----------
+    offset : int
+        Offset of the record that it waits for.
+    read : Task
+        The read.
+    """
+
+    def __init__(self, offset: int, read: asyncio.Task[ReadResult]) -> None:
+        self._offset = offset
+        self._read = read
+        self._overdue_timer: asyncio.TimerHandle | None = None
+        self._is_given_up = asyncio.Event()
+
+    async def result(self) -> ReadResult | None:
+        """Return the result of the read, or None once it is given up."""
+        given_up = asyncio.create_task(self._is_given_up.wait())
+        tasks = {self._read, given_up}
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            return self._read.result() if self._read.done() else None
+        finally:
+            for task in tasks:
+                task.cancel()
+            if self._overdue_timer is not None:
+                self._overdue_timer.cancel()
+
+    def expect(self, end_offset: int) -> None:
+        """Give the read up if it has not returned soon, as its record exists."""
+        if end_offset > self._offset and self._overdue_timer is None:
+            loop = asyncio.get_running_loop()
+            self._overdue_timer = loop.call_later(OVERDUE_SECONDS, self.give_up)
+
+    def give_up(self) -> None:
+        """Let the waiting task go on without a result."""
+        self._is_given_up.set()
--- a/src/lacewingstair/platform/store.py
+++ b/src/lacewingstair/platform/store.py
@@ -232,7 +232,9 @@
 
     def _open_session(self) -> ClientSession:
         if self._session is None:
+            # A connection that was kept open may have gone silent meanwhile.
             connector = TCPConnector(
+                force_close=True,
                 socket_factory=lambda info: keep_alive_socket(
                     info[0], info[1], info[2]
                 ),
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -38,6 +38,7 @@
 from lacewingstair.metadata.operator_reading import OperatorReading
 from lacewingstair.metadata.record_transfer import TransferEncoder
 from lacewingstair.metadata.records import StoreRecords
+from lacewingstair.metadata.store_watch import StoreWatch, Turn, WatchedTopic
 from lacewingstair.metadata.tail import KeyedTail, Record
 from lacewingstair.metrics.sidecar import SidecarMetrics
 from lacewingstair.metrics.sidecar_totals import SidecarTotals
@@ -58,6 +59,8 @@
     EntryChanged,
     EvidenceChanged,
     MarkChanged,
+    StoreChecked,
+    StoreTopic,
 )
 from lacewingstair.vm.call_server import CallStreamServer
 from lacewingstair.vm.entries import MeshView, VmEntry
@@ -65,11 +68,11 @@
 from lacewingstair.vm.record_sender import RecordSender
 from lacewingstair.vm.records_announcer import RecordsAnnouncer
 from lacewingstair.vm.registration import Registration
+from lacewingstair.vm.store_readers import reader_rank
 from lacewingstair.vm.stream_traffic import StreamTraffic
 
-# Waits of reads; the longest for which a connection gone silent can go unnoticed is
-# shorter, since the kernel probes it.
-CONFIGURATION_WAIT_SECONDS = 20.0
+# Waits of reads. `StoreWatch` finds out sooner if their connections have gone silent.
+CONFIGURATION_WAIT_SECONDS = 10.0
 MESH_WAIT_SECONDS = 25.0
 # Versions and entries in quick succession are read together.
 CONFIGURATION_BATCH_SECONDS = 0.8
@@ -161,6 +164,7 @@
             self.record_fetcher,
             self._take_rollout_news,
             self.traffic,
+            self._take_store_check,
         )
         self.rollouts = RolloutCoordinator(
             settings.vm_id,
@@ -217,17 +221,18 @@
         )
         self.announcements = Announcements(self._take_report, self._take_leave)
         self.operator = SidecarApi(self.status, self.metrics)
+        self._operator_tail = KeyedTail(
+            self.store,
+            platform_store.OPERATOR_TOPIC,
+            self._take_operator_records,
+            clock,
+            rng,
+            CONFIGURATION_WAIT_SECONDS,
+            lambda: CONFIGURATION_BATCH_SECONDS,
+            self.freshness.note_end,
+        )
         self.operator_reading = OperatorReading(
-            KeyedTail(
-                self.store,
-                platform_store.OPERATOR_TOPIC,
-                self._take_operator_records,
-                clock,
-                rng,
-                CONFIGURATION_WAIT_SECONDS,
-                lambda: CONFIGURATION_BATCH_SECONDS,
-                self.freshness.note_end,
-            ),
+            self._operator_tail,
             self._entry,
             self.links,
             self.record_fetcher,
@@ -243,6 +248,14 @@
             MESH_WAIT_SECONDS,
             self._mesh_pause_seconds,
         )
+        self.store_watch = StoreWatch(
+            self._watched(self._operator_tail, StoreTopic.OPERATORS),
+            self._watched(self._mesh_tail, StoreTopic.ENTRIES),
+            self._store_turn,
+            lambda: self.freshness.proven_at,
+            clock,
+            rng,
+        )
         self.registration.subscribe(self._announce_entry)
         self.planned_stop = PlannedStop(
             self.ingress, self.gate, self.call_server, self.registration, clock
@@ -272,7 +285,7 @@
         runs = [self.operator_reading.run(), self._mesh_tail.run()]
         runs += [self.registration.run(), self.links.run(), self._sweep()]
         runs += [self.rollouts.run(), self.confirmation.run()]
-        runs += [self.loop_monitor.run()]
+        runs += [self.loop_monitor.run(), self.store_watch.run()]
         self._tasks.extend(asyncio.create_task(run) for run in runs)
         settings = self.settings
         events.info(
@@ -389,6 +402,30 @@
         self.freshness.note_position(STORE)
         self._records_announcer.announce_store_records()
 
+    def _watched(self, tail: KeyedTail, topic: StoreTopic) -> WatchedTopic:
+        """Return a topic to check, of which the other VMs are told."""
+        return WatchedTopic(
+            tail.check,
+            lambda end: self.call_server.broadcast(StoreChecked(topic, end)),
+            tail.give_up_waiting,
+        )
+
+    def _take_store_check(self, vm_id: str, message: StoreChecked) -> None:
+        if message.topic is StoreTopic.ENTRIES:
+            self.store_watch.note_entries_check()
+            self._mesh_tail.note_end(message.end_offset)
+            return
+        now = self.clock.monotonic()
+        self.freshness.note_end(message.end_offset, now, vm_id)
+        self.operator_reading.note_end(message.end_offset)
+
+    def _store_turn(self) -> Turn:
+        """Return the place of this VM among those that check the store in turn."""
+        own_rank = reader_rank(self._entry())
+        linked = (link.entry for link in self.links if link.is_connected)
+        ranks = [reader_rank(entry) for entry in linked if not entry.is_leaving]
+        return Turn(sum(rank < own_rank for rank in ranks), 1 + len(ranks))
+
     def _reading_fields(self) -> Mapping[str, Any]:
         """Return fields for the log that tell how this VM reads the store."""
         answered_ago = self.clock.monotonic() - self.operator_reading.answered_at
--- a/src/lacewingstair/vm/call_link.py
+++ b/src/lacewingstair/vm/call_link.py
@@ -28,6 +28,8 @@
     Pong,
     RecordsPart,
     RefusalReason,
+    StoreChecked,
+    StoreTopic,
 )
 from lacewingstair.vm.call_streams import CallStream, connect
 from lacewingstair.vm.distances import REGION, UNKNOWN, ZONE
@@ -105,6 +107,8 @@
         Called with the id of the expected VM and the entry in the peer's `Hello`.
     on_rollout_message : callable
         Called with each message of the peer about a rollout.
+    on_store_checked : callable, optional
+        Called with the id of the VM and each message of it about the store.
     traffic : StreamTraffic, optional
         Counts the bytes of messages.
 
@@ -132,9 +136,11 @@
         on_records_part: Callable[[str, RecordsPart], None],
         on_hello: Callable[[str, VmEntry], None],
         on_rollout_message: Callable[[EvidenceChanged | MarkChanged], None],
+        on_store_checked: Callable[[str, StoreChecked], None] = lambda vm_id, _: None,
         traffic: StreamTraffic | None = None,
     ) -> None:
         self._traffic = traffic
+        self._on_store_checked = on_store_checked
         self._on_hello = on_hello
         self._on_rollout_message = on_rollout_message
         self.entry = entry
@@ -307,6 +313,10 @@
                 self._on_records_part(self.entry.vm_id, message)
             case EvidenceChanged() | MarkChanged():
                 self._on_rollout_message(message)
+            case StoreChecked(topic, end_offset):
+                if topic is StoreTopic.OPERATORS:
+                    self._offer_records(end_offset - 1)
+                self._on_store_checked(self.entry.vm_id, message)
             case _:
                 events.warning("message_unexpected", kind=type(message).__name__)
 
@@ -314,11 +324,15 @@
         self.load = load
         self.load_received_at = self._clock.monotonic()
         self._calls_since_load_report = 0
-        self._record_source.position = load.records_position
-        self._on_record_source(self._record_source)
+        self._offer_records(load.records_position)
         if load.reads_store and self._needs_silence_check():
             self._schedule_silence_check()
 
+    def _offer_records(self, position: int) -> None:
+        """Note that the peer holds the operators' records up to an offset."""
+        self._record_source.position = position
+        self._on_record_source(self._record_source)
+
     def _handle_stream_end(self, stream: CallStream) -> None:
         """Detach a stream that has ended and fail its calls, which may have run."""
         reason = "the stream has ended"
--- a/src/lacewingstair/vm/call_links.py
+++ b/src/lacewingstair/vm/call_links.py
@@ -6,7 +6,7 @@
 from lacewingstair import events
 from lacewingstair.runtime import Clock
 from lacewingstair.vm.call_link import CallLink
-from lacewingstair.vm.call_messages import EvidenceChanged, MarkChanged
+from lacewingstair.vm.call_messages import EvidenceChanged, MarkChanged, StoreChecked
 from lacewingstair.vm.entries import MeshView, VmEntry
 from lacewingstair.vm.record_fetcher import RecordFetcher
 from lacewingstair.vm.stream_traffic import StreamTraffic
@@ -31,6 +31,8 @@
         Called with each message of another VM about a rollout.
     traffic : StreamTraffic, optional
         Counts the bytes of messages.
+    on_store_checked : callable, optional
+        Called with the id of a VM and each message of it about the store.
     """
 
     def __init__(
@@ -42,7 +44,9 @@
         fetcher: RecordFetcher,
         on_rollout_message: Callable[[EvidenceChanged | MarkChanged], None],
         traffic: StreamTraffic | None = None,
+        on_store_checked: Callable[[str, StoreChecked], None] = lambda vm_id, _: None,
     ) -> None:
+        self._on_store_checked = on_store_checked
         self._traffic = traffic
         self._own_entry = own_entry
         self._view = view
@@ -115,5 +119,6 @@
             on_record_source=self._fetcher.add_source,
             on_records_part=self._fetcher.receive_part,
             on_rollout_message=self._on_rollout_message,
+            on_store_checked=self._on_store_checked,
             traffic=self._traffic,
         )
--- a/src/lacewingstair/vm/call_messages.py
+++ b/src/lacewingstair/vm/call_messages.py
@@ -308,6 +308,25 @@
     mark: RolloutMark
 
 
+class StoreTopic(enum.IntEnum):
+    """Topic of the store that VMs check for each other."""
+
+    OPERATORS = 0
+    ENTRIES = 1
+
+
+@_register_message(15)
+@attrs.frozen
+class StoreChecked:
+    """Where a topic of the store ended when the sender has just read it.
+
+    The sender holds all records of the operators up to that end.
+    """
+
+    topic: StoreTopic
+    end_offset: int
+
+
 CallOutcome = CallAnswer | CallRefused | CallFailed
 _LOAD_REPORT_FIELD_NAMES = tuple(field.name for field in attrs.fields(LoadReport))
 
@@ -379,6 +398,7 @@
 }
 _CONVERTERS_BY_FIELD_NAME: dict[str, Callable[[Any], Any]] = {
     "origin": SendOrigin,
+    "topic": StoreTopic,
     "load": lambda value: LoadReport(*value),
     "entry": entry_from_values,
     "evidence": _evidence_from_values,
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,6 +12,7 @@
 from lacewingstair.metadata.tail import KeyedTail
 from lacewingstair.platform.store import (
     MAX_ANSWER_BYTES,
+    KeyedPage,
     KeyedRecord,
     MetadataStore,
 )
@@ -214,13 +215,14 @@
             None,
             TOPIC,
             lambda found, _: delivered.extend(found),
-            None,
+            SystemClock(),
             None,
             1.0,
             lambda: 0.0,
         )
-        tail._deliver([KeyedRecord("a", b"2", 7)], 8)
-        tail._deliver([KeyedRecord("a", b"1", 6), KeyedRecord("", b"?", 8)], 9)
+        tail._deliver(KeyedPage((KeyedRecord("a", b"2", 7),), 8, 8), 0.0)
+        records = (KeyedRecord("a", b"1", 6), KeyedRecord("", b"?", 8))
+        tail._deliver(KeyedPage(records, 9, 9), 0.0)
         assert delivered == [KeyedRecord("a", b"2", 7)]
 
 
