Fewer calls to the store in a storm of versions and while it is away

Two causes, seen in store_calls_total of each VM: - Freshness kept only the newest end that it had heard of. In a storm of versions a VM is always one behind, so that no end was ever reached and each VM checked the store itself. A VM's checks now slow down to one in 1 to 2 s after four without an answer, and the tails begin with a pause of up to 0.5 s, which the first answer to any VM ends.

--- a/src/lacewingstair/metadata/freshness.py
+++ b/src/lacewingstair/metadata/freshness.py
@@ -1,6 +1,7 @@
 """How recently this VM knew that it holds the newest records of a topic."""
 
 import math
+from collections import deque
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -13,6 +14,8 @@
 BEHIND_SECONDS = 2.0
 STORE = "store"
 NO_POSITION = -1
+# News that are kept while the records of earlier ones are on their way.
+MAX_NEWS = 16
 
 
 @attrs.frozen
@@ -71,7 +74,8 @@
         self._started_at = clock.monotonic()
         self._proven_at = -math.inf
         self._proven_position = NO_POSITION
-        self._news: NewerRecords | None = None
+        # In the order in which they came; their positions rise.
+        self._news: deque[NewerRecords] = deque(maxlen=MAX_NEWS)
 
     @property
     def proven_at(self) -> float:
@@ -97,16 +101,17 @@
         if end_offset - 1 <= self._position():
             self._prove(end_offset - 1, read_at)
             return
-        if self._news is None or self._news.position < end_offset - 1:
-            self._news = NewerRecords(end_offset - 1, source, read_at, is_proof=True)
+        news = NewerRecords(end_offset - 1, source, read_at, is_proof=True)
+        if not self._news or self._news[-1].position <= news.position:
+            self._news.append(news)
 
     def note_newer(self, position: int, source: str) -> None:
         """Take the news that another VM holds the records up to an offset."""
         if position <= self._position():
             return
-        if self._news is None:
+        if not self._news or self._news[-1].position < position:
             now = self._clock.monotonic()
-            self._news = NewerRecords(position, source, now)
+            self._news.append(NewerRecords(position, source, now))
 
     def note_position(self, source: str) -> float | None:
         """Take the news that this VM's position has changed.
@@ -120,14 +125,14 @@
         position = self._position()
         if position <= self._proven_position:
             return None
-        news, delay_seconds = self._news, None
+        delay_seconds = None
         if self._proven_at > -math.inf:
             delay_seconds = self._clock.monotonic() - self._proven_at
             self._on_delay(delay_seconds)
             self._log_if_behind(source, position, delay_seconds)
         self._proven_position = position
-        if news is not None and news.position <= position:
-            self._news = None
+        while self._news and self._news[0].position <= position:
+            news = self._news.popleft()
             if news.is_proof:
                 self._prove(news.position, news.heard_at)
         return delay_seconds
@@ -139,7 +144,7 @@
     def _log_if_behind(self, source: str, position: int, delay_seconds: float) -> None:
         if delay_seconds < BEHIND_SECONDS:
             return
-        news = self._news
+        news = self._news[0] if self._news else None
         known_ms = 0
         if news is not None:
             known_ms = round((self._clock.monotonic() - news.heard_at) * 1000)
--- a/src/lacewingstair/metadata/store_watch.py
+++ b/src/lacewingstair/metadata/store_watch.py
@@ -31,8 +31,10 @@
 TURN_SECONDS = 0.15
 # Share of a turn by which VMs of one turn differ.
 TURN_JITTER = 0.3
-# Pause before a VM whose check has not been answered makes the next one.
+# Pause before a VM whose check has not been answered makes the next one; it doubles
+# over the first checks without an answer.
 RETRY_SECONDS = (0.5, 1.0)
+CHECKS_UNTIL_LONGEST_PAUSE = 4
 # The pause grows with the VMs beyond this number, as all of them check while the store
 # is away.
 VMS_OF_SHORTEST_PAUSE = 100
@@ -114,6 +116,7 @@
         self._first_check_at = clock.monotonic() + START_SECONDS
         self._entries_heard_at = clock.monotonic()
         self._retry_at = -math.inf
+        self._unanswered = 0
         self._failures = 0
         self._checks: set[asyncio.Task[None]] = set()
 
@@ -143,20 +146,26 @@
         return due_at - self._clock.monotonic()
 
     def _start_check(self) -> None:
-        now = self._clock.monotonic()
-        slowdown = max(1.0, self._turn().vms / VMS_OF_SHORTEST_PAUSE)
-        self._retry_at = now + slowdown * self._rng.uniform(*RETRY_SECONDS)
+        self._retry_at = self._clock.monotonic() + self._retry_pause_seconds()
+        self._unanswered += 1
         if len(self._checks) >= MAX_OPEN_CHECKS:
             return
         check = asyncio.create_task(self._check())
         self._checks.add(check)
         check.add_done_callback(self._ended)
 
+    def _retry_pause_seconds(self) -> float:
+        unanswered = min(self._unanswered, CHECKS_UNTIL_LONGEST_PAUSE)
+        slowdown = 1.0 + unanswered / CHECKS_UNTIL_LONGEST_PAUSE
+        slowdown *= max(1.0, self._turn().vms / VMS_OF_SHORTEST_PAUSE)
+        return slowdown * self._rng.uniform(*RETRY_SECONDS)
+
     async def _check(self) -> None:
         """Check the operators' topic, and with it that of the entries if it is due."""
         began_at = self._clock.monotonic()
         if not await self._check_topic(self._operators):
             return
+        self._unanswered = 0
         self._retry_at = began_at + CHECK_INTERVAL_SECONDS
         now = self._clock.monotonic()
         if now - self._entries_heard_at < ENTRIES_INTERVAL_SECONDS:
--- a/src/lacewingstair/metadata/tail.py
+++ b/src/lacewingstair/metadata/tail.py
@@ -13,7 +13,7 @@
 from lacewingstair.errors import OffsetExpired, StoreUnavailable
 from lacewingstair.runtime import Clock, full_jitter
 
-RETRY_BASE_SECONDS = 0.2
+RETRY_BASE_SECONDS = 0.5
 # News that the store answers again end a pause early.
 RETRY_CAP_SECONDS = 4.0
 # A waiting read is given up if it has not returned for this long although records exist
--- a/tests/metadata/test_freshness.py
+++ b/tests/metadata/test_freshness.py
@@ -60,6 +60,18 @@
     assert vm.freshness.age_seconds() == 1
 
 
+def test_a_vm_that_is_always_one_version_behind_has_proofs():
+    """Guards against a storm of versions in which each VM checks the store itself."""
+    vm = Vm()
+    vm.take(4)
+    for end_offset in range(6, 60):
+        vm.freshness.note_end(end_offset, vm.clock.now, "other")
+        vm.clock.now += 0.2
+        vm.take(end_offset - 2, "other")
+        vm.clock.now += 0.1
+    assert vm.freshness.age_seconds() < 0.7
+
+
 def test_the_delay_of_a_change_is_bounded_by_the_last_proof():
     vm = Vm()
     assert vm.take(4) is None
