Move what follows the store from the composition root to StoreFollower

The two tails, the election of readers, the watch and what they tell each other are now in metadata/store_follower.py; no decision has changed.

--- a/src/lacewingstair/metadata/operator_reading.py
+++ b/src/lacewingstair/metadata/operator_reading.py
@@ -70,19 +70,10 @@
         finally:
             self._stop()
 
-    @property
-    def answered_at(self) -> float:
-        """When the latest read of the store was answered, monotonic seconds."""
-        return self._tail.answered_at
-
     def skip_to(self, offset: int) -> None:
         """Continue at an offset, as earlier records were received from another VM."""
         self._tail.skip_to(offset)
 
-    def note_end(self, end_offset: int) -> None:
-        """Take the news that the topic ends at an offset."""
-        self._tail.note_end(end_offset)
-
     def _decide(self) -> None:
         now = self._clock.monotonic()
         reads = self._readers.decide(
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import itertools
-import math
 import random
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
@@ -35,11 +34,10 @@
 from lacewingstair.loop_monitor import LoopMonitor
 from lacewingstair.metadata.configuration import ConfigurationStore
 from lacewingstair.metadata.freshness import STORE, Freshness
-from lacewingstair.metadata.operator_reading import OperatorReading
 from lacewingstair.metadata.record_transfer import TransferEncoder
 from lacewingstair.metadata.records import StoreRecords
-from lacewingstair.metadata.store_watch import StoreWatch, Turn, WatchedTopic
-from lacewingstair.metadata.tail import KeyedTail, Record
+from lacewingstair.metadata.store_follower import StoreFollower
+from lacewingstair.metadata.tail import Record
 from lacewingstair.metrics.sidecar import SidecarMetrics
 from lacewingstair.metrics.sidecar_totals import SidecarTotals
 from lacewingstair.operator.sidecar_api import SidecarApi
@@ -59,8 +57,6 @@
     EntryChanged,
     EvidenceChanged,
     MarkChanged,
-    StoreChecked,
-    StoreTopic,
 )
 from lacewingstair.vm.call_server import CallStreamServer
 from lacewingstair.vm.entries import MeshView, VmEntry
@@ -68,18 +64,8 @@
 from lacewingstair.vm.record_sender import RecordSender
 from lacewingstair.vm.records_announcer import RecordsAnnouncer
 from lacewingstair.vm.registration import Registration
-from lacewingstair.vm.store_readers import reader_rank
 from lacewingstair.vm.stream_traffic import StreamTraffic
 
-# Waits of reads. `StoreWatch` finds out sooner if their connections have gone silent.
-CONFIGURATION_WAIT_SECONDS = 10.0
-MESH_WAIT_SECONDS = 25.0
-# Versions and entries in quick succession are read together.
-CONFIGURATION_BATCH_SECONDS = 0.8
-MESH_BATCH_SECONDS = 1.5
-# VMs that do not read the store for others learn of entries on their links first. What
-# only the store tells them is that a late write has replaced their own entry there.
-RELAXED_MESH_BATCH_SECONDS = 15.0
 SWEEP_SECONDS = 1.0
 SWEEPS_PER_TOTALS = 10
 CONFIGURATION_CHECK_SECONDS = 0.05
@@ -144,7 +130,7 @@
             lambda: self.records.operator.position,
             clock,
             self.metrics.configuration_delay_seconds.observe,
-            self._reading_fields,
+            lambda: self.store_follower.log_fields(),
         )
         self.metrics.configuration_number = lambda: self.configurations.current.number
         self.metrics.configuration_age_seconds = self.freshness.age_seconds
@@ -164,7 +150,7 @@
             self.record_fetcher,
             self._take_rollout_news,
             self.traffic,
-            self._take_store_check,
+            lambda vm_id, message: self.store_follower.take_check(vm_id, message),
         )
         self.rollouts = RolloutCoordinator(
             settings.vm_id,
@@ -221,41 +207,20 @@
         )
         self.announcements = Announcements(self._take_report, self._take_leave)
         self.operator = SidecarApi(self.status, self.metrics)
-        self._operator_tail = KeyedTail(
+        self.store_follower = StoreFollower(
             self.store,
-            platform_store.OPERATOR_TOPIC,
             self._take_operator_records,
-            clock,
-            rng,
-            CONFIGURATION_WAIT_SECONDS,
-            lambda: CONFIGURATION_BATCH_SECONDS,
-            self.freshness.note_end,
-        )
-        self.operator_reading = OperatorReading(
-            self._operator_tail,
-            self._entry,
+            self.records.take_entries,
+            self.freshness,
+            self.registration,
             self.links,
             self.record_fetcher,
+            lambda message: self.call_server.broadcast(message),
             self._reading_changed,
             clock,
-        )
-        self._mesh_tail = KeyedTail(
-            self.store,
-            platform_store.MESH_TOPIC,
-            self.records.take_entries,
-            clock,
-            rng,
-            MESH_WAIT_SECONDS,
-            self._mesh_pause_seconds,
-        )
-        self.store_watch = StoreWatch(
-            self._watched(self._operator_tail, StoreTopic.OPERATORS),
-            self._watched(self._mesh_tail, StoreTopic.ENTRIES),
-            self._store_turn,
-            lambda: self.freshness.proven_at,
-            clock,
             rng,
         )
+        self.operator_reading = self.store_follower.operator_reading
         self.registration.subscribe(self._announce_entry)
         self.planned_stop = PlannedStop(
             self.ingress, self.gate, self.call_server, self.registration, clock
@@ -282,10 +247,10 @@
         served = await listen_all(self._interfaces(), self._runners, sockets_by_address)
         if isinstance(served, Err):
             return served
-        runs = [self.operator_reading.run(), self._mesh_tail.run()]
+        runs = self.store_follower.runs()
         runs += [self.registration.run(), self.links.run(), self._sweep()]
         runs += [self.rollouts.run(), self.confirmation.run()]
-        runs += [self.loop_monitor.run(), self.store_watch.run()]
+        runs += [self.loop_monitor.run()]
         self._tasks.extend(asyncio.create_task(run) for run in runs)
         settings = self.settings
         events.info(
@@ -402,64 +367,17 @@
         self.freshness.note_position(STORE)
         self._records_announcer.announce_store_records()
 
-    def _watched(self, tail: KeyedTail, topic: StoreTopic) -> WatchedTopic:
-        """Return a topic to check, of which the other VMs are told."""
-        return WatchedTopic(
-            tail.check,
-            lambda end: self.call_server.broadcast(StoreChecked(topic, end)),
-            tail.give_up_waiting,
-        )
-
-    def _take_store_check(self, vm_id: str, message: StoreChecked) -> None:
-        if message.topic is StoreTopic.ENTRIES:
-            self.store_watch.note_entries_check()
-            self._mesh_tail.note_end(message.end_offset)
-            return
-        now = self.clock.monotonic()
-        self.freshness.note_end(message.end_offset, now, vm_id)
-        self.operator_reading.note_end(message.end_offset)
-
-    def _store_turn(self) -> Turn:
-        """Return the place of this VM among those that check the store in turn."""
-        own_rank = reader_rank(self._entry())
-        linked = (link.entry for link in self.links if link.is_connected)
-        ranks = [reader_rank(entry) for entry in linked if not entry.is_leaving]
-        return Turn(sum(rank < own_rank for rank in ranks), 1 + len(ranks))
-
-    def _reading_fields(self) -> Mapping[str, Any]:
-        """Return fields for the log that tell how this VM reads the store."""
-        answered_ago = self.clock.monotonic() - self.operator_reading.answered_at
-        is_known = answered_ago < math.inf
-        return {
-            "is_reader": self.operator_reading.is_reading,
-            "store_answered_ms_ago": round(answered_ago * 1000) if is_known else None,
-        }
-
     def _reading_changed(self) -> None:
         """Tell the others whether this VM reads the store for them."""
         self.call_server.announce_load_to_all()
 
-    def _mesh_pause_seconds(self) -> float:
-        """Return how long changes of entries are collected before the next read.
-
-        Of two VMs that start together, the one whose entry is written later finds the
-        other's if it reads after that, and then each has a link to the other.
-        """
-        written_at = self.registration.first_written_at
-        has_seen_all = (
-            written_at is not None and self._mesh_tail.read_began_at >= written_at
-        )
-        if has_seen_all and not self.operator_reading.is_reading:
-            return RELAXED_MESH_BATCH_SECONDS
-        return MESH_BATCH_SECONDS
-
     def _take_transfer(self, data: bytes) -> bool:
         before = self.records.operator.position
         vm_id = self.record_fetcher.transferred_from
         is_taken = self.records.take_transfer(data, vm_id)
         position = self.records.operator.position
         self.freshness.note_position(vm_id)
-        self.operator_reading.skip_to(position + 1)
+        self.store_follower.skip_to(position + 1)
         if position > before:
             self._records_announcer.announce_transferred_records()
         return is_taken
@@ -477,7 +395,9 @@
         while self.configurations.current.is_empty:
             await self.clock.sleep(CONFIGURATION_CHECK_SECONDS)
         latest = self._started_at + FORMER_ENTRY_SECONDS
-        while not self._mesh_tail.has_read and self.clock.monotonic() < latest:
+        while (
+            not self.store_follower.has_read_entries and self.clock.monotonic() < latest
+        ):
             await self.clock.sleep(CONFIGURATION_CHECK_SECONDS)
         address = self.settings.backend_servers.own_address
         service = self.gate.service
--- a/tests/test_sidecar_store_calls.py
+++ b/tests/test_sidecar_store_calls.py
@@ -2,13 +2,13 @@
 
 import asyncio
 
-from lacewingstair import sidecar
+from lacewingstair.metadata.store_follower import MESH_BATCH_SECONDS
 from lacewingstair.vm.store_readers import READERS_PER_REGION
 from tests.test_sidecar import until, with_mesh
 
 VMS = 10
 # Two of the short pauses between reads of the entries.
-SETTLED_SECONDS = 2 * sidecar.MESH_BATCH_SECONDS + 0.5
+SETTLED_SECONDS = 2 * MESH_BATCH_SECONDS + 0.5
 
 
 def test_vms_that_start_together_know_each_other_by_few_calls():
@@ -24,7 +24,7 @@
             state = "ready" if number % 2 else "draining"
             for vm in vms:
                 await vm.report(session, state)
-            await asyncio.sleep(sidecar.MESH_BATCH_SECONDS + 0.2)
+            await asyncio.sleep(MESH_BATCH_SECONDS + 0.2)
         others = [vm for vm in vms if not vm.sidecar.operator_reading.is_reading]
         assert len(others) == VMS - READERS_PER_REGION
         for vm in others:
