Publish counts and judge versions while the store does not answer a report

The step of the rollouts waited for the report of each one.

Reports are now written in the background, one of each order at a time (staged_rollouts/report_tasks.py).

--- a/src/lacewingstair/staged_rollouts/coordinator.py
+++ b/src/lacewingstair/staged_rollouts/coordinator.py
@@ -7,13 +7,11 @@
 """
 
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import attrs
-from result import Err, Result
 
 from lacewingstair import events
-from lacewingstair.errors import StoreConflict, StoreUnavailable
 from lacewingstair.runtime import Clock
 from lacewingstair.staged_rollouts.evidence import GateEvidence, RouteCounts
 from lacewingstair.staged_rollouts.evidence_log import EvidenceLog
@@ -26,6 +24,7 @@
     new_version_share,
     next_stage,
 )
+from lacewingstair.staged_rollouts.report_tasks import ReportTasks, WriteReport
 from lacewingstair.staged_rollouts.rollout import Rollout
 
 STEP_SECONDS = 0.25
@@ -46,10 +45,6 @@
 LATE_JOIN_RANK = 1
 EVIDENCE_LOG_INTERVAL_SECONDS = 1.0
 
-WriteReport = Callable[
-    [Order, Stage], Awaitable[Result[Stage, StoreUnavailable | StoreConflict]]
-]
-
 
 @attrs.frozen
 class _EarlyMark:
@@ -99,7 +94,7 @@
         self._live_vm_ids = live_vm_ids
         self._publish_mark = publish_mark
         self._publish_evidence = publish_evidence
-        self._write_report = write_report
+        self._reports = ReportTasks(write_report, self._take_reported)
         self._clock = clock
         self._rng = rng
         self._rollouts_by_service: dict[str, Rollout] = {}
@@ -319,12 +314,15 @@
 
     async def run(self) -> None:
         """Evaluate, advance and report the rollouts until cancelled."""
-        while True:
-            await self._clock.sleep(self._step_seconds())
-            if self._clock.monotonic() - self._published_at >= STEP_SECONDS:
-                self._publish_own_evidence()
-            for rollout in list(self._rollouts_by_service.values()):
-                await self._step(rollout)
+        try:
+            while True:
+                await self._clock.sleep(self._step_seconds())
+                if self._clock.monotonic() - self._published_at >= STEP_SECONDS:
+                    self._publish_own_evidence()
+                for rollout in list(self._rollouts_by_service.values()):
+                    self._step(rollout)
+        finally:
+            self._reports.cancel()
 
     def _step_seconds(self) -> float:
         stages = {rollout.stage for rollout in self._rollouts_by_service.values()}
@@ -352,7 +350,7 @@
         rollout.evidence.apply(changed)
         self._publish_evidence(changed)
 
-    async def _step(self, rollout: Rollout) -> None:
+    def _step(self, rollout: Rollout) -> None:
         self._evaluate(rollout)
         now = self._clock.monotonic()
         takeover_rank = self._takeover_rank()
@@ -378,13 +376,14 @@
                 is_bad = stage is Stage.ROLLED_BACK
                 reason = rollout.verdict.reason if is_bad else "time"
                 self._advance(rollout, stage, reason)
-            elif await self._report(rollout, stage):
+            else:
+                self._reports.start(rollout, stage)
                 return
         needs_report = rollout.reported is None or (
             rollout.stage.is_final and not rollout.reported.is_final
         )
         if needs_report:
-            await self._report(rollout, rollout.stage)
+            self._reports.start(rollout, rollout.stage)
 
     def _log_evidence(self, rollout: Rollout, now: float) -> None:
         """Log the counts of both versions, at most once a second."""
@@ -406,26 +405,12 @@
                 abandoned=str(dict(sorted(total.abandoned_by_bucket.items()))),
             )
 
-    async def _report(self, rollout: Rollout, stage: Stage) -> bool:
-        written = await self._write_report(rollout.order, stage)
-        if isinstance(written, Err):
-            events.warning(
-                "rollout_not_reported",
-                service=rollout.order.service,
-                stage=stage.name.lower(),
-                error=written.err_value,
-            )
-            return False
-        rollout.reported = written.ok_value
-        events.info(
-            "rollout_reported",
-            service=rollout.order.service,
-            stage=written.ok_value.name.lower(),
-        )
-        if written.ok_value.is_final:
-            self._adopt_reported_stage(rollout, written.ok_value)
+    def _take_reported(self, rollout: Rollout, stage: Stage) -> None:
+        """Take the stage that the store holds after a report."""
+        rollout.reported = stage
+        if stage.is_final:
+            self._adopt_reported_stage(rollout, stage)
         self._publish_mark(self._mark(rollout))
-        return True
 
     def _evaluate(self, rollout: Rollout) -> None:
         if rollout.stage.is_final:
--- a/tests/staged_rollouts/test_coordinator.py
+++ b/tests/staged_rollouts/test_coordinator.py
@@ -1,4 +1,5 @@
 import asyncio
+import itertools
 import random
 
 from result import Err, Ok
@@ -280,3 +281,72 @@
         assert started.allows("board", "c", "v2", False)
 
     run_virtual(main())
+
+
+def test_counts_are_published_while_the_store_does_not_answer_a_report():
+    """Guards against a bad version whose calls no other VM hears of for seconds."""
+
+    async def main():
+        clock = VirtualClock()
+        published_at = []
+
+        async def write_slowly(order, stage):
+            await asyncio.sleep(4.0)
+            return Err(StoreUnavailable("write", "no answer"))
+
+        coordinator = RolloutCoordinator(
+            "a",
+            1,
+            lambda: ["a"],
+            lambda mark: None,
+            lambda evidence: published_at.append(clock.monotonic()),
+            write_slowly,
+            clock,
+            random.Random(1),
+        )
+        coordinator.apply_order(ORDER)
+        running = asyncio.create_task(coordinator.run())
+        while clock.monotonic() < 3.5:
+            await asyncio.sleep(0.05)
+            coordinator.record_call("board", "v2", "view", False, 100.0)
+        running.cancel()
+        gaps = [b - a for a, b in itertools.pairwise(published_at)]
+        assert published_at[0] < 0.6
+        assert max(gaps) < 0.6
+
+    run_virtual(main())
+
+
+def test_only_one_report_of_an_order_is_on_its_way():
+    """Guards against reports that pile up while the store does not answer."""
+
+    async def main():
+        clock = VirtualClock()
+        open_reports = []
+        most = []
+
+        async def write_slowly(order, stage):
+            open_reports.append(stage)
+            most.append(len(open_reports))
+            await asyncio.sleep(4.0)
+            open_reports.pop()
+            return Err(StoreUnavailable("write", "no answer"))
+
+        coordinator = RolloutCoordinator(
+            "a",
+            1,
+            lambda: ["a"],
+            lambda mark: None,
+            lambda evidence: None,
+            write_slowly,
+            clock,
+            random.Random(1),
+        )
+        coordinator.apply_order(ORDER)
+        running = asyncio.create_task(coordinator.run())
+        await asyncio.sleep(30.0)
+        running.cancel()
+        assert 3 < len(most) < 9
+        assert max(most) == 1
+
+    run_virtual(main())
