Fetch a newer configuration from VMs at the same offset

A process that started after an older version had been written late took it from the store and kept it until the next write: all its requests were handled as the older version says, next to VMs that held the newer one.

VMs compared only the offset up to which they hold the operators' records. One that holds the newer version from a lower offset and has read past the late write states the same offset as one that holds the older version, so nothing was fetched, and a transfer would have left the newer version out.

Load reports and requests for records now state the version of the configuration held. A higher version is fetched at any offset, and a transfer contains the configuration if the receiver holds a lower version. Configurations are ordered by version, all other records by offset. Nothing has to be remembered about the late write, so VMs that got their records by transfer answer alike.

--- a/src/lacewingstair/backend_server/admission_proxy.py
+++ b/src/lacewingstair/backend_server/admission_proxy.py
@@ -119,7 +119,7 @@
         ``ip:port`` of the backend server.
     clock : Clock
         Source of time.
-    records_position, reads_store : callable
+    records_position, reads_store, configuration_number : callable
         Return the fields of load reports about the operators' records.
     max_connections : callable
         Returns the connection limit of the backend server.
@@ -157,6 +157,7 @@
         on_outcome: OnOutcome = lambda route, status, ms, has_unserved_call: None,
         on_abandoned: OnAbandoned = lambda route, ms: None,
         on_unreachable: Callable[[], None] = lambda: None,
+        configuration_number: Callable[[], int] = lambda: 0,
         pool: ConnectionPool | None = None,
         max_buffered_bytes: int = MAX_BUFFERED_RESPONSE_BYTES,
     ) -> None:
@@ -165,6 +166,7 @@
         self._clock = clock
         self._records_position = records_position
         self._reads_store = reads_store
+        self._configuration_number = configuration_number
         self._max_connections = max_connections
         self._on_outcome = on_outcome
         self._on_abandoned = on_abandoned
@@ -232,6 +234,7 @@
             version=self.identity.version,
             records_position=self._records_position(),
             reads_store=self._reads_store(),
+            configuration_number=self._configuration_number(),
         )
 
     def is_running(self, request_id: str) -> bool:
--- a/src/lacewingstair/metadata/operator_records.py
+++ b/src/lacewingstair/metadata/operator_records.py
@@ -1,7 +1,7 @@
 """Newest record of each key that the operators have written."""
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -25,17 +25,34 @@
     value : bytes or None
         None when the key was dropped.
     offset : int
-        Position in the topic's log; a higher one is newer.
+        Position in the topic's log.
+    version : int
+        Version that the value states, 0 if it has none. Of two records of a key the one
+        with the higher version is newer, and with equal versions the one with the
+        higher offset.
     """
 
     key: str
     value: bytes | None
     offset: int
+    version: int = 0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Higher for the newer one of two records of a key."""
+        return self.version, self.offset
 
 
 class OperatorRecords:
     """Holds the newest record of each key, to be sent to other VMs.
 
+    An older version can have the higher offset, as the store may execute a write late.
+
+    Parameters
+    ----------
+    version_of : callable, optional
+        Returns the version that a key and its value state, 0 if they have none.
+
     Attributes
     ----------
     position : int
@@ -43,11 +60,20 @@
         the first read.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, version_of: Callable[[str, bytes | None], int] = lambda key, value: 0
+    ) -> None:
+        self._version_of = version_of
         self._records_by_key: dict[str, OperatorRecord] = {}
         self._values_by_offset: OrderedDict[int, bytes] = OrderedDict()
         self.position = NO_OFFSET
 
+    @property
+    def version(self) -> int:
+        """Highest version that is held, 0 if there is none."""
+        records = self._records_by_key.values()
+        return max((record.version for record in records), default=0)
+
     def take(self, records: Iterable[Record], position: int) -> list[OperatorRecord]:
         """Store records; return the newer ones, ordered by offset.
 
@@ -61,11 +87,11 @@
         newer_by_key: dict[str, OperatorRecord] = {}
         for record in records:
             held = newer_by_key.get(record.key) or self._records_by_key.get(record.key)
-            if not record.key or (held is not None and record.offset <= held.offset):
+            version = self._version_of(record.key, record.value)
+            found = OperatorRecord(record.key, record.value, record.offset, version)
+            if not found.key or (held is not None and found.order <= held.order):
                 continue
-            newer_by_key[record.key] = OperatorRecord(
-                record.key, record.value, record.offset
-            )
+            newer_by_key[found.key] = found
         newer = sorted(newer_by_key.values(), key=lambda record: record.offset)
         for record in newer:
             self._records_by_key[record.key] = record
@@ -73,10 +99,23 @@
         self.position = max(self.position, position)
         return newer
 
-    def after(self, offset: int) -> list[OperatorRecord]:
-        """Return the newest records after an offset, ordered by offset."""
-        found = (r for r in self._records_by_key.values() if r.offset > offset)
-        return sorted(found, key=lambda record: record.offset)
+    def after(self, offset: int, version: int = 0) -> list[OperatorRecord]:
+        """Return the records that another VM lacks, ordered by offset.
+
+        Parameters
+        ----------
+        offset : int
+            Offset up to which the other VM has read.
+        version : int
+            Highest version that the other VM holds. It may be older than the one held
+            here although its offset is higher.
+        """
+        lacking = [
+            record
+            for record in self._records_by_key.values()
+            if record.offset > offset or record.version > version
+        ]
+        return sorted(lacking, key=lambda record: record.offset)
 
     def remembered_offsets(self) -> list[int]:
         """Return the offsets of the values that a delta can have as its base."""
--- a/src/lacewingstair/metadata/record_transfer.py
+++ b/src/lacewingstair/metadata/record_transfer.py
@@ -58,8 +58,8 @@
         self._records = records
         self._data_by_offsets: OrderedDict[tuple[int, int], bytes] = OrderedDict()
 
-    def pack(self, after: int, remembered: Iterable[int]) -> bytes:
-        """Return the encoded records after an offset.
+    def pack(self, after: int, remembered: Iterable[int], version: int = 0) -> bytes:
+        """Return the encoded records that another VM lacks.
 
         Parameters
         ----------
@@ -67,11 +67,13 @@
             Offset up to which the receiver holds all records.
         remembered : iterable of int
             Offsets of values that the receiver holds.
+        version : int
+            Version of the configuration that the receiver holds, 0 if it has none.
         """
         base = max(filter(self._is_remembered, remembered), default=NO_OFFSET)
         rows = [
             [record.key, record.offset, base, self._compressed(record, base)]
-            for record in self._records.after(after)
+            for record in self._records.after(after, version)
         ]
         return msgpack.packb([self._records.position, rows])
 
--- a/src/lacewingstair/metadata/records.py
+++ b/src/lacewingstair/metadata/records.py
@@ -58,7 +58,7 @@
         self._rollouts = rollouts
         self._registration = registration
         self._view = view
-        self.operator = OperatorRecords()
+        self.operator = OperatorRecords(_version_of)
 
     def take_operator_records(self, records: Iterable[Record], position: int) -> None:
         """Apply configurations and rollout orders that were read from the store.
@@ -169,3 +169,8 @@
             self._registration.handle_missing_entry(record.offset)
         else:
             self._view.remove(record.key)
+
+
+def _version_of(key: str, value: bytes | None) -> int:
+    """Return the version of a configuration, 0 for all other records."""
+    return version_of(value) if key == CONFIGURATION_KEY and value else 0
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -120,6 +120,7 @@
             on_outcome=self._count_run,
             on_abandoned=self._count_abandoned,
             on_unreachable=self._upstream_unreachable,
+            configuration_number=lambda: self.records.operator.version,
         )
         self.totals = SidecarTotals(self.gate, self.store, self.traffic)
         self.totals.show_in(self.metrics)
@@ -141,6 +142,7 @@
             clock,
             rng,
             self.freshness.note_newer,
+            lambda: self.records.operator.version,
         )
         self.links = CallLinks(
             self._entry,
@@ -372,13 +374,13 @@
         self.call_server.announce_load_to_all()
 
     def _take_transfer(self, data: bytes) -> bool:
-        before = self.records.operator.position
+        operator = self.records.operator
+        before = operator.position, operator.version
         vm_id = self.record_fetcher.transferred_from
         is_taken = self.records.take_transfer(data, vm_id)
-        position = self.records.operator.position
         self.freshness.note_position(vm_id)
-        self.store_follower.skip_to(position + 1)
-        if position > before:
+        self.store_follower.skip_to(operator.position + 1)
+        if (operator.position, operator.version) != before:
             self._records_announcer.announce_transferred_records()
         return is_taken
 
--- a/src/lacewingstair/vm/call_link.py
+++ b/src/lacewingstair/vm/call_link.py
@@ -324,6 +324,7 @@
         self.load = load
         self.load_received_at = self._clock.monotonic()
         self._calls_since_load_report = 0
+        self._record_source.configuration_number = load.configuration_number
         self._offer_records(load.records_position)
         if load.reads_store and self._needs_silence_check():
             self._schedule_silence_check()
--- a/src/lacewingstair/vm/call_messages.py
+++ b/src/lacewingstair/vm/call_messages.py
@@ -80,6 +80,9 @@
         Offset up to which the VM holds the operators' records.
     reads_store : bool
         Whether the VM currently follows the operators' records in the store.
+    configuration_number : int
+        Version of the configuration that the VM holds, 0 if it has none. VMs at the
+        same position can hold different ones after a late write of an older version.
     """
 
     running: int = 0
@@ -91,6 +94,7 @@
     version: str = ""
     records_position: int = -1
     reads_store: bool = False
+    configuration_number: int = 0
 
 
 @_register_message(1)
@@ -265,11 +269,14 @@
         Offset up to which the sender holds all records.
     base_offsets : list of int
         Offsets of values that the sender holds and that a delta can have as its base.
+    configuration_number : int
+        Version of the configuration that the sender holds, 0 if it has none.
     """
 
     transfer_id: int
     after: int
     base_offsets: list[int]
+    configuration_number: int = 0
 
 
 @_register_message(12)
--- a/src/lacewingstair/vm/record_fetcher.py
+++ b/src/lacewingstair/vm/record_fetcher.py
@@ -1,6 +1,7 @@
 """Fetches missing operators' records from other VMs, one transfer at a time.
 
-Each load message states the offset up to which its sender holds the records. Many VMs
+Each load message states the offset up to which its sender holds the records, and the
+version of its configuration, which can be higher at the same offset. Many VMs
 announce the same records at about the same time. The fetcher requests them from one
 source at a time, the nearest first, and from another one if that fails, so that each
 version is transferred over this VM's link about once.
@@ -36,8 +37,8 @@
 # preferred again after it recovers. The cost is one timeout per period for a source
 # that stays silent.
 FAILURE_EXPIRY_SECONDS = 10.0
-# `after` offset of a request that matches no records; it only ends the earlier transfer
-# on its stream.
+# Offset and version of a request that matches no records; it only ends the earlier
+# transfer on its stream.
 CANCEL_OFFSET = 2**63 - 1
 MAX_TRANSFER_BYTES = 32 << 20
 _RANKS_BY_DISTANCE = {
@@ -63,6 +64,8 @@
         Returns whether the link to the VM is known to work.
     position : int
         Offset up to which the VM holds all records.
+    configuration_number : int
+        Version of the configuration that the VM holds.
     consecutive_failures : int
         Number of recent consecutive failed transfers.
     failed_at : float
@@ -74,6 +77,7 @@
     send: Callable[[RecordsRequest], None]
     is_usable: Callable[[], bool]
     position: int = -1
+    configuration_number: int = 0
     consecutive_failures: int = 0
     failed_at: float = 0.0
 
@@ -96,6 +100,8 @@
     on_newer : callable, optional
         Called with an offset and the id of a VM that holds records up to it, which this
         VM lacks.
+    configuration_number : callable, optional
+        Returns the version of the configuration that this VM holds.
 
     Attributes
     ----------
@@ -111,7 +117,9 @@
         clock: Clock,
         rng: random.Random,
         on_newer: Callable[[int, str], None] = lambda position, vm_id: None,
+        configuration_number: Callable[[], int] = lambda: 0,
     ) -> None:
+        self._configuration_number = configuration_number
         self._position = position
         self._base_offsets = base_offsets
         self._on_transfer = on_transfer
@@ -136,8 +144,8 @@
         self.transferred_from = ""
 
     def add_source(self, source: RecordSource) -> None:
-        """Register a VM that holds records up to `source.position`."""
-        if source.position <= self._position():
+        """Register a VM if it holds records that this VM lacks."""
+        if not self._is_ahead(source):
             return
         self._on_newer(source.position, source.vm_id)
         if self._lagging_since is None:
@@ -146,6 +154,17 @@
         if self._fetch_task is None:
             self._fetch_task = asyncio.create_task(self._fetch())
 
+    def _is_ahead(self, source: RecordSource) -> bool:
+        """Return whether a VM holds records that this VM lacks.
+
+        After a late write of an older version, the newer version has the lower offset,
+        so positions do not tell which VM holds it.
+        """
+        return (
+            source.position > self._position()
+            or source.configuration_number > self._configuration_number()
+        )
+
     def lag_seconds(self) -> float:
         """Return for how long this VM has lacked records that another VM holds."""
         if self._lagging_since is None:
@@ -203,7 +222,7 @@
             return
         del self._abandoned_by_vm_id[vm_id]
         if not part.is_last:
-            source.send(RecordsRequest(transfer_id, CANCEL_OFFSET, []))
+            source.send(RecordsRequest(transfer_id, CANCEL_OFFSET, [], CANCEL_OFFSET))
 
     def close(self) -> None:
         """Cancel the fetch task."""
@@ -245,11 +264,10 @@
 
         Sources with fewer consecutive failures come first, then nearer ones.
         """
-        position = self._position()
         sources = [
             source
             for source in self._sources_by_vm_id.values()
-            if source.position > position and source.is_usable()
+            if self._is_ahead(source) and source.is_usable()
         ]
         self._sources_by_vm_id = {source.vm_id: source for source in sources}
         expire_before = self._clock.monotonic() - FAILURE_EXPIRY_SECONDS
@@ -261,6 +279,7 @@
             key=lambda source: (
                 source.consecutive_failures,
                 _RANKS_BY_DISTANCE.get(source.distance, len(_RANKS_BY_DISTANCE)),
+                -source.configuration_number,
                 -source.position,
                 self._rng.random(),
             ),
@@ -274,7 +293,10 @@
         self._received_bytes = 0
         self._is_complete = False
         request = RecordsRequest(
-            self._transfer_id, self._position(), self._base_offsets()
+            self._transfer_id,
+            self._position(),
+            self._base_offsets(),
+            self._configuration_number(),
         )
         # The new request makes the source end any earlier transfer on the same stream.
         self._abandoned_by_vm_id.pop(source.vm_id, None)
--- a/src/lacewingstair/vm/record_sender.py
+++ b/src/lacewingstair/vm/record_sender.py
@@ -61,7 +61,7 @@
         stream : CallStream
             Stream that the request arrived on.
         request : RecordsRequest
-            Request of the peer, with the offset up to which it holds all records.
+            Request of the peer, which states the records that it holds.
         peer_kbps : int
             Bandwidth of the peer's link; 0 if it is unknown.
         """
@@ -72,7 +72,9 @@
             events.info("records_refused", transfers=len(self._tasks_by_stream))
             stream.send(RecordsPart(request.transfer_id, True, b""))
             return
-        data = self._encoder.pack(request.after, request.base_offsets)
+        data = self._encoder.pack(
+            request.after, request.base_offsets, request.configuration_number
+        )
         # Reserve the link for the first part before the task starts, so that the next
         # request is checked against the longer queue.
         send_at = self._reserve_link(min(len(data), PART_BYTES))
