State only records that can be handed out

A VM that had read a configuration which it could not decode stated the offset of that record as held, in load reports, in StoreChecked and in its transfers. VMs that fetched from it took over the offset without the record, and then neither asked others nor showed that they were behind.

OperatorRecords raised its position to the end of each read. It now stays before a record that cannot be used until a newer one of its key is held. A transfer with such a record counts as failed, so that it is requested again with a growing pause, and the end of the operators' topic is only announced by VMs that hold all records before it. A document without a version was not decoded if the same read brought another one; it is now, and logged.

A rollout order that raises while it is applied is logged and leaves the others: its record is held by then, so it would not be applied when it is read again. The listeners of ConfigurationStore are removed as nothing subscribed to them.

--- a/src/lacewingstair/metadata/configuration.py
+++ b/src/lacewingstair/metadata/configuration.py
@@ -1,7 +1,7 @@
 """Configuration of a VM that forwards calls: routes, services and limits."""
 
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
@@ -161,19 +161,12 @@
 
     def __init__(self) -> None:
         self.current = Configuration()
-        self._listeners: list[Callable[[Configuration], None]] = []
-
-    def subscribe(self, listener: Callable[[Configuration], None]) -> None:
-        """Call `listener` with each new configuration."""
-        self._listeners.append(listener)
 
     def adopt(self, configuration: Configuration) -> bool:
         """Replace the configuration if this one is newer; return whether it was."""
         if configuration.number <= self.current.number:
             return False
         self.current = configuration
-        for listener in self._listeners:
-            listener(configuration)
         return True
 
 
--- a/src/lacewingstair/metadata/freshness.py
+++ b/src/lacewingstair/metadata/freshness.py
@@ -86,6 +86,10 @@
         """Return the time since the last proof, or since the start without one."""
         return self._clock.monotonic() - max(self._proven_at, self._started_at)
 
+    def holds_records_before(self, end_offset: int) -> bool:
+        """Return whether this VM holds all records before an offset."""
+        return end_offset - 1 <= self._position()
+
     def note_end(self, end_offset: int, read_at: float, source: str = STORE) -> None:
         """Take a proof: the topic ended at an offset at a time.
 
@@ -98,7 +102,7 @@
         source : str
             `STORE`, or the id of the VM that has read the store.
         """
-        if end_offset - 1 <= self._position():
+        if self.holds_records_before(end_offset):
             self._prove(end_offset - 1, read_at)
             return
         news = NewerRecords(end_offset - 1, source, read_at, is_proof=True)
--- a/src/lacewingstair/metadata/operator_records.py
+++ b/src/lacewingstair/metadata/operator_records.py
@@ -56,8 +56,9 @@
     Attributes
     ----------
     position : int
-        Offset up to which the newest record of each key is held; `NO_OFFSET` before
-        the first read.
+        Offset up to which the newest record of each key is held, so that it can be sent
+        to other VMs; `NO_OFFSET` before the first read. It stays before a record that
+        cannot be used until a newer one of its key is held.
     """
 
     def __init__(
@@ -66,6 +67,8 @@
         self._version_of = version_of
         self._records_by_key: dict[str, OperatorRecord] = {}
         self._values_by_offset: OrderedDict[int, bytes] = OrderedDict()
+        self._unusable_by_offset: dict[int, OperatorRecord] = {}
+        self._read_position = NO_OFFSET
         self.position = NO_OFFSET
 
     @property
@@ -74,7 +77,12 @@
         records = self._records_by_key.values()
         return max((record.version for record in records), default=0)
 
-    def take(self, records: Iterable[Record], position: int) -> list[OperatorRecord]:
+    def take(
+        self,
+        records: Iterable[Record],
+        position: int,
+        unusable: Iterable[Record] = (),
+    ) -> list[OperatorRecord]:
         """Store records; return the newer ones, ordered by offset.
 
         Parameters
@@ -83,12 +91,13 @@
             Newest record of each key that has changed.
         position : int
             Offset up to which these and the held records are complete.
+        unusable : iterable of Record
+            Records that were received and are not to be held, as they cannot be used.
         """
         newer_by_key: dict[str, OperatorRecord] = {}
         for record in records:
             held = newer_by_key.get(record.key) or self._records_by_key.get(record.key)
-            version = self._version_of(record.key, record.value)
-            found = OperatorRecord(record.key, record.value, record.offset, version)
+            found = self._with_version(record)
             if not found.key or (held is not None and found.order <= held.order):
                 continue
             newer_by_key[found.key] = found
@@ -96,7 +105,12 @@
         for record in newer:
             self._records_by_key[record.key] = record
             self._remember(record)
-        self.position = max(self.position, position)
+        for record in unusable:
+            # Only its order counts from here on.
+            found = attrs.evolve(self._with_version(record), value=None)
+            self._unusable_by_offset[record.offset] = found
+        self._read_position = max(self._read_position, position)
+        self._advance()
         return newer
 
     def after(self, offset: int, version: int = 0) -> list[OperatorRecord]:
@@ -125,6 +139,29 @@
         """Return the value of a recent record, or None if it is no longer held."""
         return self._values_by_offset.get(offset)
 
+    def _with_version(self, record: Record) -> OperatorRecord:
+        version = self._version_of(record.key, record.value)
+        return OperatorRecord(record.key, record.value, record.offset, version)
+
+    def _advance(self) -> None:
+        """Move the position up to the first record that is needed and not held."""
+        self._unusable_by_offset = {
+            offset: record
+            for offset, record in self._unusable_by_offset.items()
+            if offset > self.position and not self._is_superseded(record)
+        }
+        first_unusable = min(self._unusable_by_offset, default=self._read_position + 1)
+        held_to = min(self._read_position, first_unusable - 1)
+        self.position = max(self.position, held_to)
+
+    def _is_superseded(self, record: OperatorRecord) -> bool:
+        held = self._records_by_key.get(record.key)
+        if held is None:
+            return False
+        if not record.version:
+            return held.offset > record.offset
+        return held.order > record.order
+
     def _remember(self, record: OperatorRecord) -> None:
         if record.value is None or len(record.value) < LEAST_HISTORY_BYTES:
             return
--- a/src/lacewingstair/metadata/records.py
+++ b/src/lacewingstair/metadata/records.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
+import attrs
 from result import Err
 
 from lacewingstair import events
@@ -21,6 +22,22 @@
 from lacewingstair.vm.registration import Registration
 
 
+@attrs.define
+class _TakenDocuments:
+    """Outcome of reading configurations.
+
+    Parameters
+    ----------
+    taken : list of Record
+        The record that was adopted, if any.
+    unusable : list of Record
+        Records that could not be decoded and are not known to be superseded.
+    """
+
+    taken: list[Record] = attrs.field(factory=list)
+    unusable: list[Record] = attrs.field(factory=list)
+
+
 class StoreRecords:
     """Decodes records and passes them to the components that hold their state.
 
@@ -73,44 +90,46 @@
         self._take_operator_records(records, position, STORE)
 
     def take_transfer(self, data: bytes, vm_id: str = "") -> bool:
-        """Apply records that another VM sent; return whether they could be decoded."""
+        """Apply records that another VM sent; return whether all of them are usable."""
         unpacked = unpack(data, self.operator)
         if isinstance(unpacked, Err):
             events.warning("records_unreadable", vm=vm_id, error=unpacked.err_value)
             return False
         transfer = unpacked.ok_value
-        self._take_operator_records(transfer.records, transfer.position, vm_id)
-        return True
+        return self._take_operator_records(transfer.records, transfer.position, vm_id)
 
     def _take_operator_records(
         self, records: Iterable[Record], position: int, source: str
-    ) -> None:
+    ) -> bool:
         records = list(records)
         documents = [r for r in records if r.key == CONFIGURATION_KEY and r.value]
         others = [r for r in records if r.key != CONFIGURATION_KEY]
-        newest = self._take_newest_configuration(documents, source)
-        taken = self.operator.take([*others, *newest], position)
+        found = self._take_newest_configuration(documents, source)
+        taken = self.operator.take([*others, *found.taken], position, found.unusable)
         for record in taken:
             if record.key.startswith(platform_rollouts.KEY_PREFIX):
                 self._take_order(record)
+        return not found.unusable
 
     def _take_newest_configuration(
         self, records: list[Record], source: str
-    ) -> list[Record]:
-        """Adopt the highest version that can be decoded; return its record.
+    ) -> "_TakenDocuments":
+        """Adopt the highest version that can be decoded.
 
         Versions that are already superseded are not decoded.
         """
-        current = self._configurations.current.number
+        result = _TakenDocuments()
         found = [(version_of(record.value), record) for record in records]
         found.sort(key=lambda pair: pair[0], reverse=True)
         for number, record in found:
             # A document without a version is decoded so that its error is logged.
-            if 0 < number <= current:
-                break
+            if 0 < number <= self._configurations.current.number:
+                continue
             if self._take_configuration(record, source):
-                return [record]
-        return []
+                result.taken.append(record)
+            else:
+                result.unusable.append(record)
+        return result
 
     def _take_order(self, record: Record) -> None:
         if record.value is None:
@@ -121,7 +140,12 @@
         if isinstance(decoded, Err):
             events.warning("rollout_refused", key=record.key, error=decoded.err_value)
             return
-        self._rollouts.apply_order(decoded.ok_value)
+        try:
+            self._rollouts.apply_order(decoded.ok_value)
+        except Exception as error:
+            # The record is held already, so that it would not be applied when it is
+            # read again, and neither would the records after it.
+            events.error("rollout_order_crashed", key=record.key, error=repr(error))
 
     def _take_configuration(self, record: Record, source: str) -> bool:
         """Adopt a configuration; return whether it is now in force."""
--- a/src/lacewingstair/metadata/store_follower.py
+++ b/src/lacewingstair/metadata/store_follower.py
@@ -160,10 +160,21 @@
         """Return a topic to check, of which the other VMs are told."""
         return WatchedTopic(
             tail.check,
-            lambda end: self._broadcast(StoreChecked(topic, end)),
+            lambda end: self._announce_end(topic, end),
             tail.give_up_waiting,
         )
 
+    def _announce_end(self, topic: StoreTopic, end_offset: int) -> None:
+        """Tell the other VMs where a topic ends, unless this one lacks a record there.
+
+        They fetch the operators' records before that end from this VM.
+        """
+        is_held = topic is StoreTopic.ENTRIES or self._freshness.holds_records_before(
+            end_offset
+        )
+        if is_held:
+            self._broadcast(StoreChecked(topic, end_offset))
+
     def _turn(self) -> Turn:
         own_rank = reader_rank(self._entry())
         linked = (link.entry for link in self._links if link.is_connected)
