Keep the pauses of checks that bring no proof

A VM that cannot use the newest record gets no proof from a check that is answered, and would check each 0.5 s until the next version, as would all others. It now keeps the pause of 1 to 2 s that follows checks without an answer. The new test counts the checks of 18 such VMs.

--- a/src/lacewingstair/metadata/store_watch.py
+++ b/src/lacewingstair/metadata/store_watch.py
@@ -165,8 +165,10 @@
         began_at = self._clock.monotonic()
         if not await self._check_topic(self._operators):
             return
-        self._unanswered = 0
-        self._retry_at = began_at + CHECK_INTERVAL_SECONDS
+        # A VM that cannot use the newest records gets no proof, and keeps its pauses.
+        if self._proven_at() >= began_at:
+            self._unanswered = 0
+            self._retry_at = began_at + CHECK_INTERVAL_SECONDS
         now = self._clock.monotonic()
         if now - self._entries_heard_at < ENTRIES_INTERVAL_SECONDS:
             return
--- a/tests/metadata/test_store_watch.py
+++ b/tests/metadata/test_store_watch.py
@@ -148,6 +148,25 @@
     run_virtual(main())
 
 
+def test_vms_that_cannot_use_the_newest_records_make_few_checks():
+    """Guards against a fleet that asks for one unusable record again and again."""
+
+    async def main():
+        fleet = Fleet(18)
+        fleet._hear = lambda number, asked_at: None
+
+        async def check(number, calls):
+            calls.append((fleet.clock.monotonic(), number))
+            await asyncio.sleep(ANSWER_SECONDS)
+            return Ok(1)
+
+        fleet._check = check
+        await fleet.run(START_SECONDS + 30)
+        assert len(fleet.calls) < 18 * 30
+
+    run_virtual(main())
+
+
 def test_a_check_that_fails_by_a_fault_of_the_program_is_made_again():
     """Guards against a VM that never checks again after one odd answer."""
 
