Keep one unreadable route from refusing a whole version

A configuration in which one row could not be decoded was refused as a whole, on every VM at once: all routes stayed on the version before. The store accepts only valid configurations, so such a row is a fault of the decoder.

Each route, service and limit is now decoded on its own. A route that cannot be read is logged with its name (configuration_fault), and its calls are refused with 503: if it were left out, a route with a shorter prefix could send them to a service that the configuration does not allow. All other routes are served. A document without any readable route, a required column, or a section is refused as before.

PROTOCOL.md states that null means omitted, and does not say that a field must be given. Measured on the decoder before, in a document that was valid otherwise: a null or a missing column for kind, timeout or target_latency, a null limit, a service without max_connections, and a missing column service refused the version. They now have defaults. It also accepted forms that have no meaning: weights that are all 0 (each call of the route then raised), negative or NaN, attempts of 2.5 (taken as 2), a service without health_path (its path became "None"), versions such as "r 7" and "r-7". Those are unreadable now.

Documents whose every row is bad are still refused.

--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -32,6 +32,7 @@
 RESPONSE_GRACE_SECONDS = 0.2
 MIN_RETRY_AFTER_SECONDS = 0.1
 NO_CONFIGURATION_RETRY_AFTER_SECONDS = 0.3
+UNREADABLE_ROUTE_RETRY_AFTER_SECONDS = 1.0
 STOPPING_RETRY_AFTER_SECONDS = 0.3
 FULL_OF_BODIES_RETRY_AFTER_SECONDS = 0.5
 # Jitter, as a share of the delay, that spreads retries of calls refused at the same
@@ -273,6 +274,11 @@
         if named is None:
             reason = f"no route in configuration {configuration.number}"
             return Err(self._refuse(request, 404, reason))
+        if named.route.fault:
+            # A later version may have the route in a form that can be read.
+            reason = f"route {named.name!r} is unreadable"
+            delay = UNREADABLE_ROUTE_RETRY_AFTER_SECONDS
+            return Err(self._refuse(request, 503, reason, delay))
         timeout_ms = self._timeout_ms(request, named.route)
         deadline_at = started_at + timeout_ms / 1000
         if not self.stop_admission.admits(named.name, deadline_at):
--- a/src/lacewingstair/metadata/configuration.py
+++ b/src/lacewingstair/metadata/configuration.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from lacewingstair.errors import Fault
 from lacewingstair.routing.routes import NamedRoute, RouteTable
 
 
@@ -49,6 +50,9 @@
         Time within which an answer has its full value to the caller.
     priority : int
         Rank among the calls of a service; 0 is the highest.
+    fault : str
+        Why the route cannot be read; empty if it can. Its calls are refused, so that
+        no route with a shorter prefix takes them.
     """
 
     hosts: tuple[str, ...]
@@ -62,6 +66,7 @@
     priority: int = 0
     methods: tuple[str, ...] = ()
     kind: str = ""
+    fault: str = ""
 
 
 @attrs.frozen
@@ -72,12 +77,12 @@
     ----------
     health_path : str
         Path of their health check.
-    max_connections : int
-        Connections that one of them accepts from all callers.
+    max_connections : int or None
+        Connections that one of them accepts from all callers; None if not stated.
     """
 
     health_path: str
-    max_connections: int
+    max_connections: int | None
 
 
 @attrs.frozen
@@ -132,6 +137,8 @@
         Document from which it was decoded, which is sent to other VMs.
     table : RouteTable
         Compiled from the routes.
+    faults : tuple of Fault
+        What is unreadable beside the routes, and was left out.
     route_rows : RouteRows
         Rows from which the routes were decoded; empty if they were not.
     """
@@ -141,6 +148,7 @@
     services_by_name: Mapping[str, ServiceTerms] = attrs.field(factory=dict)
     limits: RequestLimits = RequestLimits()
     source: bytes = attrs.field(default=b"", repr=False)
+    faults: tuple[Fault, ...] = ()
     table: RouteTable = attrs.field(factory=RouteTable, eq=False, repr=False)
     route_rows: RouteRows = attrs.field(factory=RouteRows, eq=False, repr=False)
 
--- a/src/lacewingstair/metadata/records.py
+++ b/src/lacewingstair/metadata/records.py
@@ -6,7 +6,7 @@
 from result import Err
 
 from lacewingstair import events
-from lacewingstair.metadata.configuration import ConfigurationStore
+from lacewingstair.metadata.configuration import Configuration, ConfigurationStore
 from lacewingstair.metadata.freshness import STORE
 from lacewingstair.metadata.operator_records import OperatorRecords
 from lacewingstair.metadata.record_transfer import unpack
@@ -155,6 +155,7 @@
             events.warning("configuration_refused", source=source, error=error)
             return False
         configuration = decoded.ok_value
+        self._log_faults(configuration)
         before = self._configurations.current.number
         taken = self._configurations.adopt(configuration)
         events.info(
@@ -169,6 +170,20 @@
         )
         return taken
 
+    def _log_faults(self, configuration: Configuration) -> None:
+        """Log what is unreadable in a configuration and was not in the one before."""
+        routes_before = self._configurations.current.routes_by_name
+        for name, route in configuration.routes_by_name.items():
+            if route.fault and routes_before.get(name) != route:
+                self._log_fault(configuration, f"route {name}", route.fault)
+        for fault in configuration.faults:
+            if fault not in self._configurations.current.faults:
+                self._log_fault(configuration, fault.place, fault.reason)
+
+    def _log_fault(self, configuration: Configuration, place: str, error: str) -> None:
+        number = configuration.number
+        events.error("configuration_fault", number=number, place=place, error=error)
+
     def take_entries(self, records: Iterable[Record], position: int) -> None:
         """Apply entries of VMs."""
         for record in records:
--- a/src/lacewingstair/platform/configuration.py
+++ b/src/lacewingstair/platform/configuration.py
@@ -13,31 +13,24 @@
 from lacewingstair.metadata.configuration import (
     CallRoute,
     Configuration,
-    RequestLimits,
     RouteRows,
     ServiceTerms,
-    SplitPart,
 )
-from lacewingstair.platform.durations import parse_duration
-from lacewingstair.tickets.types import normal_host
+from lacewingstair.platform.configuration_rows import (
+    DECODING_ERRORS,
+    describe,
+    limits_of,
+    route_of,
+    service_of,
+    text,
+    values_by_column,
+)
 
 CONFIGURATION_KEY = "config"
-_REPEATABLE_KINDS = frozenset({"idempotent", "download"})
-_LARGE_KINDS = frozenset({"download"})
-
-
+_REQUIRED_COLUMNS = frozenset({"name", "host", "path_prefix"})
+_VERSION = re.compile(r"r[0-9]+")
 _VERSION_FIELD = re.compile(rb'"version"\s*:\s*"r(\d{1,18})"')
 
-# Everything that a document with values of the wrong kind raises while it is decoded.
-_DECODING_ERRORS = (
-    LookupError,
-    TypeError,
-    ValueError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-)
-
 
 def decode_configuration(
     value: bytes, previous: Configuration | None = None
@@ -58,9 +51,9 @@
         return Ok(previous)
     try:
         configuration = _decoded(value, previous)
-    except _DECODING_ERRORS as error:
-        reason = f"{type(error).__name__}: {error!s:.200}"
-        return Err(ConfigurationError((Fault(CONFIGURATION_KEY, reason),)))
+    except DECODING_ERRORS as error:
+        fault = Fault(CONFIGURATION_KEY, describe(error))
+        return Err(ConfigurationError((fault,)))
     return Ok(configuration)
 
 
@@ -75,20 +68,22 @@
         return int(found[0])
     try:
         return _version(json.loads(value)["version"])
-    except _DECODING_ERRORS:
+    except DECODING_ERRORS:
         return 0
 
 
 def _decoded(value: bytes, previous: Configuration) -> Configuration:
     document = json.loads(value)
     routes = _decode_routes(document["routes"], previous)
-    services = {row["name"]: _service(row) for row in _rows(document["services"])}
+    services_by_name, service_faults = _decode_services(document["services"])
+    limits, limit_faults = limits_of(document["limits"])
     return Configuration(
         number=_version(document["version"]),
         routes_by_name=routes.by_name,
-        services_by_name=services,
-        limits=_limits(document["limits"]),
+        services_by_name=services_by_name,
+        limits=limits,
         source=value,
+        faults=(*service_faults, *limit_faults),
         table=previous.table.updated(
             previous.routes_by_name, routes.by_name, routes.changed_names
         ),
@@ -119,23 +114,26 @@
     section: Mapping[str, Any], previous: Configuration
 ) -> _DecodedRoutes:
     columns = tuple(section["columns"])
-    place_by_column = {column: place for place, column in enumerate(columns)}
+    missing = _REQUIRED_COLUMNS.difference(columns)
+    if missing:
+        raise ValueError(f"routes have no columns {sorted(missing)}")
+    name_place = columns.index("name")
     is_comparable = columns == previous.route_rows.columns
     held_rows = previous.route_rows.by_name if is_comparable else {}
     held_routes = previous.routes_by_name
     routes: dict[str, CallRoute] = {}
     rows: dict[str, list[Any]] = {}
     changed: set[str] = set()
-    for row in section["rows"]:
-        name = _text("name", row[place_by_column["name"]])
+    for place, row in enumerate(section["rows"]):
+        name = _route_name(row, name_place, place)
         held_row = held_rows.get(name)
         # Equal rows may hold 1 for 1.0 or true, which the fields of numbers read alike;
-        # all other fields are text.
-        if row == held_row:
+        # all other fields of a readable route are text.
+        if row == held_row and not held_routes[name].fault:
             rows[name] = held_row
             routes[name] = held_routes[name]
             continue
-        route = _route(dict(zip(columns, row, strict=True)))
+        route = route_of(columns, row)
         held_route = held_routes.get(name)
         is_same = route == held_route
         rows[name] = row
@@ -143,67 +141,36 @@
         if not is_same:
             changed.add(name)
     changed |= held_routes.keys() - routes.keys()
+    if routes and all(route.fault for route in routes.values()):
+        raise ValueError(f"no route is readable: {route.fault}")
     return _DecodedRoutes(routes, RouteRows(columns, rows), changed)
 
 
-def _rows(section: Mapping[str, Any]) -> list[dict[str, Any]]:
-    """Return the entries of a section written as column names and rows of values."""
-    columns = section["columns"]
-    return [dict(zip(columns, row, strict=True)) for row in section["rows"]]
-
-
-def _text(place: str, value: object) -> str:
-    if not isinstance(value, str):
-        raise ValueError(f"{place} {value!r:.40} is not text")
-    return value
-
-
-def _version(text: str) -> int:
-    if not text.startswith("r"):
-        raise ValueError(f"version {text!r:.40} does not begin with r")
-    return int(text[1:])
-
-
-def _milliseconds(place: str, value: object) -> float:
-    parsed = parse_duration(place, value)
-    if isinstance(parsed, Err):
-        raise ValueError(str(parsed.err_value))
-    return parsed.ok_value
-
-
-def _route(row: Mapping[str, Any]) -> CallRoute:
-    split = row.get("traffic_split")
-    if split:
-        parts = tuple(_split_part(part) for part in split)
-    else:
-        parts = (SplitPart(_text("service", row["service"]), 1.0),)
-    kind = _text("kind", row["kind"])
-    return CallRoute(
-        hosts=(normal_host(row["host"]),),
-        path_prefix=_text("path_prefix", row["path_prefix"]),
-        parts=tuple(part for part in parts if part.weight > 0),
-        allows_repeat=kind in _REPEATABLE_KINDS,
-        has_large_answers=kind in _LARGE_KINDS,
-        max_attempts=int(row.get("attempts") or 1),
-        timeout_ms=_milliseconds("timeout", row["timeout"]),
-        target_latency_ms=_milliseconds("target_latency", row["target_latency"]),
-        priority=int(row.get("priority") or 0),
-        kind=kind,
-    )
-
-
-def _split_part(part: Mapping[str, Any]) -> SplitPart:
-    return SplitPart(_text("service", part["service"]), float(part["weight"]))
-
+def _route_name(row: Any, name_place: int, place: int) -> str:
+    """Return the name of a route, or one made of its place if it has none."""
+    has_name = isinstance(row, list) and len(row) > name_place
+    name = row[name_place] if has_name else None
+    return name if isinstance(name, str) else f"row {place}"
 
-def _service(row: Mapping[str, Any]) -> ServiceTerms:
-    return ServiceTerms(str(row["health_path"]), int(row["max_connections"]))
 
-
-def _limits(section: Mapping[str, Any]) -> RequestLimits:
-    return RequestLimits(
-        max_header_bytes=int(section["max_header_bytes"]),
-        max_body_bytes=int(section["max_body_bytes"]),
-        header_timeout_ms=_milliseconds("header_timeout", section["header_timeout"]),
-        idle_timeout_ms=_milliseconds("idle_timeout", section["idle_timeout"]),
-    )
+def _decode_services(
+    section: Mapping[str, Any],
+) -> tuple[dict[str, ServiceTerms], list[Fault]]:
+    """Return the services that are readable, and the faults of the others."""
+    services_by_name: dict[str, ServiceTerms] = {}
+    faults: list[Fault] = []
+    columns = tuple(section["columns"])
+    for place, row in enumerate(section["rows"]):
+        try:
+            values = values_by_column(columns, row)
+            name = text("name", values["name"])
+            services_by_name[name] = service_of(values)
+        except DECODING_ERRORS as error:
+            faults.append(Fault(f"services row {place}", describe(error)))
+    return services_by_name, faults
+
+
+def _version(value: str) -> int:
+    if not _VERSION.fullmatch(value):
+        raise ValueError(f"version {value!r:.40} is not r and a number")
+    return int(value[1:])
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -387,7 +387,9 @@
     def _max_connections(self) -> int:
         services = self.configurations.current.services_by_name
         terms = services.get(self.gate.service)
-        return DEFAULT_CONNECTIONS if terms is None else terms.max_connections
+        if terms is None or terms.max_connections is None:
+            return DEFAULT_CONNECTIONS
+        return terms.max_connections
 
     async def _write_entry(self, vm_id: str, value: bytes | None):
         return await self.store.append(platform_store.MESH_TOPIC, vm_id, value)
