Log a background task that fails and start it again

A background task of a VM that ended by an exception was noticed by nobody: the VM went on without it, for example without ever reading entries again, and counted as healthy.

The tasks were created without anything that looks at their result; only the reading of the operators' records was started again. Its restart is now in background_tasks.keep_running, which logs background_task_crashed with the name of the task and starts it again after 0.5 s. All tasks of a VM and the reading of the operators' records use it, so store_reading_crashed is replaced. A cancellation that comes from within, such as of a task that a run waits for, counts as a failure. Registration marks its entry as unwritten if the write raises, as the next run would otherwise wait for a change.

--- a/src/lacewingstair/metadata/operator_reading.py
+++ b/src/lacewingstair/metadata/operator_reading.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 
 from lacewingstair import events
+from lacewingstair.background_tasks import RESTART_SECONDS, keep_running
 from lacewingstair.metadata.tail import KeyedTail
 from lacewingstair.runtime import Clock
 from lacewingstair.vm.call_links import CallLinks
@@ -12,9 +13,6 @@
 from lacewingstair.vm.store_readers import Peer, StoreReaderElection
 
 CHECK_SECONDS = 0.25
-# Pause before a failed reading is restarted, so that a response that always makes it
-# fail does not flood the store with requests.
-RESTART_SECONDS = 0.5
 
 
 class OperatorReading:
@@ -80,8 +78,8 @@
             self._own_entry(), self._peers(), self._fetcher.lag_seconds(), now
         )
         if reads and self._reading is None and now >= self._restart_at:
-            self._reading = asyncio.create_task(self._tail.run())
-            self._reading.add_done_callback(self._ended)
+            reading = keep_running("store_reading", self._tail.run, self._clock)
+            self._reading = asyncio.create_task(reading)
             events.info("store_reading", is_reader=True)
         elif not reads and self._reading is not None:
             self._stop()
@@ -91,14 +89,6 @@
             self.is_reading = is_reading
             self._on_change()
 
-    def _ended(self, task: asyncio.Task[None]) -> None:
-        """Allow a reading that has failed to be restarted."""
-        if task is self._reading:
-            self._reading = None
-            self._restart_at = self._clock.monotonic() + RESTART_SECONDS
-        if not task.cancelled() and task.exception() is not None:
-            events.error("store_reading_crashed", error=repr(task.exception()))
-
     def _peers(self) -> Iterator[Peer]:
         region = self._own_entry().region
         for link in self._links:
--- a/src/lacewingstair/metadata/store_follower.py
+++ b/src/lacewingstair/metadata/store_follower.py
@@ -2,9 +2,10 @@
 
 import math
 import random
-from collections.abc import Callable, Coroutine, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
+from lacewingstair.background_tasks import Run
 from lacewingstair.metadata.freshness import Freshness
 from lacewingstair.metadata.operator_reading import OperatorReading
 from lacewingstair.metadata.store_watch import StoreWatch, Turn, WatchedTopic
@@ -125,13 +126,13 @@
         """Whether the entries of VMs have been read since the start."""
         return self._mesh_tail.has_read
 
-    def runs(self) -> list[Coroutine[Any, Any, None]]:
+    def runs_by_name(self) -> Mapping[str, Run]:
         """Return what has to run, each in a task of its own, until cancelled."""
-        return [
-            self.operator_reading.run(),
-            self._mesh_tail.run(),
-            self._watch.run(),
-        ]
+        return {
+            "operator_reading": self.operator_reading.run,
+            "entries_reading": self._mesh_tail.run,
+            "store_watch": self._watch.run,
+        }
 
     def skip_to(self, offset: int) -> None:
         """Go on at an offset, as earlier records were received from another VM."""
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -26,6 +26,7 @@
     UpstreamReport,
     UpstreamTracker,
 )
+from lacewingstair.background_tasks import Run, keep_running
 from lacewingstair.caller.forwarding import Forwarder
 from lacewingstair.caller.ingress import Ingress
 from lacewingstair.early_listening import SocketsByAddress
@@ -249,11 +250,10 @@
         served = await listen_all(self._interfaces(), self._runners, sockets_by_address)
         if isinstance(served, Err):
             return served
-        runs = self.store_follower.runs()
-        runs += [self.registration.run(), self.links.run(), self._sweep()]
-        runs += [self.rollouts.run(), self.confirmation.run()]
-        runs += [self.loop_monitor.run()]
-        self._tasks.extend(asyncio.create_task(run) for run in runs)
+        self._tasks.extend(
+            asyncio.create_task(keep_running(name, run, self.clock))
+            for name, run in self._runs_by_name().items()
+        )
         settings = self.settings
         events.info(
             "daemon_started",
@@ -264,6 +264,18 @@
         )
         return Ok(None)
 
+    def _runs_by_name(self) -> Mapping[str, Run]:
+        """Return what has to run, each in a task of its own, until cancelled."""
+        return {
+            **self.store_follower.runs_by_name(),
+            "registration": self.registration.run,
+            "links": self.links.run,
+            "sweep": self._sweep,
+            "rollouts": self.rollouts.run,
+            "confirmation": self.confirmation.run,
+            "loop_monitor": self.loop_monitor.run,
+        }
+
     async def stop(self, signalled_at: float | None = None) -> None:
         """Let others know, finish all calls and stop.
 
--- a/src/lacewingstair/vm/registration.py
+++ b/src/lacewingstair/vm/registration.py
@@ -114,7 +114,12 @@
             # Other VMs are told of a planned stop on their links, so that the entry can
             # be deleted from the store.
             value = None if entry.is_leaving else encode_entry(entry)
-            written = await self._write(entry.vm_id, value)
+            try:
+                written = await self._write(entry.vm_id, value)
+            except Exception:
+                # The next run writes it.
+                self._write_needed.set()
+                raise
             if isinstance(written, Err):
                 delay = full_jitter(
                     self._rng, failures, RETRY_BASE_SECONDS, RETRY_CAP_SECONDS
