Let a blocked event loop cause no check and no read to be given up

Timers that fell due while the event loop was blocked or the process paused run before the messages and answers that arrived meanwhile are read: a VM checked the store although another one had, and gave up a read that was answered. Both look again after 50 ms when they wake late. The VM of rank 1 also waits 0.3 s instead of 0.15 s, so that the time of the first VM's read does not make it check as well.

The new test of the tail fails without the second look; that this was the cause of that one failure is not shown.

--- a/src/lacewingstair/metadata/store_watch.py
+++ b/src/lacewingstair/metadata/store_watch.py
@@ -27,7 +27,8 @@
 ENTRIES_INTERVAL_SECONDS = 3.0
 # A VM that starts reads both topics, and opens its links meanwhile.
 START_SECONDS = 2.0
-# Delay of the VMs of rank 1, those of ranks 2 and 3, those of ranks 4 to 7, and so on.
+# Between the VMs of rank 1, those of ranks 2 and 3, those of ranks 4 to 7, and so on.
+# The first VM has twice as long, which includes the time of its read.
 TURN_SECONDS = 0.15
 # Share of a turn by which VMs of one turn differ.
 TURN_JITTER = 0.3
@@ -38,6 +39,10 @@
 # The pause grows with the VMs beyond this number, as all of them check while the store
 # is away.
 VMS_OF_SHORTEST_PAUSE = 100
+# After a wake-up that is later than this, the event loop was blocked or the process
+# paused, and messages of other VMs wait to be read.
+LATE_WAKE_SECONDS = 0.2
+UNREAD_MESSAGES_SECONDS = 0.05
 # Checks that may be open at a time; each uses a connection of its own.
 MAX_OPEN_CHECKS = 4
 
@@ -60,7 +65,9 @@
     @property
     def delay_seconds(self) -> float:
         """How long this VM leaves the check to those before it."""
-        return TURN_SECONDS * self.rank.bit_length()
+        if self.rank == 0:
+            return 0.0
+        return TURN_SECONDS * (1 + self.rank.bit_length())
 
 
 @attrs.frozen
@@ -124,8 +131,7 @@
         """Make checks until cancelled."""
         try:
             while True:
-                due_in_seconds = max(self._due_in_seconds(), 0.0)
-                await self._clock.sleep(min(due_in_seconds, CHECK_INTERVAL_SECONDS))
+                await self._sleep_until_due()
                 # Another VM may have checked meanwhile.
                 if self._due_in_seconds() <= 0:
                     self._start_check()
@@ -133,6 +139,13 @@
             for check in self._checks:
                 check.cancel()
 
+    async def _sleep_until_due(self) -> None:
+        seconds = min(max(self._due_in_seconds(), 0.0), CHECK_INTERVAL_SECONDS)
+        wakes_at = self._clock.monotonic() + seconds
+        await self._clock.sleep(seconds)
+        if self._clock.monotonic() - wakes_at >= LATE_WAKE_SECONDS:
+            await self._clock.sleep(UNREAD_MESSAGES_SECONDS)
+
     def note_entries_check(self) -> None:
         """Take the news that another VM has checked the topic of the entries."""
         self._entries_heard_at = self._clock.monotonic()
--- a/src/lacewingstair/metadata/tail.py
+++ b/src/lacewingstair/metadata/tail.py
@@ -19,6 +19,10 @@
 # A waiting read is given up if it has not returned for this long although records exist
 # that it waits for.
 OVERDUE_SECONDS = 0.5
+# A check that is later than this shows that the event loop was blocked. The answer may
+# have arrived meanwhile.
+LATE_CHECK_SECONDS = 0.2
+UNREAD_ANSWER_SECONDS = 0.05
 
 
 class Record(Protocol):
@@ -272,8 +276,19 @@
     def expect(self, end_offset: int) -> None:
         """Give the read up if it has not returned soon, as its record exists."""
         if end_offset > self._offset and self._overdue_timer is None:
-            loop = asyncio.get_running_loop()
-            self._overdue_timer = loop.call_later(OVERDUE_SECONDS, self.give_up)
+            self._check_after(OVERDUE_SECONDS)
+
+    def _check_after(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        due_at = loop.time() + seconds
+        self._overdue_timer = loop.call_at(due_at, self._check_overdue, due_at)
+
+    def _check_overdue(self, due_at: float) -> None:
+        """Give the read up, unless its answer may be unread."""
+        if asyncio.get_running_loop().time() - due_at >= LATE_CHECK_SECONDS:
+            self._check_after(UNREAD_ANSWER_SECONDS)
+            return
+        self.give_up()
 
     def give_up(self) -> None:
         """Let the waiting task go on without a result."""
--- a/tests/metadata/test_tail.py
+++ b/tests/metadata/test_tail.py
@@ -1,6 +1,7 @@
 import asyncio
 import contextlib
 import random
+import time
 
 from result import Err, Ok
 
@@ -139,6 +140,47 @@
     run_virtual(main())
 
 
+class LateStore(HangingStore):
+    """Store whose waiting reads return when a record is there."""
+
+    async def read(self, topic, offset, wait_seconds):
+        self.waits.append(wait_seconds)
+        while len(self.records) == offset:  # noqa: ASYNC110 - plain state
+            await asyncio.sleep(0.05)
+        # An answer takes several steps of the loop to be read.
+        for _ in range(10):
+            await asyncio.sleep(0)
+        end = len(self.records)
+        return Ok(KeyedPage(tuple(self.records[offset:]), end, end))
+
+
+def test_an_answer_that_came_while_the_loop_was_blocked_counts():
+    """Guards against a busy process that gives up reads which were answered."""
+
+    async def main():
+        store = LateStore()
+        taken = []
+        tail = KeyedTail(
+            store,
+            TOPIC,
+            lambda records, position: taken.append(position),
+            SystemClock(),
+            random.Random(1),
+            20.0,
+            lambda: 0.0,
+        )
+        running = asyncio.create_task(tail.run())
+        await until(lambda: taken == [0] and store.waits == [20.0])
+        tail.note_end(2)
+        store.records.append(KeyedRecord("a", b"2", 1))
+        time.sleep(OVERDUE_SECONDS + 0.5)  # noqa: ASYNC251 - blocks the loop
+        await until(lambda: taken == [0, 1] and len(store.waits) == 2)
+        assert store.waits == [20.0, 20.0]
+        running.cancel()
+
+    asyncio.run(main())
+
+
 def test_a_tail_whose_waiting_read_was_given_up_does_not_count_as_up():
     """Guards against a reader that others rely on while the store is silent."""
 
