The soak judges configurations from what callers and the operator saw

- Versions add, remove, move and split routes, beside two that stay.
Their sending and acknowledgement are part of the history, as are starts of processes and all disturbances of VMs and of the store.
- A caller for each VM probes routes just changed and one that was never there.
- New promises: versions are in force in time at VMs in touch, no process goes back, added routes are served in calm, and calls run only where some version allows.
The bounds are the platform's targets.
- New faults: a store that falls silent in series beside changes, that is cut from some VMs, or that writes late; reloads, stops and changes in series.
- `--vms` sets the number of daemons.

A 404 on a route that some version lacks is no denial by itself any more: the new promises say when it is wrong, per VM and version. A 404 on a lasting route still breaks the promise at any VM.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import random
+import sys
 import tempfile
 from pathlib import Path
 
 import fire
 
 from soak.history import shown
-from soak.run import Directory, Verdict, run
+from soak.run import Directory, Options, Verdict, run
 from soak.seeds import CAUSES_BY_SEED, KEPT_SECONDS
 
 
@@ -18,6 +19,7 @@
     seconds: float = 20.0,
     at_once: int = 1,
     planned: bool = False,
+    vms: int = 6,
     kept: bool = False,
 ) -> None:
     """Run seeds and exit with 1 if any promise was broken.
@@ -34,28 +36,29 @@
         Runs at the same time.
     planned : bool
         Whether only planned work is drawn.
+    vms : int
+        Daemons of each run.
     kept : bool
         Whether the seeds that have failed before are run in place of others.
     """
     first = first_seed or random.randrange(1, 1 << 30)
     drawn = list(CAUSES_BY_SEED) if kept else list(range(first, first + seeds))
     seconds = KEPT_SECONDS if kept else seconds
-    verdicts = asyncio.run(_run_all(drawn, seconds, at_once, planned))
+    options = Options(seconds, is_planned=planned, vms=vms)
+    verdicts = asyncio.run(_run_all(drawn, at_once, options))
     failed = [verdict for verdict in verdicts if verdict.faults]
     print(f"{len(verdicts) - len(failed)} passed, {len(failed)} failed")
     raise SystemExit(bool(failed))
 
 
-async def _run_all(
-    seeds: list[int], seconds: float, at_once: int, is_planned: bool
-) -> list[Verdict]:
+async def _run_all(seeds: list[int], at_once: int, options: Options) -> list[Verdict]:
     slots = asyncio.Semaphore(at_once)
 
     async def one(number: int, seed: int) -> Verdict:
         async with slots:
             path = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
             directory = Directory(path, number)
-            verdict = await run(seed, seconds, directory, is_planned=is_planned)
+            verdict = await run(seed, directory, options)
             _print(verdict, path)
             return verdict
 
@@ -66,10 +69,12 @@
 def _print(verdict: Verdict, path: Path) -> None:
     outcome = "failed" if verdict.faults else "passed"
     counts = ", ".join(f"{s}: {n}" for s, n in sorted(verdict.statuses.items()))
-    print(f"seed {verdict.seed}: {outcome}, calls by status {counts}", flush=True)
+    judged = f"{verdict.versions} versions, {verdict.judged} calls judged by them"
+    print(f"seed {verdict.seed}: {outcome}, calls by status {counts}, {judged}")
     if verdict.faults:
         print(f"  logs: {path}\n  schedule: {', '.join(verdict.schedule)}")
-        print(shown(verdict.faults), flush=True)
+        print(shown(verdict.faults))
+    sys.stdout.flush()
 
 
 if __name__ == "__main__":
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,7 +11,12 @@
 faults_by_name: dict[str, FaultRun] = {}
 LONGEST_SECONDS = 4.0
 # Work that must cut no call.
-PLANNED = ("configuration_changed", "process_stopped", "settings_reloaded")
+PLANNED = (
+    "configuration_changed",
+    "process_stopped",
+    "settings_reloaded",
+    "work_in_series",
+)
 UPSTREAM_BEHAVIOURS = (
     "truncate",
     "reset",
@@ -73,23 +78,66 @@
         await asyncio.sleep(0.1)
 
 
+@fault
+async def work_in_series(site: Site, rng: random.Random) -> None:
+    """Reload, change the configuration, stop and start again, VM after VM."""
+    for vm in rng.sample(site.vms, rng.choice([2, 3])):
+        vm.reload()
+        await site.publish()
+        await vm.terminate()
+        await site.publish()
+        vm.start()
+        await asyncio.sleep(rng.uniform(0.0, 1.0))
+
+
 @fault
 async def store_misbehaves(site: Site, rng: random.Random) -> None:
     """Let the store refuse calls, or do writes without an answer."""
     if rng.random() < 0.5:
-        site.store.status = rng.choice([429, 500, 503])
+        site.set_store(status=rng.choice([429, 500, 503]))
     else:
-        site.store.loses_answers = True
+        site.set_store(loses_answers=True)
+    await asyncio.sleep(_seconds(rng))
+    site.set_store()
+
+
+@fault
+async def writes_come_late(site: Site, rng: random.Random) -> None:
+    """Let the store do writes without an answer and late."""
+    site.set_store(late_seconds=_seconds(rng))
     await asyncio.sleep(_seconds(rng))
-    site.store.status, site.store.loses_answers = 0, False
+    site.set_store()
 
 
 @fault
 async def store_is_cut(site: Site, rng: random.Random) -> None:
     """Delay, reset, cut one way or silence the connections to the store."""
-    site.store_proxy.set_fault(rng.choice(list(Fault)[1:]))
+    site.cut_store(rng.choice(list(Fault)[1:]))
     await asyncio.sleep(_seconds(rng))
-    site.store_proxy.set_fault(Fault.NONE)
+    site.cut_store(Fault.NONE)
+
+
+@fault
+async def store_is_cut_from_some(site: Site, rng: random.Random) -> None:
+    """Cut the connections of some VMs to the store."""
+    vms = rng.sample(site.vms, rng.choice([1, 2, len(site.vms) // 2]))
+    site.cut_store(rng.choice(list(Fault)[1:]), vms)
+    await asyncio.sleep(_seconds(rng))
+    site.cut_store(Fault.NONE, vms)
+
+
+@fault
+async def store_falls_silent(site: Site, rng: random.Random) -> None:
+    """Silence the connections to the store in series, and change configurations."""
+    for _ in range(rng.choice([1, 2, 3])):
+        site.cut_store(Fault.SILENT)
+        await asyncio.sleep(rng.uniform(0.1, 0.5))
+        await site.publish()
+        await asyncio.sleep(rng.uniform(0.1, 1.0))
+        site.cut_store(Fault.NONE)
+        if rng.random() < 0.5:
+            await site.publish()
+        await asyncio.sleep(rng.uniform(0.0, 1.0))
 
 
 @fault
@@ -116,12 +164,12 @@
 async def configuration_changed(site: Site, rng: random.Random) -> None:
     """Publish configurations in quick succession."""
     for _ in range(rng.choice([1, 1, 6])):
-        await site.publish(moved=rng.random() < 0.5)
+        await site.publish()
         await asyncio.sleep(0.1)
 
 
 @fault
 async def history_dropped(site: Site, rng: random.Random) -> None:
     """Drop what the store holds beside the newest records."""
-    site.store.drop_history(rng.choice(["keyed.op", "keyed.mesh"]))
+    site.drop_history(rng.choice(["keyed.op", "keyed.mesh"]))
     await asyncio.sleep(0.1)
--- a/soak/site.py
+++ b/soak/site.py
@@ -1,8 +1,12 @@
-"""A site on loopback: store, backend servers, and a daemon process for each VM."""
+"""A site on loopback: store, backend servers, and a daemon process for each VM.
+
+Every VM has a proxy of its own before the store, so that single VMs can lose it.
+"""
 
 import asyncio
 import json
 import os
+import random
 import signal
 import subprocess
 import sys
@@ -12,57 +16,65 @@
 import aiohttp
 from aiohttp.test_utils import TestServer
 
-from soak.proxy import FaultProxy
-from tests.platform.store_standin import StoreStandIn
-from tests.platform.test_configuration import document
+from soak.disturbance_log import DisturbanceLog
+from soak.late_store import LateStore
+from soak.proxy import Fault, FaultProxy
+from soak.route_plan import RoutePlan
+from soak.versions import STORE, Timeline, Version
 from tests.platform.upstream_standin import UpstreamStandIn
 
-SOURCE = Path(__file__).parent.parent / "src"
+ROOT = Path(__file__).parent.parent
+ENTRY_MODULE = "lacewingstair.entry"
 REPORT_SECONDS = 1.0
 GRACE_SECONDS = 4
-SERVICES = ("board", "board", "board", "book", "book", "book")
+SERVICES = ("board", "book")
 ZONES = ("north", "south", "east")
-
-
-def route(name, path, kind, service, attempts=3):
-    """Return a row of the routes of a configuration."""
-    return [name, "a.example", path, kind, "2s", "600ms", 1, service, attempts, None]
-
-
-def configuration(number, moved=False):
-    """Return a configuration; the calls of a moved one go to the other service."""
-    view, load = ("book", "board") if moved else ("board", "book")
-    routes = [
-        route("view", "/view/", "idempotent", view),
-        route("load", "/load/", "non_idempotent", load),
-    ]
-    return json.dumps(document(number, routes)).encode()
+# Versions grow in uneven steps.
+VERSION_STEPS = (1, 1, 2, 5)
 
 
 class Vm:
-    """A daemon process and the backend server beside it."""
-
-    def __init__(self, number, service, directory):
+    """A daemon process and the backend server beside it.
+
+    Parameters
+    ----------
+    number : int
+        Its number within the site.
+    directory : Directory
+        Where its files go.
+    log : DisturbanceLog
+        Where starts, pauses and ends of its process are noted.
+    entry_module : str
+        Module that runs the daemon.
+    """
+
+    def __init__(self, number, directory, log, entry_module):
         self.name = f"vm{number}"
-        self.service = service
+        self.service = SERVICES[number // len(ZONES) % len(SERVICES)]
+        self.entry_module = entry_module
+        self.disturbances = log
+        self.started_at = []
         self.zone = ZONES[number % len(ZONES)]
         self.host = f"127.{os.getpid() % 200 + 20}.{directory.number}.{number + 1}"
         self.file = directory.path / f"{self.name}.ini"
         self.log = directory.path / f"{self.name}.log"
         self.upstream = UpstreamStandIn(f"i-{self.name}")
         self.proxy = None
+        self.store_proxy = None
         self.process = None
         self.is_paused = False
         self.is_ended = True
         self._sequence = 0
 
-    async def prepare(self, store_url):
-        """Start the backend server and write the settings."""
+    async def prepare(self, store_address):
+        """Start the backend server and the proxies, and write the settings."""
         await self.upstream.start()
         self.upstream.seconds = 0.02
         self.proxy = FaultProxy(self.upstream.address)
         await self.proxy.start()
-        self.file.write_text(self._settings(store_url))
+        self.store_proxy = FaultProxy(store_address)
+        await self.store_proxy.start()
+        self.file.write_text(self._settings(f"http://{self.store_proxy.address}"))
 
     def start(self):
         """Start the process, unless an overlapping fault has done so already."""
@@ -71,11 +83,14 @@
         self.is_ended = False
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "lacewingstair.entry", str(self.file)],
+                [sys.executable, "-m", self.entry_module, str(self.file)],
                 stdout=log,
                 stderr=log,
-                env={**os.environ, "PYTHONPATH": str(SOURCE)},
+                env={**os.environ, "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"},
             )
+        self.started_at.append(self.disturbances.now())
+        self.disturbances.moment(self.name)
+        self.disturbances.end(self.name, "ended")
 
     def send(self, number):
         """Send a signal to the process if it runs."""
@@ -85,16 +100,19 @@
     def pause(self):
         """Stop the process for a while."""
         self.is_paused = True
+        self.disturbances.begin(self.name, "paused")
         self.send(signal.SIGSTOP)
 
     def wake(self):
         """Let a paused process go on."""
         self.is_paused = False
         self.send(signal.SIGCONT)
+        self.disturbances.end(self.name, "paused")
 
     def kill(self):
         """End the process at once."""
         self.is_ended = True
+        self.disturbances.begin(self.name, "ended")
         self.send(signal.SIGKILL)
         self.process.wait()
 
@@ -109,6 +127,7 @@
     async def terminate(self):
         """Stop the process as planned, and kill it after the time for that."""
         self.is_ended = True
+        self.disturbances.begin(self.name, "ended")
         self.send(signal.SIGTERM)
         # An overlapping fault may have started another process meanwhile.
         process = self.process
@@ -118,6 +137,14 @@
         process.kill()
         process.wait()
 
+    def cut_store(self, fault):
+        """Change what happens to the connections of this VM to the store."""
+        if fault is Fault.NONE:
+            self.disturbances.end(self.name, "store connections")
+        else:
+            self.disturbances.begin(self.name, "store connections")
+        self.store_proxy.set_fault(fault)
+
     def own_end(self):
         """Return how the process has ended by itself, or an empty text."""
         text = self.log.read_text(errors="replace") if self.log.exists() else ""
@@ -188,33 +215,84 @@
 
 
 class Site:
-    """All VMs, the store and the proxy in front of it."""
-
-    def __init__(self, directory):
-        self.store = StoreStandIn()
-        self.store_proxy = None
-        self.vms = [Vm(n, s, directory) for n, s in enumerate(SERVICES)]
-        self.number = 1
+    """All VMs, the store and the proxies in front of it.
+
+    Parameters
+    ----------
+    directory : Directory
+        Where files go.
+    rng : random.Random
+        Draws the routes of the versions.
+    vms : int
+        Number of VMs.
+    entry_module : str
+        Module that runs the daemons.
+    """
+
+    def __init__(self, directory, rng=None, vms=6, entry_module=ENTRY_MODULE):
+        self.store = LateStore()
+        self.log = DisturbanceLog()
+        self.vms = [Vm(n, directory, self.log, entry_module) for n in range(vms)]
+        self.versions = []
+        self._rng = rng or random.Random(0)
+        self.plan = RoutePlan(self._rng)
         self._server = TestServer(self.store.application())
         self._tasks = []
 
     async def start(self, session):
         """Start everything."""
         await self._server.start_server()
-        self.store_proxy = FaultProxy(f"127.0.0.1:{self._server.port}")
-        await self.store_proxy.start()
-        await self.publish(moved=False)
+        await self.publish()
         for vm in self.vms:
-            await vm.prepare(f"http://{self.store_proxy.address}")
+            await vm.prepare(f"127.0.0.1:{self._server.port}")
             vm.start()
         self._tasks = [
             asyncio.create_task(self._report(vm, session)) for vm in self.vms
         ]
 
-    async def publish(self, moved):
-        """Write the next configuration."""
-        self.number += 1
-        await self.store.put("keyed.op", "config", configuration(self.number, moved))
+    async def publish(self):
+        """Write the next version as the operator, with a few changes of routes."""
+        number = 1
+        if self.versions:
+            number = self.versions[-1].number + self._rng.choice(VERSION_STEPS)
+            for _ in range(self._rng.choice((1, 1, 3))):
+                self.plan.change()
+        routes = dict(self.plan.services_by_route)
+        version = Version(number, routes, self.log.now())
+        self.versions.append(version)
+        content = json.dumps(self.plan.document(number)).encode()
+        await self.store.put("keyed.op", "config", content)
+        version.acked_at = self.log.now()
+
+    def cut_store(self, fault, vms=None):
+        """Change what happens to the connections to the store, of some VMs or of all.
+
+        Connections that stay silent for good count as disturbed only until the fault
+        ends.
+        """
+        if vms is None:
+            self._note_store("connections", fault is not Fault.NONE)
+        for vm in self.vms if vms is None else vms:
+            vm.cut_store(fault)
+
+    def set_store(self, status=0, loses_answers=False, late_seconds=0.0):
+        """Let the store refuse calls, lose its answers or write late, or none of it."""
+        self.store.status = status
+        self.store.loses_answers = loses_answers
+        self.store.late_seconds = late_seconds
+        self._note_store("answers", status or loses_answers)
+        self._note_store("late writes", late_seconds, is_mild=True)
+
+    def drop_history(self, topic):
+        """Drop what the store holds of a topic beside the newest records."""
+        self.log.moment(STORE, is_mild=True)
+        self.store.drop_history(topic)
+
+    @property
+    def timeline(self):
+        """Versions and disturbances so far."""
+        starts_by_vm = {vm.name: vm.started_at for vm in self.vms}
+        return Timeline(self.versions, self.log.disturbances, starts_by_vm)
 
     async def stop(self):
         """End all processes that this site has started, and the stand-ins."""
@@ -225,12 +303,18 @@
             if vm.process is not None:
                 vm.wake()
                 vm.kill()
-        for vm in filter(lambda vm: vm.proxy, self.vms):
+        for vm in filter(lambda vm: vm.store_proxy, self.vms):
             await vm.proxy.stop()
+            await vm.store_proxy.stop()
             vm.upstream.stop()
-        await self.store_proxy.stop()
         await self._server.close()
 
+    def _note_store(self, kind, acts, is_mild=False):
+        if acts:
+            self.log.begin(STORE, kind, is_mild)
+        else:
+            self.log.end(STORE, kind)
+
     async def _report(self, vm, session):
         while True:
             await vm.report(session)
