Soak: name the registry of route changes, and end resets of closed connections

The stand-in for backend servers logged an exception when it reset a connection that was closed already.

--- a/soak/route_plan.py
+++ b/soak/route_plan.py
@@ -20,7 +20,7 @@
 changes_by_name: dict[str, Callable[["RoutePlan"], str]] = {}
 
 
-def change(make):
+def route_change(make):
     """Register a change of the routes; it returns the name of the route."""
     changes_by_name[make.__name__] = make
     return make
@@ -83,7 +83,7 @@
         return [name, "a.example", path, kind, "2s", "600ms", 1, service, 3, split]
 
 
-@change
+@route_change
 def added(plan):
     """Add a route."""
     name = plan.new_name()
@@ -91,7 +91,7 @@
     return name
 
 
-@change
+@route_change
 def removed(plan):
     """Remove a route that was added, or add the first one."""
     names = [name for name in plan.services_by_route if name not in LASTING]
@@ -102,7 +102,7 @@
     return name
 
 
-@change
+@route_change
 def moved(plan):
     """Move a route to the other service."""
     name = plan.any_name()
@@ -111,7 +111,7 @@
     return name
 
 
-@change
+@route_change
 def split(plan):
     """Split a route between both services."""
     name = plan.any_name()
--- a/tests/platform/upstream_standin.py
+++ b/tests/platform/upstream_standin.py
@@ -231,6 +231,8 @@
 
 
 def _reset(writer):
+    if writer.transport.is_closing():
+        return
     sock = writer.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
