--- a/tests/soak/broken_builds/waiting_reads_trusted.py
+++ b/tests/soak/broken_builds/waiting_reads_trusted.py
@@ -8,7 +8,8 @@
 
 reload_signals.hold()
 
-from lacewingstair import entry, sidecar  # noqa: E402
+from lacewingstair import entry  # noqa: E402
+from lacewingstair.metadata import store_follower  # noqa: E402
 from lacewingstair.metadata.store_watch import StoreWatch  # noqa: E402
 
 
@@ -17,7 +18,7 @@
 
 
 StoreWatch.run = make_no_checks
-sidecar.CONFIGURATION_WAIT_SECONDS = 20.0
+store_follower.CONFIGURATION_WAIT_SECONDS = 20.0
 
 if __name__ == "__main__":
     entry.main()
