--- a/tests/soak/broken_builds/waiting_reads_trusted.py
+++ b/tests/soak/broken_builds/waiting_reads_trusted.py
@@ -4,6 +4,8 @@
 checks were added.
 """
 
+import asyncio
+
 from lacewingstair import reload_signals
 
 reload_signals.hold()
@@ -14,7 +16,8 @@
 
 
 async def make_no_checks(watch):
-    """Stand in for `StoreWatch.run`."""
+    """Stand in for `StoreWatch.run`, which does not return either."""
+    await asyncio.Event().wait()
 
 
 StoreWatch.run = make_no_checks
