Soak: report how late the soak itself got to run, and keep all faults of a run

The callers, the store and the backend servers run in the soak's process, so a site too large for the machine fails by them; the figure tells such runs apart. It excuses nothing.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -70,10 +70,14 @@
     outcome = "failed" if verdict.faults else "passed"
     counts = ", ".join(f"{s}: {n}" for s, n in sorted(verdict.statuses.items()))
     judged = f"{verdict.versions} versions, {verdict.judged} calls judged by them"
-    print(f"seed {verdict.seed}: {outcome}, calls by status {counts}, {judged}")
+    stall = f"soak stalled {verdict.longest_stall_seconds:.2f} s at most"
+    print(
+        f"seed {verdict.seed}: {outcome}, calls by status {counts}, {judged}, {stall}"
+    )
     if verdict.faults:
         print(f"  logs: {path}\n  schedule: {', '.join(verdict.schedule)}")
         print(shown(verdict.faults))
+        (path / "faults.txt").write_text("\n".join(verdict.faults))
     sys.stdout.flush()
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -38,6 +38,7 @@
 # Callers of a larger site pause longer, as they all run in one process.
 VMS_OF_SHORTEST_PAUSE = 6
 NEVER_SHARE = 0.1
+STALL_CHECK_SECONDS = 0.05
 
 
 @attrs.frozen
@@ -97,6 +98,9 @@
         Configuration versions written.
     judged : int
         Calls that showed a version while a bound held for their VM.
+    longest_stall_seconds : float
+        Longest time for which this process itself, with the callers, the store and the
+        backend servers in it, did not get to run.
     """
 
     seed: int
@@ -105,6 +109,22 @@
     schedule: list[str]
     versions: int = 0
     judged: int = 0
+    longest_stall_seconds: float = 0.0
+
+
+@attrs.define
+class StallMonitor:
+    """Measures how late this process gets to run."""
+
+    longest_seconds: float = 0.0
+
+    async def run(self) -> None:
+        """Measure until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due_at = loop.time() + STALL_CHECK_SECONDS
+            await asyncio.sleep(STALL_CHECK_SECONDS)
+            self.longest_seconds = max(self.longest_seconds, loop.time() - due_at)
 
 
 async def run(seed: int, directory: Directory, options: Options) -> Verdict:
@@ -130,6 +150,8 @@
         try:
             await site.start(session)
             await _until_serving(site, session)
+            monitor = StallMonitor()
+            measuring = asyncio.create_task(monitor.run())
             is_over = asyncio.Event()
             tasks = _start_callers(seed, site, session, history, is_over)
             change_rng = random.Random(f"{seed} changes")
@@ -139,6 +161,7 @@
             history.calm_from = site.log.now()
             await asyncio.sleep(CALM_SECONDS)
             is_over.set()
+            measuring.cancel()
             await asyncio.gather(*tasks)
             # Runs that go on are counted as well.
             await asyncio.sleep(TIMEOUT_MS / 1000)
@@ -147,8 +170,15 @@
             await site.stop()
     _collect(history, site)
     statuses = Counter(call.status for call in history.calls)
-    counts = (len(site.versions), judged_calls(history))
-    return Verdict(seed, broken(history), statuses, schedule, *counts)
+    return Verdict(
+        seed,
+        broken(history),
+        statuses,
+        schedule,
+        len(site.versions),
+        judged_calls(history),
+        monitor.longest_seconds,
+    )
 
 
 def _collect(history: History, site: Site) -> None:
