Date a proof by the read that brought it, not by its arrival

A VM counted as holding the newest records from the moment at which it heard of a check.

StoreChecked now tells how old the read is and when the message was sent, on the clock of the sender. The receiver adds by how much the message is later than the fastest one of the stream (vm/link_delay.py). With an old proof the next VMs in rank check themselves. A message on a stream that was given up counts no more, and the pause after a check without an answer ends with the next proof of anybody.

The model of the fleet passes: late answers of 1.0 and 1.9 s, messages late by 0.5 and 1.0 s from the start and by 1.9 s from 4 s on. It had 1.9 s from the start, which no link can have: connecting is given up after 1.0 s.

--- a/src/lacewingstair/metadata/store_follower.py
+++ b/src/lacewingstair/metadata/store_follower.py
@@ -138,14 +138,27 @@
         """Go on at an offset, as earlier records were received from another VM."""
         self.operator_reading.skip_to(offset)
 
-    def take_check(self, vm_id: str, message: StoreChecked) -> None:
-        """Take what another VM has just found out about a topic."""
+    def take_check(
+        self, vm_id: str, message: StoreChecked, late_seconds: float
+    ) -> None:
+        """Take what another VM has found out about a topic.
+
+        Parameters
+        ----------
+        vm_id : str
+            The other VM.
+        message : StoreChecked
+            What it has read.
+        late_seconds : float
+            How much longer than usual the message was on its way.
+        """
         if message.topic is StoreTopic.ENTRIES:
             self._watch.note_entries_check()
             self._mesh_tail.note_end(message.end_offset)
             return
-        now = self._clock.monotonic()
-        self._freshness.note_end(message.end_offset, now, vm_id)
+        age_seconds = message.age_ms / 1000 + late_seconds
+        read_at = self._clock.monotonic() - age_seconds
+        self._freshness.note_end(message.end_offset, read_at, vm_id)
         self._operator_tail.note_end(message.end_offset)
 
     def log_fields(self) -> Mapping[str, Any]:
@@ -161,11 +174,11 @@
         """Return a topic to check, of which the other VMs are told."""
         return WatchedTopic(
             tail.check,
-            lambda end: self._announce_end(topic, end),
+            lambda end, read_at: self._announce_end(topic, end, read_at),
             tail.give_up_waiting,
         )
 
-    def _announce_end(self, topic: StoreTopic, end_offset: int) -> None:
+    def _announce_end(self, topic: StoreTopic, end_offset: int, read_at: float) -> None:
         """Tell the other VMs where a topic ends, unless this one lacks a record there.
 
         They fetch the operators' records before that end from this VM.
@@ -173,8 +186,11 @@
         is_held = topic is StoreTopic.ENTRIES or self._freshness.holds_records_before(
             end_offset
         )
-        if is_held:
-            self._broadcast(StoreChecked(topic, end_offset))
+        if not is_held:
+            return
+        now = self._clock.monotonic()
+        age_ms = round((now - read_at) * 1000)
+        self._broadcast(StoreChecked(topic, end_offset, age_ms, round(now * 1000)))
 
     def _turn(self) -> Turn:
         own_rank = reader_rank(self._entry())
--- a/src/lacewingstair/metadata/store_watch.py
+++ b/src/lacewingstair/metadata/store_watch.py
@@ -79,13 +79,14 @@
     check : callable
         Reads without waiting; returns where the topic ends.
     announce : callable
-        Tells the other VMs where the topic ends, as this VM has just read.
+        Tells the other VMs where the topic ends, and when this VM has read it in
+        monotonic seconds.
     give_up_waiting : callable
         Gives up a waiting read of this VM.
     """
 
     check: Callable[[], Awaitable[Result[int, StoreUnavailable]]]
-    announce: Callable[[int], None]
+    announce: Callable[[int, float], None]
     give_up_waiting: Callable[[], None]
 
 
@@ -122,6 +123,7 @@
         self._rng = rng
         self._first_check_at = clock.monotonic() + START_SECONDS
         self._entries_heard_at = clock.monotonic()
+        self._attempted_at = -math.inf
         self._retry_at = -math.inf
         self._unanswered = 0
         self._failures = 0
@@ -155,11 +157,18 @@
         turn = self._turn()
         jitter = TURN_JITTER * TURN_SECONDS * self._rng.random() if turn.rank else 0.0
         next_at = max(self._first_check_at, self._proven_at() + CHECK_INTERVAL_SECONDS)
-        due_at = max(next_at + turn.delay_seconds + jitter, self._retry_at)
+        due_at = next_at + turn.delay_seconds + jitter
+        # Without a proof since the last check, it had no answer, or the newest records
+        # cannot be used.
+        if self._proven_at() < self._attempted_at:
+            due_at = max(due_at, self._retry_at)
         return due_at - self._clock.monotonic()
 
     def _start_check(self) -> None:
-        self._retry_at = self._clock.monotonic() + self._retry_pause_seconds()
+        if self._proven_at() >= self._attempted_at:
+            self._unanswered = 0
+        self._attempted_at = self._clock.monotonic()
+        self._retry_at = self._attempted_at + self._retry_pause_seconds()
         self._unanswered += 1
         if len(self._checks) >= MAX_OPEN_CHECKS:
             return
@@ -175,13 +184,8 @@
 
     async def _check(self) -> None:
         """Check the operators' topic, and with it that of the entries if it is due."""
-        began_at = self._clock.monotonic()
         if not await self._check_topic(self._operators):
             return
-        # A VM that cannot use the newest records gets no proof, and keeps its pauses.
-        if self._proven_at() >= began_at:
-            self._unanswered = 0
-            self._retry_at = began_at + CHECK_INTERVAL_SECONDS
         now = self._clock.monotonic()
         if now - self._entries_heard_at < ENTRIES_INTERVAL_SECONDS:
             return
@@ -190,6 +194,7 @@
 
     async def _check_topic(self, topic: WatchedTopic) -> bool:
         """Return whether the store has answered."""
+        began_at = self._clock.monotonic()
         end_offset = await topic.check()
         if isinstance(end_offset, Err):
             if not self._failures:
@@ -201,7 +206,7 @@
         if self._failures:
             events.info("store_check_answered", failures=self._failures)
         self._failures = 0
-        topic.announce(end_offset.ok_value)
+        topic.announce(end_offset.ok_value, began_at)
         return True
 
     def _ended(self, check: asyncio.Task[None]) -> None:
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -153,7 +153,7 @@
             self.record_fetcher,
             self._take_rollout_news,
             self.traffic,
-            lambda vm_id, message: self.store_follower.take_check(vm_id, message),
+            lambda *news: self.store_follower.take_check(*news),
         )
         self.rollouts = RolloutCoordinator(
             settings.vm_id,
--- a/src/lacewingstair/vm/call_link.py
+++ b/src/lacewingstair/vm/call_link.py
@@ -34,6 +34,7 @@
 from lacewingstair.vm.call_streams import CallStream, connect
 from lacewingstair.vm.distances import REGION, UNKNOWN, ZONE
 from lacewingstair.vm.entries import VmEntry, entry_distance
+from lacewingstair.vm.link_delay import LinkDelay
 from lacewingstair.vm.record_fetcher import RecordSource
 from lacewingstair.vm.stream_traffic import StreamTraffic
 
@@ -52,6 +53,8 @@
 RECONNECT_DELAY_SECONDS = 0.5
 EMPTY_LOAD_REPORT = LoadReport()
 
+OnStoreChecked = Callable[[str, StoreChecked, float], None]
+
 
 @attrs.define(eq=False)
 class SuspendedCall:
@@ -108,7 +111,8 @@
     on_rollout_message : callable
         Called with each message of the peer about a rollout.
     on_store_checked : callable, optional
-        Called with the id of the VM and each message of it about the store.
+        Called with the id of the VM, each message of it about the store, and how many
+        seconds later than usual the message has arrived.
     traffic : StreamTraffic, optional
         Counts the bytes of messages.
 
@@ -136,7 +140,7 @@
         on_records_part: Callable[[str, RecordsPart], None],
         on_hello: Callable[[str, VmEntry], None],
         on_rollout_message: Callable[[EvidenceChanged | MarkChanged], None],
-        on_store_checked: Callable[[str, StoreChecked], None] = lambda vm_id, _: None,
+        on_store_checked: OnStoreChecked = lambda vm_id, message, late_seconds: None,
         traffic: StreamTraffic | None = None,
     ) -> None:
         self._traffic = traffic
@@ -163,6 +167,7 @@
         self._check_due_at = 0.0
         self._bytes_at_last_check = 0
         self._calls_since_load_report = 0
+        self._delay = LinkDelay()
         self.load = EMPTY_LOAD_REPORT
         self.load_received_at = 0.0
         self.failed_at: float | None = None
@@ -274,6 +279,7 @@
         self._record_receipt()
         self._bytes_at_last_check = 0
         self._pinged_at = None
+        self._delay = LinkDelay()
         self._stream = stream
         stream.send(Hello(self._own_entry()))
         read_task = asyncio.create_task(self._read(stream))
@@ -313,10 +319,9 @@
                 self._on_records_part(self.entry.vm_id, message)
             case EvidenceChanged() | MarkChanged():
                 self._on_rollout_message(message)
-            case StoreChecked(topic, end_offset):
-                if topic is StoreTopic.OPERATORS:
-                    self._offer_records(end_offset - 1)
-                self._on_store_checked(self.entry.vm_id, message)
+            case StoreChecked():
+                if is_current:
+                    self._take_store_check(message)
             case _:
                 events.warning("message_unexpected", kind=type(message).__name__)
 
@@ -329,6 +334,13 @@
         if load.reads_store and self._needs_silence_check():
             self._schedule_silence_check()
 
+    def _take_store_check(self, message: StoreChecked) -> None:
+        now = self._clock.monotonic()
+        late_seconds = self._delay.late_seconds(message.sent_at_ms / 1000, now)
+        if message.topic is StoreTopic.OPERATORS:
+            self._offer_records(message.end_offset - 1)
+        self._on_store_checked(self.entry.vm_id, message, late_seconds)
+
     def _offer_records(self, position: int) -> None:
         """Note that the peer holds the operators' records up to an offset."""
         self._record_source.position = position
--- a/src/lacewingstair/vm/call_links.py
+++ b/src/lacewingstair/vm/call_links.py
@@ -5,8 +5,8 @@
 
 from lacewingstair import events
 from lacewingstair.runtime import Clock
-from lacewingstair.vm.call_link import CallLink
-from lacewingstair.vm.call_messages import EvidenceChanged, MarkChanged, StoreChecked
+from lacewingstair.vm.call_link import CallLink, OnStoreChecked
+from lacewingstair.vm.call_messages import EvidenceChanged, MarkChanged
 from lacewingstair.vm.entries import MeshView, VmEntry
 from lacewingstair.vm.record_fetcher import RecordFetcher
 from lacewingstair.vm.stream_traffic import StreamTraffic
@@ -32,7 +32,8 @@
     traffic : StreamTraffic, optional
         Counts the bytes of messages.
     on_store_checked : callable, optional
-        Called with the id of a VM and each message of it about the store.
+        Called with the id of a VM, each message of it about the store, and how many
+        seconds later than usual the message has arrived.
     """
 
     def __init__(
@@ -44,7 +45,7 @@
         fetcher: RecordFetcher,
         on_rollout_message: Callable[[EvidenceChanged | MarkChanged], None],
         traffic: StreamTraffic | None = None,
-        on_store_checked: Callable[[str, StoreChecked], None] = lambda vm_id, _: None,
+        on_store_checked: OnStoreChecked = lambda vm_id, message, late_seconds: None,
     ) -> None:
         self._on_store_checked = on_store_checked
         self._traffic = traffic
--- a/src/lacewingstair/vm/call_messages.py
+++ b/src/lacewingstair/vm/call_messages.py
@@ -325,13 +325,26 @@
 @_register_message(15)
 @attrs.frozen
 class StoreChecked:
-    """Where a topic of the store ended when the sender has just read it.
+    """Where a topic of the store ended when the sender read it.
 
     The sender holds all records of the operators up to that end.
+
+    Parameters
+    ----------
+    topic : StoreTopic
+        The topic.
+    end_offset : int
+        Offset of the next record that would have been written.
+    age_ms : int
+        Time from the begin of the read to the sending of this message.
+    sent_at_ms : int
+        When this message was sent, monotonic milliseconds of the sender.
     """
 
     topic: StoreTopic
     end_offset: int
+    age_ms: int = 0
+    sent_at_ms: int = 0
 
 
 CallOutcome = CallAnswer | CallRefused | CallFailed
--- a/tests/metadata/test_follower_fleet.py
+++ b/tests/metadata/test_follower_fleet.py
@@ -19,7 +19,9 @@
     StoreChecked,
     StoreTopic,
 )
+from lacewingstair.vm.call_streams import CONNECT_TIMEOUT_SECONDS
 from lacewingstair.vm.entries import VmEntry
+from lacewingstair.vm.link_delay import LinkDelay
 from lacewingstair.vm.record_fetcher import RecordFetcher, RecordSource
 
 ANSWER_SECONDS = 0.02
@@ -126,6 +128,7 @@
             self.freshness.note_newer,
         )
         self.sources = {}
+        self.delays_by_number = {}
         self.follower = StoreFollower(
             StoreClient(fleet.store, number),
             self._take_records,
@@ -155,7 +158,10 @@
             if message.topic is StoreTopic.OPERATORS:
                 source.position = message.end_offset - 1
                 self.fetcher.add_source(source)
-            self.follower.take_check(sender.entry.vm_id, message)
+            delay = self.delays_by_number.setdefault(sender.number, LinkDelay())
+            now = self.fleet.clock.monotonic()
+            late_seconds = delay.late_seconds(message.sent_at_ms / 1000, now)
+            self.follower.take_check(sender.entry.vm_id, message, late_seconds)
         elif isinstance(message, RecordsPart):
             self.fetcher.receive_part(sender.entry.vm_id, message)
         elif isinstance(message, int):
@@ -296,17 +302,22 @@
 
 
 @pytest.mark.parametrize("vms", [6, 18])
-@pytest.mark.parametrize("late_seconds", [0.5, 1.9])
+@pytest.mark.parametrize(
+    "late_seconds, late_from_seconds",
+    [(0.5, 0.0), (CONNECT_TIMEOUT_SECONDS, 0.0), (1.9, 4.0)],
+)
 def test_late_messages_of_the_first_vm_do_not_delay_versions_elsewhere(
-    vms, late_seconds
+    vms, late_seconds, late_from_seconds
 ):
     """Guards against proofs that count from when the news of them arrives.
 
-    Packets wait at the link of one VM, in one direction.
+    Packets wait at the link of one VM, in one direction. A link on which they wait
+    longer than the time to connect is not opened in the first place.
     """
 
     async def main():
         async with Fleet(vms, 1) as fleet:
+            await asyncio.sleep(late_from_seconds)
             fleet.slow_sender, fleet.sender_late_seconds = 0, late_seconds
             longest = await longest_seconds(fleet, fleet.vms[1:])
             assert longest < CONFIG_APPLY_SECONDS
--- a/tests/metadata/test_store_follower.py
+++ b/tests/metadata/test_store_follower.py
@@ -1,3 +1,4 @@
+import asyncio
 import random
 
 import pytest
@@ -37,7 +38,9 @@
             rng=random.Random(1),
         )
         watched = follower._watched(follower._operator_tail, topic)
-        watched.announce(8)
-        assert sent == [StoreChecked(topic, 8)] * is_announced
+        read_at = clock.monotonic()
+        await asyncio.sleep(0.25)
+        watched.announce(8, read_at)
+        assert sent == [StoreChecked(topic, 8, 250, 250)] * is_announced
 
     run_virtual(main())
--- a/tests/metadata/test_store_watch.py
+++ b/tests/metadata/test_store_watch.py
@@ -44,12 +44,12 @@
     def _watch(self, number, vms):
         operators = WatchedTopic(
             lambda: self._check(number, self.calls),
-            lambda end: self._announce(number),
+            lambda end, read_at: self._announce(number),
             lambda: self.given_up.append(number),
         )
         entries = WatchedTopic(
             lambda: self._check(number, self.entries_calls),
-            lambda end: [watch.note_entries_check() for watch in self.watches],
+            lambda end, read_at: [w.note_entries_check() for w in self.watches],
             lambda: None,
         )
         return StoreWatch(
