--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,7 +10,12 @@
 
 from soak.history import shown
 from soak.run import Directory, Options, Verdict, run
-from soak.seeds import CAUSES_BY_SEED, KEPT_SECONDS
+from soak.seeds import (
+    CAUSES_BY_LARGE_SEED,
+    CAUSES_BY_SEED,
+    KEPT_SECONDS,
+    LARGE_VMS,
+)
 
 
 def main(
@@ -39,10 +44,12 @@
     vms : int
         Daemons of each run.
     kept : bool
-        Whether the seeds that have failed before are run in place of others.
+        Whether the seeds that have failed before, on a site of this size, are run in
+        place of others.
     """
     first = first_seed or random.randrange(1, 1 << 30)
-    drawn = list(CAUSES_BY_SEED) if kept else list(range(first, first + seeds))
+    kept_seeds = CAUSES_BY_LARGE_SEED if vms >= LARGE_VMS else CAUSES_BY_SEED
+    drawn = list(kept_seeds) if kept else list(range(first, first + seeds))
     seconds = KEPT_SECONDS if kept else seconds
     options = Options(seconds, is_planned=planned, vms=vms)
     verdicts = asyncio.run(_run_all(drawn, at_once, options))
