Keep the checks of the store from filling narrow links

All twelve VMs read the store, with 6 to 21 copies of the storm instead of 4 (a trial run of that test), and their checks timed out on the links that they had filled.

- The turn of a VM counts from the last read that it has heard of, or the last newer records that came, and no longer from the last proof that it holds the newest: what it lacks comes from other VMs, as before.
- A reader's own read is told to the others when they know less, so that a storm needs few checks besides.
- A check of a VM that follows the topic leaves records beyond the first page to that, which reads them anyway.
- StoreChecked says whether its sender holds the records; one that lacks them still tells where the topic ends.

--- a/src/lacewingstair/metadata/freshness.py
+++ b/src/lacewingstair/metadata/freshness.py
@@ -72,6 +72,7 @@
         self._on_delay = on_delay
         self._describe = describe
         self._started_at = clock.monotonic()
+        self._heard_at = -math.inf
         self._proven_at = -math.inf
         self._proven_position = NO_POSITION
         # In the order in which they came; their positions rise.
@@ -82,6 +83,14 @@
         """When this VM last held the newest records for certain, monotonic seconds."""
         return self._proven_at
 
+    @property
+    def heard_at(self) -> float:
+        """When this VM last heard of a read of the topic, monotonic seconds.
+
+        News are the end of the topic and newer records. This VM may lack some of them.
+        """
+        return self._heard_at
+
     def age_seconds(self) -> float:
         """Return the time since the last proof, or since the start without one."""
         return self._clock.monotonic() - max(self._proven_at, self._started_at)
@@ -102,6 +111,7 @@
         source : str
             `STORE`, or the id of the VM that has read the store.
         """
+        self._heard_at = max(self._heard_at, read_at)
         if self.holds_records_before(end_offset):
             self._prove(end_offset - 1, read_at)
             return
@@ -129,6 +139,9 @@
         position = self._position()
         if position <= self._proven_position:
             return None
+        # Newer records show that somebody has just read them, though not that there are
+        # no others.
+        self._heard_at = self._clock.monotonic()
         delay_seconds = None
         if self._proven_at > -math.inf:
             delay_seconds = self._clock.monotonic() - self._proven_at
--- a/src/lacewingstair/metadata/store_follower.py
+++ b/src/lacewingstair/metadata/store_follower.py
@@ -33,6 +33,10 @@
 # only the store tells them is that a late write has replaced their own entry there.
 RELAXED_MESH_BATCH_SECONDS = 15.0
 
+# In a storm of versions, the readers' own reads tell the VMs where the topic ends, at
+# most once in this time.
+NEWS_INTERVAL_SECONDS = 0.35
+
 TakeRecords = Callable[[Iterable[Record], int], None]
 
 
@@ -80,6 +84,7 @@
         clock: Clock,
         rng: random.Random,
     ) -> None:
+        self._announced_at_by_topic: dict[StoreTopic, float] = {}
         self._freshness = freshness
         self._registration = registration
         self._links = links
@@ -93,7 +98,7 @@
             rng,
             CONFIGURATION_WAIT_SECONDS,
             lambda: CONFIGURATION_BATCH_SECONDS,
-            freshness.note_end,
+            self._note_operators_end,
         )
         self._mesh_tail = KeyedTail(
             store,
@@ -116,7 +121,7 @@
             self._watched(self._operator_tail, StoreTopic.OPERATORS),
             self._watched(self._mesh_tail, StoreTopic.ENTRIES),
             self._turn,
-            lambda: freshness.proven_at,
+            lambda: freshness.heard_at,
             clock,
             rng,
         )
@@ -178,19 +183,24 @@
             tail.give_up_waiting,
         )
 
-    def _announce_end(self, topic: StoreTopic, end_offset: int, read_at: float) -> None:
-        """Tell the other VMs where a topic ends, unless this one lacks a record there.
+    def _note_operators_end(self, end_offset: int, read_at: float) -> None:
+        """Take the end of a read of this VM; it is a check if others know less."""
+        heard_at = self._freshness.heard_at
+        self._freshness.note_end(end_offset, read_at)
+        if read_at - heard_at >= NEWS_INTERVAL_SECONDS:
+            self._announce_end(StoreTopic.OPERATORS, end_offset, read_at)
 
-        They fetch the operators' records before that end from this VM.
-        """
+    def _announce_end(self, topic: StoreTopic, end_offset: int, read_at: float) -> None:
+        """Tell the other VMs where a topic ends, and whether this one holds it all."""
+        if read_at <= self._announced_at_by_topic.get(topic, -math.inf):
+            return
+        now = self._clock.monotonic()
+        self._announced_at_by_topic[topic] = now
         is_held = topic is StoreTopic.ENTRIES or self._freshness.holds_records_before(
             end_offset
         )
-        if not is_held:
-            return
-        now = self._clock.monotonic()
-        age_ms = round((now - read_at) * 1000)
-        self._broadcast(StoreChecked(topic, end_offset, age_ms, round(now * 1000)))
+        age_ms, sent_at_ms = round((now - read_at) * 1000), round(now * 1000)
+        self._broadcast(StoreChecked(topic, end_offset, is_held, age_ms, sent_at_ms))
 
     def _turn(self) -> Turn:
         own_rank = reader_rank(self._entry())
--- a/src/lacewingstair/metadata/store_watch.py
+++ b/src/lacewingstair/metadata/store_watch.py
@@ -99,8 +99,8 @@
         Topics of the operators' records and of the entries of VMs.
     turn : callable
         Returns the place of this VM.
-    proven_at : callable
-        Returns when this VM last held the newest of the operators' records for certain,
+    heard_at : callable
+        Returns when the operators' topic was last read by a VM that told this one,
         monotonic seconds.
     clock, rng
         Clock and random generator.
@@ -111,14 +111,14 @@
         operators: WatchedTopic,
         entries: WatchedTopic,
         turn: Callable[[], Turn],
-        proven_at: Callable[[], float],
+        heard_at: Callable[[], float],
         clock: Clock,
         rng: random.Random,
     ) -> None:
         self._operators = operators
         self._entries = entries
         self._turn = turn
-        self._proven_at = proven_at
+        self._heard_at = heard_at
         self._clock = clock
         self._rng = rng
         self._first_check_at = clock.monotonic() + START_SECONDS
@@ -156,16 +156,15 @@
         """Return the time until this VM checks, if nothing is heard before."""
         turn = self._turn()
         jitter = TURN_JITTER * TURN_SECONDS * self._rng.random() if turn.rank else 0.0
-        next_at = max(self._first_check_at, self._proven_at() + CHECK_INTERVAL_SECONDS)
+        next_at = max(self._first_check_at, self._heard_at() + CHECK_INTERVAL_SECONDS)
         due_at = next_at + turn.delay_seconds + jitter
-        # Without a proof since the last check, it had no answer, or the newest records
-        # cannot be used.
-        if self._proven_at() < self._attempted_at:
+        # Without news since the last check, it had no answer.
+        if self._heard_at() < self._attempted_at:
             due_at = max(due_at, self._retry_at)
         return due_at - self._clock.monotonic()
 
     def _start_check(self) -> None:
-        if self._proven_at() >= self._attempted_at:
+        if self._heard_at() >= self._attempted_at:
             self._unanswered = 0
         self._attempted_at = self._clock.monotonic()
         self._retry_at = self._attempted_at + self._retry_pause_seconds()
--- a/src/lacewingstair/metadata/tail.py
+++ b/src/lacewingstair/metadata/tail.py
@@ -106,14 +106,17 @@
         self.has_read = False
         self.read_began_at = -math.inf
         self.answered_at = -math.inf
+        self._is_running = False
 
     async def run(self) -> None:
         """Follow the topic until cancelled; a later run continues at its offset."""
+        self._is_running = True
         try:
             while True:
                 await self._follow()
         finally:
             self.is_up = False
+            self._is_running = False
 
     def skip_to(self, offset: int) -> None:
         """Continue at an offset, as earlier records were received from another VM."""
@@ -136,8 +139,12 @@
             self._waiting_read.give_up()
 
     async def check(self) -> Result[int, StoreUnavailable]:
-        """Read without waiting, beside a waiting read; return the end of the topic."""
-        page = await self._read_now()
+        """Read without waiting, beside a waiting read; return the end of the topic.
+
+        While the topic is being followed, records beyond the first page are left to
+        that, so that a storm of large records is not read twice.
+        """
+        page = await self._read_now(reads_rest=not self._is_running)
         if isinstance(page, Err):
             return page
         return Ok(page.ok_value.end_offset)
@@ -178,14 +185,16 @@
         events.warning("store_read_given_up", topic=self._topic, waited_ms=waited_ms)
         return None
 
-    async def _read_now(self) -> ReadOutcome:
+    async def _read_now(self, *, reads_rest: bool = True) -> ReadOutcome:
         if self._next_offset is None:
             return await self._read_newest()
         began_at = self._clock.monotonic()
         page = await self._store.read(self._topic, self._next_offset, 0.0)
-        return await self._take(page, began_at)
+        return await self._take(page, began_at, reads_rest=reads_rest)
 
-    async def _take(self, page: ReadResult, began_at: float) -> ReadOutcome:
+    async def _take(
+        self, page: ReadResult, began_at: float, *, reads_rest: bool = True
+    ) -> ReadOutcome:
         """Deliver the records of a read; read the newest ones if it has not all."""
         if isinstance(page, Err):
             if not isinstance(page.err_value, OffsetExpired):
@@ -195,7 +204,8 @@
             return await self._read_newest()
         found = page.ok_value
         self._deliver(found, began_at)
-        if found.records and found.end_offset > found.next_offset:
+        has_all = not found.records or found.end_offset <= found.next_offset
+        if reads_rest and not has_all:
             return await self._read_newest()
         return page
 
--- a/src/lacewingstair/vm/call_link.py
+++ b/src/lacewingstair/vm/call_link.py
@@ -337,7 +337,7 @@
     def _take_store_check(self, message: StoreChecked) -> None:
         now = self._clock.monotonic()
         late_seconds = self._delay.late_seconds(message.sent_at_ms / 1000, now)
-        if message.topic is StoreTopic.OPERATORS:
+        if message.topic is StoreTopic.OPERATORS and message.is_held:
             self._offer_records(message.end_offset - 1)
         self._on_store_checked(self.entry.vm_id, message, late_seconds)
 
--- a/src/lacewingstair/vm/call_messages.py
+++ b/src/lacewingstair/vm/call_messages.py
@@ -327,14 +327,14 @@
 class StoreChecked:
     """Where a topic of the store ended when the sender read it.
 
-    The sender holds all records of the operators up to that end.
-
     Parameters
     ----------
     topic : StoreTopic
         The topic.
     end_offset : int
         Offset of the next record that would have been written.
+    is_held : bool
+        Whether the sender holds all records before that offset.
     age_ms : int
         Time from the begin of the read to the sending of this message.
     sent_at_ms : int
@@ -343,6 +343,7 @@
 
     topic: StoreTopic
     end_offset: int
+    is_held: bool = True
     age_ms: int = 0
     sent_at_ms: int = 0
 
