--- a/src/lacewingstair/metadata/freshness.py
+++ b/src/lacewingstair/metadata/freshness.py
@@ -78,11 +78,6 @@
         # In the order in which they came; their positions rise.
         self._news: deque[NewerRecords] = deque(maxlen=MAX_NEWS)
 
-    @property
-    def proven_at(self) -> float:
-        """When this VM last held the newest records for certain, monotonic seconds."""
-        return self._proven_at
-
     @property
     def heard_at(self) -> float:
         """When this VM last heard of a read of the topic, monotonic seconds.
--- a/src/lacewingstair/metadata/store_follower.py
+++ b/src/lacewingstair/metadata/store_follower.py
@@ -33,10 +33,6 @@
 # only the store tells them is that a late write has replaced their own entry there.
 RELAXED_MESH_BATCH_SECONDS = 15.0
 
-# In a storm of versions, the readers' own reads tell the VMs where the topic ends, at
-# most once in this time.
-NEWS_INTERVAL_SECONDS = 0.35
-
 TakeRecords = Callable[[Iterable[Record], int], None]
 
 
@@ -84,7 +80,6 @@
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        self._announced_at_by_topic: dict[StoreTopic, float] = {}
         self._freshness = freshness
         self._registration = registration
         self._links = links
@@ -98,7 +93,7 @@
             rng,
             CONFIGURATION_WAIT_SECONDS,
             lambda: CONFIGURATION_BATCH_SECONDS,
-            self._note_operators_end,
+            freshness.note_end,
         )
         self._mesh_tail = KeyedTail(
             store,
@@ -183,22 +178,12 @@
             tail.give_up_waiting,
         )
 
-    def _note_operators_end(self, end_offset: int, read_at: float) -> None:
-        """Take the end of a read of this VM; it is a check if others know less."""
-        heard_at = self._freshness.heard_at
-        self._freshness.note_end(end_offset, read_at)
-        if read_at - heard_at >= NEWS_INTERVAL_SECONDS:
-            self._announce_end(StoreTopic.OPERATORS, end_offset, read_at)
-
     def _announce_end(self, topic: StoreTopic, end_offset: int, read_at: float) -> None:
         """Tell the other VMs where a topic ends, and whether this one holds it all."""
-        if read_at <= self._announced_at_by_topic.get(topic, -math.inf):
-            return
-        now = self._clock.monotonic()
-        self._announced_at_by_topic[topic] = now
         is_held = topic is StoreTopic.ENTRIES or self._freshness.holds_records_before(
             end_offset
         )
+        now = self._clock.monotonic()
         age_ms, sent_at_ms = round((now - read_at) * 1000), round(now * 1000)
         self._broadcast(StoreChecked(topic, end_offset, is_held, age_ms, sent_at_ms))
 
--- a/src/lacewingstair/metadata/store_watch.py
+++ b/src/lacewingstair/metadata/store_watch.py
@@ -38,7 +38,7 @@
 # about as many checks as few do.
 CHECKS_UNTIL_LONGEST_PAUSE = 4
 SHORTEST_SLOWDOWN = 2.0
-VMS_BY_SLOWDOWN = 25
+VMS_PER_SLOWDOWN = 25
 # After a wake-up that is later than this, the event loop was blocked or the process
 # paused, and messages of other VMs wait to be read.
 LATE_WAKE_SECONDS = 0.2
@@ -100,8 +100,8 @@
     turn : callable
         Returns the place of this VM.
     heard_at : callable
-        Returns when the operators' topic was last read by a VM that told this one,
-        monotonic seconds.
+        Returns when this VM last heard of a read of the operators' topic, monotonic
+        seconds.
     clock, rng
         Clock and random generator.
     """
@@ -176,7 +176,7 @@
         check.add_done_callback(self._ended)
 
     def _retry_pause_seconds(self) -> float:
-        longest = max(SHORTEST_SLOWDOWN, self._turn().vms / VMS_BY_SLOWDOWN)
+        longest = max(SHORTEST_SLOWDOWN, self._turn().vms / VMS_PER_SLOWDOWN)
         progress = min(1.0, self._unanswered / CHECKS_UNTIL_LONGEST_PAUSE)
         slowdown = 1.0 + (longest - 1.0) * progress
         return slowdown * self._rng.uniform(*RETRY_SECONDS)
