Calls: refuse ids that are not printable ASCII, keep none that fails to encode

What callers saw: uploads whose Request-Id holds a byte that is not UTF-8 got 500, and the process never released their bodies; it ended for its memory after some 250 uploads of 1 MiB, with the answers of all other callers.

Cause: CallLink.run entered the call before CallStream.send encoded it. The id holds a lone surrogate, encoding raised UnicodeEncodeError, and only a cancelled call or one with an outcome is taken out again.

Why it works: such an id is refused with 400 before the body is read, and is not echoed, as it could not be written either. A link enters a call only once it is encoded, so that any message that fails leaves nothing behind.

The new unit tests failed before.

--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -46,6 +46,7 @@
 UNREADABLE_ROUTE_RETRY_AFTER_SECONDS = 1.0
 STOPPING_RETRY_AFTER_SECONDS = 0.3
 PARENT_NOT_RUNNING_RETRY_AFTER_SECONDS = 0.3
+MAX_LOGGED_ID_CHARACTERS = 200
 # Jitter, as a share of the delay, that spreads retries of calls refused at the same
 # time.
 RETRY_AFTER_JITTER = 0.5
@@ -229,6 +230,9 @@
         refusal = request_checks.check_request(request)
         if refusal is not None:
             return Err(self._refuse(request, refusal.status, refusal.reason))
+        if not headers.is_valid_request_id(request_id):
+            reason = f"{headers.REQUEST_ID} {request_id[:40]!r} is not printable ASCII"
+            return Err(self._refuse(request, 400, reason))
         target = request_checks.parse_target(request)
         if isinstance(target, Err):
             found = target.err_value
@@ -439,7 +443,7 @@
         events.call_line(
             "call_refused",
             is_failure=True,
-            call=request_id,
+            call=request_id[:MAX_LOGGED_ID_CHARACTERS],
             status=status,
             reason=reason,
             retry_after_seconds=retry_after_seconds,
--- a/src/lacewingstair/caller/own_responses.py
+++ b/src/lacewingstair/caller/own_responses.py
@@ -29,8 +29,8 @@
     body = reason.encode()[:MAX_REASON_BYTES]
     lines = b"Content-Type: text/plain\r\nContent-Length: %d\r\n" % len(body)
     request_id = request.headers.get(headers.REQUEST_ID, "")
-    if request_id:
-        lines += f"{headers.REQUEST_ID}: {request_id}\r\n".encode("latin-1")
+    if request_id and headers.is_valid_request_id(request_id):
+        lines += f"{headers.REQUEST_ID}: {request_id}\r\n".encode()
     if status == 401:
         lines += b"WWW-Authenticate: Bearer\r\n"
     if retry_after_seconds is not None:
--- a/src/lacewingstair/platform/headers.py
+++ b/src/lacewingstair/platform/headers.py
@@ -1,5 +1,6 @@
 """Headers of the platform's calls, decoded into fields of the product."""
 
+import re
 from collections.abc import Iterable
 
 import attrs
@@ -23,6 +24,7 @@
 SINGLE_ANSWER_FIELDS = (REQUEST_ID, SIGNATURE, UPSTREAM_ID, NOT_RUN)
 MAX_DEADLINE_MS = 3_600_000
 _MAX_DIGITS = 10
+_PRINTABLE = re.compile(r"[\x20-\x7e]*")
 # Figures outside these bounds are faults of the sender: no shared machine is 20 times
 # as fast or 100 times as slow as usual and still answers.
 MIN_WORK_PERCENT = 5
@@ -82,6 +84,11 @@
     return float(min(int(text), MAX_DEADLINE_MS))
 
 
+def is_valid_request_id(request_id: str) -> bool:
+    """Return whether an id can be passed on, logged and echoed as it came."""
+    return _PRINTABLE.fullmatch(request_id) is not None
+
+
 def parent_id(request_id: str) -> str:
     """Return the id of the call for which a request is made, or an empty text.
 
--- a/src/lacewingstair/vm/call_link.py
+++ b/src/lacewingstair/vm/call_link.py
@@ -209,9 +209,16 @@
         call = attrs.evolve(call, call_id=call_id)
         loop = asyncio.get_running_loop()
         pending = _PendingCall(call, stream, loop.create_future(), loop.create_future())
+        try:
+            stream.send(call)
+        except (ValueError, TypeError, OverflowError) as error:
+            # Nothing of the call was sent, and nothing of it stays here.
+            events.warning("call_not_encodable", error=f"{error!r:.100}")
+            return CallRefused(
+                call_id, RefusalReason.UNREACHABLE, 0.0, False, EMPTY_LOAD_REPORT
+            )
         self._pending_calls_by_id[call_id] = pending
         self._calls_since_load_report += 1
-        stream.send(call)
         self._schedule_silence_check()
         try:
             outcome = await pending.outcome
--- a/tests/caller/test_ingress_bodies.py
+++ b/tests/caller/test_ingress_bodies.py
@@ -215,6 +215,22 @@
     with_ingress(check)
 
 
+@pytest.mark.parametrize("mark", [b"\xff", "é".encode()])
+def test_an_id_that_is_no_text_is_refused_before_its_body_is_read(mark):
+    """Guards against ids that cannot be passed on, logged or echoed."""
+
+    async def check(ingress, forwarder, connect):
+        caller = await connect()
+        head = b"POST /load/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: q%b\r\n"
+        caller.writer.write(head % mark + b"Content-Length: 900000\r\n\r\n")
+        status, head = await caller.answer()
+        assert status == 400
+        assert "Request-Id" not in head and "Connection: close" in head
+        assert forwarder.calls == []
+
+    with_ingress(check)
+
+
 @given(
     sizes=st.lists(
         st.tuples(st.integers(0, 5), st.integers(0, 60)), min_size=1, max_size=40
--- a/tests/vm/test_call_link.py
+++ b/tests/vm/test_call_link.py
@@ -2,6 +2,7 @@
 import random
 import time
 
+import attrs
 from loguru import logger
 from result import Ok
 
@@ -132,6 +133,21 @@
     with_link(check)
 
 
+def test_a_call_that_cannot_be_encoded_leaves_nothing_behind():
+    """Guards against calls that stay in the memory of a link for good."""
+
+    async def check(link, peer, _):
+        outcome = await link.run(attrs.evolve(request(), request_id="\udcff"))
+        assert isinstance(outcome, CallRefused) and not outcome.was_sent
+        assert link.in_flight == 0 and link.calls_since_load_report == 0
+        task = asyncio.create_task(link.run(request("c")))
+        calls = await wait_for_messages(peer, call_messages.CallRequest)
+        assert [call.request_id for call in calls] == ["c"]
+        task.cancel()
+
+    with_link(check)
+
+
 SILENCE_SECONDS = PING_AFTER_SECONDS * 3 + PONG_TIMEOUT_SECONDS + 0.5
 
 
