Clients: one account of what they hold, and who is closed when it is full

What callers saw: beside clients that keep to no limit a process ended for its memory, or lived and cut ordinary downloads, or refused ordinary uploads.

Cause: four bounds knew nothing of each other. A head counted while it was incomplete or queued, by its bytes alone, and nowhere once its request had its turn; a queue held 32 requests whatever they took; a body was reserved by its announced length and kept until its deadline; the connection that held most was closed first, even one whose caller read its answer. What a closed connection held stayed in reference cycles until 64 calls had been cut. Buffers of the streams to other VMs were counted nowhere.

Change: a connection tells the guard all that its client makes the process hold, from the first byte of a head to the last of an answer, and what it is doing. Heads count by bytes and lines, also in progress and behind a kept connection; bodies as they arrive. connection_budget decides who is closed: unfinished requests first and of those the ones without progress, answers that are read and calls that wait last, and those under 16 KiB only if nothing else suffices. A body that must go is answered 503, not run. Calls in progress may hold three quarters, then further ones are refused at once. A connection parses no further request behind 64 KiB of waiting ones. Cut calls are collected by bytes as well as by number.

Why it works: whoever fills the account is now seen in full by the one decision, and what ordinary callers do ranks behind it by each of its measures.

max_held_bytes counts bodies too, and is 48 MiB where two limits were 32 each. The test of connections that hold most keeps its cases, now within one stage; the order of the stages, small requests and the refusal have tests of their own.

--- a/src/lacewingstair/caller/body_reader.py
+++ b/src/lacewingstair/caller/body_reader.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from lacewingstair.caller.body_budget import BodyReservation
+from lacewingstair.caller.body_refusal import BodyRefusedError
 
 BODY_MEMORY_FULL_RETRY_AFTER_SECONDS = 0.5
 
@@ -54,25 +55,34 @@
     length = request.content_length or 0
     if length > limit:
         return Err(_too_long(limit))
-    if not reservation.grow_to(length):
+    if not reservation.budget.may_begin(length):
         return Err(_full(reservation))
     parts: list[bytes] = []
-    size = 0
     try:
         async with asyncio.timeout(timeout_seconds):
-            while chunk := await request.content.readany():
-                parts.append(chunk)
-                size += len(chunk)
-                if size > limit:
+            while True:
+                parts.append(await request.content.readany())
+                if not parts[-1]:
+                    break
+                request.kept_body_bytes += len(parts[-1])
+                if request.kept_body_bytes > limit:
                     return Err(_too_long(limit))
-                if not reservation.grow_to(size):
+                if not reservation.grow_to(request.kept_body_bytes):
                     return Err(_full(reservation))
+        reservation.complete()
+        return Ok(b"".join(parts))
     except TimeoutError:
+        size = request.kept_body_bytes
         reason = f"the body was incomplete at the deadline: {size} bytes had arrived"
         return Err(BodyFault(408, reason))
+    except BodyRefusedError as error:
+        error.__traceback__ = None
+        return Err(_full(reservation))
     except (ClientError, ValueError, OSError) as error:
         return Err(BodyFault(400, f"the body is malformed: {error}"))
-    return Ok(b"".join(parts))
+    finally:
+        # The request keeps an exception, and its traceback this frame.
+        parts.clear()
 
 
 def _too_long(limit: int) -> BodyFault:
--- a/src/lacewingstair/caller/client_limits.py
+++ b/src/lacewingstair/caller/client_limits.py
@@ -47,7 +47,8 @@
     min_answer_rate : float
         Bytes per second that a client has to take in the long run.
     max_held_bytes : int
-        Bytes that all clients together make the process hold.
+        Bytes that all clients together make the process hold: heads, bodies and
+        answers.
     idle_seconds : float
         Connections without a call for longer make room for new ones.
     """
@@ -58,7 +59,7 @@
     max_framing_bytes: int = 64 << 10
     answer_seconds: float = 15.0
     min_answer_rate: float = 4096.0
-    max_held_bytes: int = 32 << 20
+    max_held_bytes: int = 48 << 20
     idle_seconds: float = 15.0
 
 
--- a/src/lacewingstair/caller/connection_guard.py
+++ b/src/lacewingstair/caller/connection_guard.py
@@ -14,11 +14,17 @@
     ClientLimits,
     CloseReason,
 )
-from lacewingstair.caller.connection_budget import ConnectionBudget, IdleConnection
+from lacewingstair.caller.connection_budget import (
+    ConnectionBudget,
+    Holding,
+    IdleConnection,
+)
 from lacewingstair.garbage_collection import CutCallCollector
 from lacewingstair.runtime import Clock
 
 SWEEP_SECONDS = 1.0
+# Closed connections may leave this part of the budget to the garbage collector.
+CUT_DIVISOR = 8
 
 
 class Connection(Protocol):
@@ -27,8 +33,8 @@
     idle_seconds: float | None
     has_called: bool
 
-    def held_bytes(self) -> int:
-        """Return the bytes that the client makes the process hold."""
+    def holding(self) -> Holding:
+        """Return what the client makes the process hold."""
         ...
 
     def grow_older(self, seconds: float) -> CloseReason | None:
@@ -39,6 +45,16 @@
         """Close the connection at once; what is unsent is dropped."""
         ...
 
+    def give_up(self) -> bool:
+        """Refuse a request whose body is arriving, else close the connection.
+
+        Returns
+        -------
+        bool
+            Whether the connection stays open for its answer.
+        """
+        ...
+
 
 class ConnectionGuard:
     """Connections of all clients of a process.
@@ -48,8 +64,8 @@
     limits : ClientLimits
         Limits in force.
     other_bytes : callable
-        Returns the bytes that the parts with limits of their own hold: bodies of calls,
-        messages of other VMs and responses of the backend server.
+        Returns the bytes that the parts with limits of their own hold: messages from
+        and to other VMs, and responses of the backend server.
 
     Attributes
     ----------
@@ -66,7 +82,7 @@
         self.closed_by_reason: Counter[CloseReason] = Counter()
         self._other_bytes = other_bytes
         self._budget = ConnectionBudget(limits)
-        self._collector = CutCallCollector()
+        self._collector = CutCallCollector(limits.max_held_bytes // CUT_DIVISOR)
         self._connections: set[Connection] = set()
         # Connections that may make room for new ones, since the last sweep.
         self._idle_by_server: dict[Hashable, deque[Connection]] = {}
@@ -74,7 +90,12 @@
     @property
     def held_bytes(self) -> int:
         """Bytes that all clients make the process hold."""
-        return sum(connection.held_bytes() for connection in self._connections)
+        return sum(connection.holding().size for connection in self._connections)
+
+    @property
+    def has_room(self) -> bool:
+        """Whether further calls may begin."""
+        return self._budget.has_room
 
     def closes_by_label(self) -> dict[tuple[str], int]:
         """Return the refusals and closes by the label of their reason."""
@@ -85,7 +106,7 @@
         """Watch a connection."""
         self._connections.add(connection)
 
-    def discard(self, connection: Connection, cut_calls: int) -> None:
+    def discard(self, connection: Connection, cut_calls: int, size: int) -> None:
         """Forget a connection that is closed.
 
         Parameters
@@ -94,10 +115,12 @@
             The connection.
         cut_calls : int
             Its calls that had no response.
+        size : int
+            Bytes that it held.
         """
         self._connections.discard(connection)
         if cut_calls:
-            self._collector.note(cut_calls)
+            self._collector.note(cut_calls, size)
 
     def note(self, size: int) -> None:
         """Count bytes that were received or written, and keep to the budget."""
@@ -151,12 +174,17 @@
         self._keep_budget()
 
     def _keep_budget(self) -> None:
-        held = {found: found.held_bytes() for found in self._connections}
-        for connection in self._budget.excess(held, self._other_bytes()):
-            self._cut_off(connection, CloseReason.MEMORY)
+        holdings = {found: found.holding() for found in self._connections}
+        for connection in self._budget.excess(holdings, self._other_bytes()):
+            found = holdings[connection]
+            stage = found.stage.name.lower()
+            self.count(CloseReason.MEMORY, held_bytes=found.size, stage=stage)
+            if not connection.give_up():
+                # Its transport may report the end a little later.
+                self._connections.discard(connection)
 
     def _cut_off(self, connection: Connection, reason: CloseReason) -> None:
-        self.count(reason, held_bytes=connection.held_bytes())
+        self.count(reason, held_bytes=connection.holding().size)
         # Its transport may report the end a little later.
         self._connections.discard(connection)
         connection.abort()
--- a/src/lacewingstair/caller/guarded_connection.py
+++ b/src/lacewingstair/caller/guarded_connection.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import itertools
+from collections import deque
 
 from aiohttp import EMPTY_PAYLOAD, ClientPayloadError, StreamReader, hdrs, web
 from aiohttp.http import HttpProcessingError, RawRequestMessage
@@ -19,8 +20,11 @@
     STATUS_BY_REASON,
     CloseReason,
 )
+from lacewingstair.caller.client_progress import ClientProgress
+from lacewingstair.caller.connection_budget import SMALL_BYTES, Holding, Stage
 from lacewingstair.caller.connection_guard import ConnectionGuard
 from lacewingstair.caller.head_limits import HEAD_END, HeadLimits
+from lacewingstair.caller.head_memory import CALL_BYTES, head_memory
 from lacewingstair.caller.raw_response import RawResponse
 
 # A client may send on behind a response that closes the connection. Its data is read
@@ -33,8 +37,9 @@
 # The guard does not look at all connections for smaller responses; it does so once a
 # second anyway.
 UNCOUNTED_RESPONSE_BYTES = 4 << 10
-# Memory of a parsed head, as a multiple of its bytes.
-PARSED_HEAD_FACTOR = 4
+# Memory of the requests of one connection that wait for their turn; no further one is
+# parsed above it.
+MAX_QUEUED_BYTES = 64 << 10
 MAX_ERROR_CHARACTERS = 200
 
 
@@ -82,6 +87,12 @@
         # Received, and not yet passed to the parser.
         self._unparsed = b""
         self._unparsed_from = 0
+        # Memory of the heads in the queue, and of the latest one that had its turn.
+        self._queued_heads: deque[int] = deque()
+        self._turn_head = 0
+        self._received_bytes = 0
+        self._sending = ClientProgress(self._loop.time())
+        self._reading = ClientProgress(self._loop.time())
         self._body: StreamReader | None = None
         # Bytes of the body, and those that are missing; None for a chunked body.
         self._body_length: int | None = 0
@@ -101,9 +112,17 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forget the connection, and what it holds."""
-        self._guard.discard(self, self.open_calls())
+        size = self._waiting_bytes() + self._call_bytes()
+        self._guard.discard(self, self.open_calls(), size)
+        request = self._current_request
         super().connection_lost(exc)
-        # Breaks reference cycles that would keep requests until a full collection.
+        # Reference cycles keep requests until a full collection, without their bodies.
+        payloads = [payload for _, payload in self._messages]
+        if request is not None:
+            payloads.append(request._payload)
+        for payload in payloads:
+            if payload is not EMPTY_PAYLOAD:
+                payload._buffer.clear()
         # One is left for aiohttp's task, which may be about to take it.
         while len(self._messages) > 1:
             self._messages.pop()
@@ -120,18 +139,85 @@
         """Return the number of calls that have begun and have no response."""
         return int(self._request_in_progress)
 
-    def held_bytes(self) -> int:
-        """Return the bytes that the client makes the process hold.
-
-        Bodies that a handler has read are counted by `body_budget`.
-        """
-        heads = self._head.head_bytes
-        heads += sum(_head_bytes(message) for message, _ in self._messages)
+    def holding(self) -> Holding:
+        """Return what the client makes the process hold."""
+        unsent = self._note_taken()
+        waiting = self._waiting_bytes()
+        call = self._call_bytes()
+        head = head_memory(self._head.head_bytes, self._head.head_lines)
+        size = waiting + call + head + unsent
+        now = self._loop.time()
+        if unsent:
+            rate = self._reading.rate(now)
+            return Holding(Stage.UNREAD if rate < 0 else Stage.ANSWERED, size, rate)
+        stage = self._stage()
+        if stage is Stage.UNFINISHED:
+            return Holding(stage, size, self._sending.rate(now))
+        if stage is Stage.IDLE:
+            return Holding(stage, size)
+        stage = Stage.QUEUED if waiting > SMALL_BYTES else stage
+        return Holding(stage, size, running_size=call)
+
+    def give_up(self) -> bool:
+        """Close the connection; return whether it stays open for an answer."""
+        self.abort()
+        return False
+
+    def _stage(self) -> Stage:
+        """Return what a connection is doing whose answers have been taken."""
+        request = self._current_request
+        if request is not None:
+            is_arriving = self._body is not None and request._payload is self._body
+            return Stage.UNFINISHED if is_arriving else Stage.RUNNING
+        if self._head.head_bytes or self._unparsed or self._body is not None:
+            return Stage.UNFINISHED
+        return Stage.RUNNING if self._messages else Stage.IDLE
+
+    def _note_taken(self) -> int:
+        """Note how much of its answers the client has taken; return what is unsent."""
         unsent = self._raw_transport.get_write_buffer_size()
-        held = PARSED_HEAD_FACTOR * heads + len(self._unparsed) + unsent
-        if self._body is not None:
-            held += self._body._size
-        return held
+        if not unsent:
+            self._reading.end()
+            return 0
+        now = self._loop.time()
+        if not self._reading.is_active:
+            self._reading.begin(now, self._written_bytes)
+        self._reading.note(self._all_written_bytes() - unsent, now)
+        return unsent
+
+    def _all_written_bytes(self) -> int:
+        request = self._current_request
+        # A handler may write its response in parts.
+        parts = 0 if request is None else request.writer.output_size
+        return self._written_bytes + parts
+
+    def _queued_bytes(self) -> int:
+        """Return the memory of the requests that wait for their turn."""
+        while len(self._queued_heads) > len(self._messages):
+            self._turn_head = self._queued_heads.popleft()
+        bodies = sum(
+            payload._size
+            for _, payload in self._messages
+            if payload is not EMPTY_PAYLOAD
+        )
+        return sum(self._queued_heads) + bodies
+
+    def _waiting_bytes(self) -> int:
+        """Return the memory of what was received behind the request in turn."""
+        return self._queued_bytes() + len(self._unparsed)
+
+    def _call_bytes(self) -> int:
+        """Return the memory of the request that has its turn, or had it last."""
+        call = CALL_BYTES if self._request_in_progress else 0
+        return call + self._turn_head + self._body_bytes()
+
+    def _body_bytes(self) -> int:
+        """Return the bytes of the body of the request that has its turn."""
+        request = self._current_request
+        if request is not None:
+            return request._payload.total_bytes
+        is_behind_answer = self._body is not None and not self._messages
+        return self._body._size if is_behind_answer else 0
 
     def grow_older(self, seconds: float) -> CloseReason | None:
         """Let time pass; return why the connection has to be cut off, if it has."""
@@ -144,12 +230,8 @@
             self._head_seconds += seconds
             if self._head_seconds > self._guard.limits.head_seconds:
                 self._refuse(CloseReason.HEAD_TOO_SLOW)
-        unsent = self._raw_transport.get_write_buffer_size()
-        written = self._written_bytes
-        if self._current_request is not None:
-            # A handler may write its response in parts.
-            written += self._current_request.writer.output_size
-        if self._progress.is_overdue(seconds, written, unsent):
+        unsent = self._note_taken()
+        if self._progress.is_overdue(seconds, self._all_written_bytes(), unsent):
             return CloseReason.ANSWER_NOT_TAKEN
         return None
 
@@ -164,7 +246,7 @@
             if self._body is not None or self._buffer_paused:
                 self._parse(data)
             return
-        self._guard.note(len(data))
+        self._note_received(len(data))
         end = self._end_of_only_head(data)
         if end:
             self._parse_at_once(data, end)
@@ -178,7 +260,8 @@
         while start < len(data) and not self._is_refused:
             if self._must_wait():
                 self._unparsed, self._unparsed_from = data, start
-                if self._upgraded and len(data) - start >= self._read_bufsize:
+                is_long = len(data) - start >= self._read_bufsize
+                if (self._upgraded and is_long) or self._is_queue_full():
                     self._pause_reading_for_buffer()
                 return
             start = self._pass_on(data, start)
@@ -193,6 +276,8 @@
         finished = await super().finish_response(request, resp, start_time)
         size = resp.size if isinstance(resp, RawResponse) else 0
         size = size or request.writer.output_size
+        if not self._reading.is_active and self._raw_transport.get_write_buffer_size():
+            self._reading.begin(self._loop.time(), self._written_bytes)
         self._written_bytes += size
         if size > UNCOUNTED_RESPONSE_BYTES:
             self._guard.note(size)
@@ -204,8 +289,8 @@
                 return resp, True
         if self._unparsed and not self._upgraded:
             self.data_received(b"")
-            if self._buffer_paused:
-                self._resume_reading_if_drained()
+        if self._buffer_paused and not self._upgraded:
+            self._resume_reading_if_drained()
         is_closed_here = self._is_refused or not request._message.should_close
         if not resp.keep_alive and is_closed_here:
             await self._linger()
@@ -241,9 +326,31 @@
         if not isinstance(options.get("exc_info"), _BAD_INPUT):
             super().log_exception(*args, **options)
 
+    def _note_received(self, size: int) -> None:
+        """Count bytes that the client has sent."""
+        now = self._loop.time()
+        is_first = not (self._head.head_bytes or self._unparsed or self._messages)
+        if is_first and self._current_request is None:
+            self._sending.begin(now, self._received_bytes)
+        self._received_bytes += size
+        self._sending.note(self._received_bytes, now)
+        self._guard.note(size)
+
     def _must_wait(self) -> bool:
-        is_full = len(self._messages) >= self._max_msg_queue_size
-        return self._upgraded or self._reading_paused or is_full
+        return self._upgraded or self._reading_paused or self._is_queue_full()
+
+    def _is_queue_full(self) -> bool:
+        """Return whether requests behind one another take what a connection may."""
+        if not self._messages:
+            return False
+        if len(self._messages) >= self._max_msg_queue_size:
+            return True
+        return self._queued_bytes() > MAX_QUEUED_BYTES
+
+    def _resume_reading_for_buffer(self) -> None:
+        """Let the client send again, once all it has sent is with the parser."""
+        if not self._unparsed:
+            super()._resume_reading_for_buffer()
 
     def _end_of_only_head(self, data: bytes) -> int:
         """Return where the head of a single request ends; 0 if there may be more.
@@ -357,10 +464,13 @@
             self._is_refused = True
             # Its frames refer to the error again, and to the data received.
             message.exc.__traceback__ = None
+            self._queued_heads.append(0)
             if self._body is not None:
                 # Its call would wait for the rest.
                 self._body.set_exception(BadBodyError(message.message))
             return
+        size = self._head.head_bytes or _head_bytes(message)
+        self._queued_heads.append(head_memory(size, len(message.raw_headers)))
         self._head.begin()
         self._head_seconds = 0.0
         self.idle_seconds = None
@@ -387,6 +497,7 @@
         status = STATUS_BY_REASON[reason]
         error = RefusedInputError(code=status, message=reason.value)
         self._messages.append((_ErrInfo(status, error, reason.value), EMPTY_PAYLOAD))
+        self._queued_heads.append(0)
         waiter = self._waiter
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
@@ -401,6 +512,7 @@
         if transport is None or transport.is_closing():
             return
         self._close = True
+        self._unparsed = b""
         transport.write_eof()
         self._lingering = self._loop.create_future()
         with contextlib.suppress(TimeoutError):
@@ -408,8 +520,6 @@
                 await self._lingering
 
 
-def _head_bytes(message: RawRequestMessage | _ErrInfo) -> int:
-    if not isinstance(message, RawRequestMessage):
-        return 0
+def _head_bytes(message: RawRequestMessage) -> int:
     fields = sum(len(name) + len(value) for name, value in message.raw_headers)
     return len(message.path) + fields
--- a/src/lacewingstair/caller/head_limits.py
+++ b/src/lacewingstair/caller/head_limits.py
@@ -22,8 +22,8 @@
 
     Attributes
     ----------
-    head_bytes : int
-        Bytes received of a head that is not complete.
+    head_bytes, head_lines : int
+        Bytes and lines received of a head that is not complete.
     """
 
     def __init__(self, limits: ClientLimits) -> None:
@@ -32,10 +32,12 @@
         # Last bytes of an incomplete head, where its end may have begun.
         self._last = b""
         self.head_bytes = 0
+        self.head_lines = 0
 
     def begin(self, head: bytes = b"") -> None:
         """Expect the next head, of which some bytes may have been received."""
         self.head_bytes = len(head)
+        self.head_lines = head.count(b"\n")
         self._empty_line_bytes = 0
         self._last = head[-3:]
 
@@ -62,6 +64,7 @@
             found = data.find(HEAD_END, start)
             end = len(data) if found < 0 else found + len(HEAD_END)
         self.head_bytes += end - start
+        self.head_lines += data.count(b"\n", start, end)
         if self.head_bytes > self._limits.max_head_bytes:
             return Err(CloseReason.HEAD_TOO_LARGE)
         self._last = (last + data[max(start, end - 3) : end])[-3:] if found < 0 else b""
--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -17,7 +17,11 @@
     ParentNotRunning,
     authorize,
 )
-from lacewingstair.caller.body_budget import BodyBudget, BodyReservation
+from lacewingstair.caller.body_budget import (
+    LARGE_BODY_FACTOR,
+    BodyBudget,
+    BodyReservation,
+)
 from lacewingstair.caller.body_reader import read_body
 from lacewingstair.caller.connection_guard import ConnectionGuard
 from lacewingstair.caller.elapsed_wait import ElapsedWaitEstimator
@@ -46,6 +50,7 @@
 UNREADABLE_ROUTE_RETRY_AFTER_SECONDS = 1.0
 STOPPING_RETRY_AFTER_SECONDS = 0.3
 PARENT_NOT_RUNNING_RETRY_AFTER_SECONDS = 0.3
+MEMORY_FULL_RETRY_AFTER_SECONDS = 0.5
 MAX_LOGGED_ID_CHARACTERS = 200
 # Jitter, as a share of the delay, that spreads retries of calls refused at the same
 # time.
@@ -105,6 +110,7 @@
         self._splits = SplitChooser(rng)
         self._elapsed_wait = ElapsedWaitEstimator()
         self._body_budget = BodyBudget()
+        self._has_room: Callable[[], bool] = lambda: True
         self._open_calls: set[OpenCall] = set()
         self._nested_calls = NestedCalls()
         self._server: CallServer | None = None
@@ -120,6 +126,10 @@
         guard: ConnectionGuard | None = None,
     ) -> web.Server:
         """Return the HTTP server; needs a running event loop."""
+        if guard is not None:
+            most = int(guard.limits.max_held_bytes * LARGE_BODY_FACTOR)
+            self._body_budget = BodyBudget(most)
+            self._has_room = lambda: guard.has_room
         self._server = call_server(
             self.handle,
             lambda: self.is_draining,
@@ -230,6 +240,9 @@
         refusal = request_checks.check_request(request)
         if refusal is not None:
             return Err(self._refuse(request, refusal.status, refusal.reason))
+        if not self._has_room():
+            delay = MEMORY_FULL_RETRY_AFTER_SECONDS
+            return Err(self._refuse(request, 503, "memory for calls is full", delay))
         if not headers.is_valid_request_id(request_id):
             reason = f"{headers.REQUEST_ID} {request_id[:40]!r} is not printable ASCII"
             return Err(self._refuse(request, 400, reason))
--- a/src/lacewingstair/caller/pipelining.py
+++ b/src/lacewingstair/caller/pipelining.py
@@ -15,8 +15,11 @@
 from aiohttp.http import RawRequestMessage, StreamWriter
 from multidict import CIMultiDictProxy
 
+from lacewingstair.caller.body_refusal import BodyRefusedError
+from lacewingstair.caller.connection_budget import Holding
 from lacewingstair.caller.connection_guard import ConnectionGuard
 from lacewingstair.caller.guarded_connection import GuardedConnection
+from lacewingstair.caller.head_memory import CALL_BYTES
 from lacewingstair.caller.raw_response import RawResponse
 
 # Calls of one connection that are run ahead of their turn.
@@ -86,10 +89,35 @@
         """Return the number of calls that have begun and have no response."""
         return super().open_calls() + len(self._ahead_by_message_id)
 
-    def held_bytes(self) -> int:
-        """Return the bytes that the client makes the process hold."""
-        found = self._ahead_by_message_id.values()
-        return super().held_bytes() + sum(ahead.waiting_bytes for ahead in found)
+    def holding(self) -> Holding:
+        """Return what the client makes the process hold."""
+        found = super().holding()
+        ahead = self._ahead_by_message_id.values()
+        waiting = sum(call.waiting_bytes + CALL_BYTES for call in ahead)
+        if not waiting:
+            return found
+        running = found.running_size + waiting
+        return attrs.evolve(found, size=found.size + waiting, running_size=running)
+
+    def give_up(self) -> bool:
+        """Refuse a request whose body is arriving, else close the connection."""
+        request, body = self._current_request, self._body
+        is_arriving = request is not None and request._payload is body
+        if self._is_refused or body is None or not is_arriving:
+            return super().give_up()
+        self._is_refused = True
+        self._unparsed = b""
+        body.set_exception(BodyRefusedError("memory for request bodies is full"))
+        return True
+
+    def _body_bytes(self) -> int:
+        """Return the bytes of a body that wait for its handler, or that it keeps."""
+        request = self._current_request
+        if request is None:
+            return super()._body_bytes()
+        buffered = 0 if request._payload is EMPTY_PAYLOAD else request._payload._size
+        # A body that was refused is released at once.
+        return buffered if self._is_refused else buffered + request.kept_body_bytes
 
     def data_received(self, data: bytes) -> None:
         """Queue calls that were read, and begin those that may run ahead."""
--- a/src/lacewingstair/http_server.py
+++ b/src/lacewingstair/http_server.py
@@ -229,6 +229,8 @@
     class Request(web.BaseRequest):
         # Seconds for which the request waited for earlier ones of its connection.
         waited_seconds = 0.0
+        # Bytes of the body that the handler has read and keeps.
+        kept_body_bytes = 0
 
         @property
         def keep_alive(self) -> bool:
--- a/src/lacewingstair/settings/calls.py
+++ b/src/lacewingstair/settings/calls.py
@@ -116,8 +116,10 @@
         DEFAULT_LIMITS.max_held_bytes,
         1 << 20,
         1 << 30,
-        "bytes that clients at all addresses make the process hold; beyond it the"
-        " connection that holds most is closed",
+        "bytes that clients at all addresses make the process hold: heads, bodies and"
+        " answers; beyond it unfinished requests are refused or closed first, and"
+        " answers that their clients read last; a single body may have 1.75 times as"
+        " many",
         "bytes",
     )
     idle_seconds: float = seconds(
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -280,7 +280,7 @@
         self.client_guard = ConnectionGuard(
             settings.calls.client_limits,
             lambda: (
-                self.ingress.body_bytes
+                self.links.unsent_bytes
                 + receive_budget.held_bytes
                 + self.gate.buffered_response_bytes
             ),
--- a/src/lacewingstair/vm/call_link.py
+++ b/src/lacewingstair/vm/call_link.py
@@ -187,6 +187,14 @@
         """Whether the stream is open."""
         return self._stream is not None
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes in the write buffers of the stream, and of those it has replaced."""
+        streams = {pending.stream for pending in self._pending_calls_by_id.values()}
+        if self._stream is not None:
+            streams.add(self._stream)
+        return sum(stream.queued_bytes for stream in streams)
+
     def is_usable(self, now: float) -> bool:
         """Return whether calls may be sent; not soon after the link has failed."""
         return self.failed_at is None or now - self.failed_at >= RECONNECT_DELAY_SECONDS
--- a/src/lacewingstair/vm/call_links.py
+++ b/src/lacewingstair/vm/call_links.py
@@ -77,6 +77,11 @@
                 if not link.entry.is_leaving and link.is_usable(now):
                     link.open()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes in the write buffers of all links."""
+        return sum(link.unsent_bytes for link in self)
+
     def close(self) -> None:
         """Close all links."""
         for link in self:
--- a/tests/caller/test_client_limits.py
+++ b/tests/caller/test_client_limits.py
@@ -8,7 +8,13 @@
 
 from lacewingstair.caller.answer_progress import AnswerProgress
 from lacewingstair.caller.client_limits import DEFAULT_LIMITS, CloseReason
-from lacewingstair.caller.connection_budget import ConnectionBudget, IdleConnection
+from lacewingstair.caller.client_progress import ClientProgress
+from lacewingstair.caller.connection_budget import (
+    ConnectionBudget,
+    Holding,
+    IdleConnection,
+    Stage,
+)
 from lacewingstair.caller.head_limits import HeadLimits
 
 LIMITS = attrs.evolve(DEFAULT_LIMITS, max_head_bytes=60, max_empty_line_bytes=6)
@@ -69,20 +75,98 @@
     assert progress.is_overdue(1.0, written, 10)
 
 
+def running(**sizes):
+    return {name: Holding(Stage.RUNNING, size) for name, size in sizes.items()}
+
+
 def test_connections_that_hold_most_are_closed_first():
     budget = ConnectionBudget(attrs.evolve(DEFAULT_LIMITS, max_held_bytes=1 << 20))
-    held = {"small": 2 << 10, "large": 700 << 10, "larger": 800 << 10}
+    held = running(small=2 << 10, large=700 << 10, larger=800 << 10)
     assert budget.excess(held, 0) == ["larger"]
     # What is held under other limits leaves half of the budget.
     assert budget.excess(held, 10 << 20) == ["larger", "large"]
-    assert budget.excess({"small": 2 << 10}, 10 << 20) == []
+    assert budget.excess(running(small=2 << 10), 10 << 20) == []
 
 
 def test_a_single_large_call_is_served_while_there_is_no_other_load():
     budget = ConnectionBudget(attrs.evolve(DEFAULT_LIMITS, max_held_bytes=1 << 20))
-    held = {"large": 64 << 20, "small": 200 << 10}
-    assert budget.excess(held, 0) == []
-    assert budget.excess({**held, "other": 100 << 10}, 0) == ["large"]
+    held = running(large=64 << 20, small=200 << 10)
+    assert budget.excess(held, 0) == [] and budget.has_room
+    assert budget.excess({**held, **running(other=100 << 10)}, 0) == ["large"]
+
+
+def test_what_is_asked_for_and_read_is_closed_last():
+    """Guards against answers that are cut to make room for unfinished requests."""
+    budget = ConnectionBudget(attrs.evolve(DEFAULT_LIMITS, max_held_bytes=1 << 20))
+    size = 300 << 10
+    held = {
+        "running": Holding(Stage.RUNNING, 2 * size),
+        "queued": Holding(Stage.QUEUED, size),
+        "read": Holding(Stage.ANSWERED, 2 * size, 9e5),
+        "read slowly": Holding(Stage.ANSWERED, size, 5e3),
+        "unread": Holding(Stage.UNREAD, size, -3.0),
+        "kept": Holding(Stage.IDLE, size),
+        "arriving": Holding(Stage.UNFINISHED, size, 1e6),
+        "slow": Holding(Stage.UNFINISHED, size, 1e2),
+        "stalled": Holding(Stage.UNFINISHED, size, -4.0),
+        "stalled longer": Holding(Stage.UNFINISHED, size, -9.0),
+    }
+    order = budget.excess(held, 0)
+    assert order == [
+        "stalled longer",
+        "stalled",
+        "slow",
+        "arriving",
+        "kept",
+        "unread",
+        "queued",
+        "read slowly",
+        "read",
+    ]
+
+
+def test_small_requests_are_closed_only_when_all_others_do_not_suffice():
+    """Guards against many small callers that pay for a few large ones."""
+    budget = ConnectionBudget(attrs.evolve(DEFAULT_LIMITS, max_held_bytes=1 << 20))
+    size = 10 << 10
+    small = {n: Holding(Stage.UNFINISHED, size, -9.0) for n in range(60)}
+    large = {"large": Holding(Stage.ANSWERED, 500 << 10, 9e5)}
+    assert budget.excess({**small, **large}, 0) == ["large"]
+    many = {n: Holding(Stage.UNFINISHED, size, -9.0) for n in range(200)}
+    assert len(budget.excess(many, 0)) == 98
+
+
+def test_calls_are_refused_before_running_ones_fill_the_budget():
+    """Guards against calls that are cut for memory which a refusal would have kept."""
+    budget = ConnectionBudget(attrs.evolve(DEFAULT_LIMITS, max_held_bytes=1 << 20))
+    size = 100 << 10
+    calls = {n: Holding(Stage.RUNNING, size, running_size=size) for n in range(8)}
+    assert budget.excess(calls, 0) == [] and not budget.has_room
+    assert budget.excess(dict(list(calls.items())[:7]), 0) == [] and budget.has_room
+    # Unfinished requests make way, and keep nobody out.
+    heads = {-n: Holding(Stage.UNFINISHED, 100 << 10) for n in range(1, 99)}
+    assert budget.excess(heads, 0) and budget.has_room
+
+
+@pytest.mark.parametrize(
+    ("sent", "expected"),
+    [([(0.0, 100)], 100 / 1.5), ([(0.0, 100), (0.9, 400)], 400 / 1.5), ([], 0.0)],
+)
+def test_the_progress_of_a_client_is_a_rate(sent, expected):
+    progress = ClientProgress(0.0)
+    progress.begin(0.0)
+    for at, total in sent:
+        progress.note(total, at)
+    assert progress.rate(1.0) == pytest.approx(expected)
+    assert progress.rate(9.0) < 0
+
+
+def test_a_client_that_moves_few_bytes_again_and_again_is_not_stalled():
+    progress = ClientProgress(0.0)
+    progress.begin(0.0)
+    for second in range(60):
+        progress.note(second + 1, float(second))
+        assert progress.rate(second + 1.0) > 0
 
 
 def test_only_a_connection_that_no_client_reuses_makes_room():
