Requests: limit the bytes of a head and not the number of its lines

What callers saw: proper requests with over 125 header lines of their own, under 3 KB in all, got 400, and no client tries again after a 400.

Cause: the parser was given MAX_HEADERS = 128, while the configuration and the users' pages limit bytes alone.

Why it works: the number that the parser is given follows from max_head_bytes and the shortest line, so that the limit on bytes is met first, with 431.

--- a/src/lacewingstair/http_server.py
+++ b/src/lacewingstair/http_server.py
@@ -21,7 +21,9 @@
 # Idle connections of callers are closed by callers, which know their own pools; the
 # limit only removes connections whose other end has gone silent.
 KEEPALIVE_SECONDS = 600.0
-MAX_HEADERS = 128
+# A name of one character, a colon and the end of the line: the limit on the bytes of a
+# head is the one that a client meets.
+MIN_HEADER_LINE_BYTES = 4
 READ_BYTES = 64 << 10
 
 MAX_CONNECTIONS = 4096
@@ -238,19 +240,20 @@
             has_next = bool(self.protocol._messages)
             return (has_next or not is_leaving()) and super().keep_alive
 
+    guard = guard or ConnectionGuard()
     return CallServer(
         handler,
         Request,
         max_connections,
         may_run_ahead,
-        guard or ConnectionGuard(),
+        guard,
         # A caller that leaves cancels its call.
         handler_cancellation=True,
         # Bodies are passed on as they came.
         auto_decompress=False,
         read_bufsize=buffer_bytes,
         lingering_time=LINGER_SECONDS,
-        **_limits(max_header_bytes),
+        **_limits(max_header_bytes, guard),
     )
 
 
@@ -299,12 +302,13 @@
     max_connections : int
         Connections open at a time.
     """
+    guard = guard or ConnectionGuard()
     return _ApplicationRunner(
         application,
-        guard or ConnectionGuard(),
+        guard,
         max_connections,
         shutdown_timeout=1.0,
-        **_limits(max_header_bytes),
+        **_limits(max_header_bytes, guard),
     )
 
 
@@ -363,11 +367,11 @@
     return Ok(None)
 
 
-def _limits(max_header_bytes: int) -> dict[str, Any]:
+def _limits(max_header_bytes: int, guard: ConnectionGuard) -> dict[str, Any]:
     return {
         "access_log": None,
         "keepalive_timeout": KEEPALIVE_SECONDS,
-        "max_headers": MAX_HEADERS,
+        "max_headers": guard.limits.max_head_bytes // MIN_HEADER_LINE_BYTES,
         "max_line_size": max_header_bytes,
         "max_field_size": max_header_bytes,
     }
