Chunked bodies: give the parsing of small chunks a share of the processor

What callers saw: while clients sent bodies in chunks of one byte, ordinary calls of 3 s ended in time-outs, or got 503 as no answer of another VM was read in time.

Cause: framing was bounded as a share of the body and not as work. A chunk takes some 1.4 us to parse and read, and took 4.3: aiohttp's stream calls resume_reading for each chunk that is read, which parsed on each time. One read of each of 64 connections is some 2.8 million chunks, and nothing else ran until they were parsed.

Evidence: 64 clients with 262,144 chunks each: an ordinary download got 503, and the process parsed on for 70 s after the clients had left.

A body of large chunks is parsed in parts of 64 KiB and takes next to nothing of the share, so that no limit on chunks is needed.

--- a/src/lacewingstair/caller/connection_guard.py
+++ b/src/lacewingstair/caller/connection_guard.py
@@ -4,6 +4,8 @@
 take too long, and counts all closes by their reason.
 """
 
+import asyncio
+import time
 from collections import Counter, deque
 from collections.abc import Callable, Hashable
 from typing import Protocol
@@ -19,12 +21,14 @@
     Holding,
     IdleConnection,
 )
+from lacewingstair.caller.parsing_pace import ParsingPace
 from lacewingstair.garbage_collection import CutCallCollector
 from lacewingstair.runtime import Clock
 
 SWEEP_SECONDS = 1.0
 # Closed connections may leave this part of the budget to the garbage collector.
 CUT_DIVISOR = 8
+MIN_PARSING_DELAY_SECONDS = 0.001
 
 
 class Connection(Protocol):
@@ -45,6 +49,10 @@
         """Close the connection at once; what is unsent is dropped."""
         ...
 
+    def parse_on(self) -> None:
+        """Parse what was received of a chunked body."""
+        ...
+
     def give_up(self) -> bool:
         """Refuse a request whose body is arriving, else close the connection.
 
@@ -84,6 +92,9 @@
         self._budget = ConnectionBudget(limits)
         self._collector = CutCallCollector(limits.max_held_bytes // CUT_DIVISOR)
         self._connections: set[Connection] = set()
+        self._pace = ParsingPace(time.monotonic())
+        # Connections whose next part is parsed once the pace allows it.
+        self._paced: deque[Connection] = deque()
         # Connections that may make room for new ones, since the last sweep.
         self._idle_by_server: dict[Hashable, deque[Connection]] = {}
 
@@ -127,6 +138,37 @@
         if self._budget.note(size):
             self._keep_budget()
 
+    def note_parsing(self, seconds: float, now: float) -> None:
+        """Count time that the parsing of a chunked body took."""
+        self._pace.note(seconds, now)
+
+    def may_parse(
+        self, connection: Connection, loop: asyncio.AbstractEventLoop
+    ) -> bool:
+        """Return whether a chunked body is parsed on; if not, it is told when it is."""
+        if not self._pace.delay_seconds(time.monotonic()):
+            return True
+        if connection not in self._paced:
+            self._paced.append(connection)
+        if len(self._paced) == 1:
+            self._schedule_parsing(loop)
+        return False
+
+    def _schedule_parsing(self, loop: asyncio.AbstractEventLoop) -> None:
+        delay = self._pace.delay_seconds(time.monotonic())
+        loop.call_later(max(MIN_PARSING_DELAY_SECONDS, delay), self._parse_next, loop)
+
+    def _parse_next(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Let connections parse on in the order in which they began to wait."""
+        for _ in range(len(self._paced)):
+            if self._pace.delay_seconds(time.monotonic()):
+                break
+            connection = self._paced.popleft()
+            if connection in self._connections:
+                connection.parse_on()
+        if self._paced:
+            self._schedule_parsing(loop)
+
     def count(self, reason: CloseReason, **fields: object) -> None:
         """Count a refusal or close, and log it."""
         self.closed_by_reason[reason] += 1
--- a/src/lacewingstair/caller/guarded_connection.py
+++ b/src/lacewingstair/caller/guarded_connection.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import itertools
+import time
 from collections import deque
 
 from aiohttp import EMPTY_PAYLOAD, ClientPayloadError, StreamReader, hdrs, web
@@ -32,14 +33,22 @@
 LINGER_SECONDS = 1.0
 # Beyond this, a refused client is no longer read.
 MAX_DROPPED_BYTES = 1 << 20
-# Bytes of a chunked body that are parsed before its framing is checked again.
-MAX_CHUNKED_PART = 16 << 10
+# Bytes of a chunked body that are parsed before its framing is checked again, with
+# small chunks and with others.
+MAX_CHUNKED_PART = 4 << 10
+MAX_LARGE_CHUNKS_PART = 64 << 10
+# Framing is at most this part of the bytes of large chunks.
+LARGE_CHUNKS_FRAMING = 1 / 16
+# Requests that arrive whole are parsed at once up to this size.
+MAX_WHOLE_REQUEST = 16 << 10
 # The guard does not look at all connections for smaller responses; it does so once a
 # second anyway.
 UNCOUNTED_RESPONSE_BYTES = 4 << 10
 # Memory of the requests of one connection that wait for their turn; no further one is
 # parsed above it.
 MAX_QUEUED_BYTES = 64 << 10
+# Objects for a chunk that has not been read, beside its bytes.
+CHUNK_BYTES = 96
 MAX_ERROR_CHARACTERS = 200
 
 
@@ -98,6 +107,7 @@
         self._body_length: int | None = 0
         self._body_left: int | None = None
         self._body_received = 0
+        self._chunked_part = MAX_CHUNKED_PART
         # Bytes of the latest body that is complete.
         self._parsed_body_bytes = 0
         self._is_refused = False
@@ -195,11 +205,7 @@
         """Return the memory of the requests that wait for their turn."""
         while len(self._queued_heads) > len(self._messages):
             self._turn_head = self._queued_heads.popleft()
-        bodies = sum(
-            payload._size
-            for _, payload in self._messages
-            if payload is not EMPTY_PAYLOAD
-        )
+        bodies = sum(stream_memory(payload) for _, payload in self._messages)
         return sum(self._queued_heads) + bodies
 
     def _waiting_bytes(self) -> int:
@@ -217,7 +223,7 @@
         if request is not None:
             return request._payload.total_bytes
         is_behind_answer = self._body is not None and not self._messages
-        return self._body._size if is_behind_answer else 0
+        return stream_memory(self._body) if is_behind_answer else 0
 
     def grow_older(self, seconds: float) -> CloseReason | None:
         """Let time pass; return why the connection has to be cut off, if it has."""
@@ -258,10 +264,12 @@
             data, start = self._unparsed, self._unparsed_from
         self._unparsed = b""
         while start < len(data) and not self._is_refused:
-            if self._must_wait():
+            is_paced = self._is_paced()
+            if is_paced or self._must_wait():
                 self._unparsed, self._unparsed_from = data, start
                 is_long = len(data) - start >= self._read_bufsize
-                if (self._upgraded and is_long) or self._is_queue_full():
+                is_full = (self._upgraded and is_long) or self._is_queue_full()
+                if is_paced or is_full:
                     self._pause_reading_for_buffer()
                 return
             start = self._pass_on(data, start)
@@ -347,6 +355,28 @@
             return True
         return self._queued_bytes() > MAX_QUEUED_BYTES
 
+    def _is_paced(self) -> bool:
+        """Return whether a chunked body waits until all may be parsed on."""
+        is_chunked = self._body is not None and self._body_left is None
+        return is_chunked and not self._guard.may_parse(self, self._loop)
+
+    def parse_on(self) -> None:
+        """Parse what was received of a chunked body."""
+        if self._parser is None or self._is_refused:
+            return
+        self.data_received(b"")
+        if self._buffer_paused:
+            self._resume_reading_if_drained()
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Let the client send again.
+
+        A stream calls this for each chunk that is read from it, also if it did not
+        pause the connection.
+        """
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+
     def _resume_reading_for_buffer(self) -> None:
         """Let the client send again, once all it has sent is with the parser."""
         if not self._unparsed:
@@ -362,7 +392,7 @@
             or self._head.head_bytes
             or self._unparsed
             or not data
-            or len(data) > self._guard.limits.max_head_bytes
+            or len(data) > min(self._guard.limits.max_head_bytes, MAX_WHOLE_REQUEST)
             or data[0] in HEAD_END
             or self._must_wait()
         ):
@@ -375,7 +405,10 @@
         """Parse a single head and what follows it."""
         self._head.head_bytes = end
         before = len(self._messages)
+        began_at = time.monotonic()
         self._parse(data)
+        if self._body_length is None:
+            self._note_parsing(began_at)
         rest = len(data) - end
         if not rest or self._is_refused or self._upgraded:
             return
@@ -398,7 +431,7 @@
         Nothing is left once the client is refused.
         """
         if self._body is not None:
-            left = MAX_CHUNKED_PART if self._body_left is None else self._body_left
+            left = self._chunked_part if self._body_left is None else self._body_left
             end = min(len(data), start + left)
             self._parse_body(data[start:end])
             return end
@@ -430,7 +463,15 @@
                 self._body = None
             return
         before = len(self._messages)
+        before_bytes = body.total_bytes
+        began_at = time.monotonic()
         self._parse(part)
+        self._note_parsing(began_at)
+        framing = len(part) - (body.total_bytes - before_bytes)
+        has_large_chunks = framing <= LARGE_CHUNKS_FRAMING * len(part)
+        self._chunked_part = (
+            MAX_LARGE_CHUNKS_PART if has_large_chunks else MAX_CHUNKED_PART
+        )
         if body.is_eof():
             # The next head may have begun within the part, behind the trailers.
             if before == len(self._messages):
@@ -444,6 +485,11 @@
             body.set_exception(BadBodyError("chunk framing beyond the limit"))
             self._refuse(CloseReason.FRAMING)
 
+    def _note_parsing(self, began_at: float) -> None:
+        # The time of the loop stands still while it handles an event.
+        now = time.monotonic()
+        self._guard.note_parsing(now - began_at, now)
+
     def _parse(self, part: bytes) -> None:
         """Pass a part to the parser, and note the state of its input."""
         before = len(self._messages)
@@ -523,3 +569,10 @@
 def _head_bytes(message: RawRequestMessage) -> int:
     fields = sum(len(name) + len(value) for name, value in message.raw_headers)
     return len(message.path) + fields
+
+
+def stream_memory(payload: StreamReader) -> int:
+    """Return the memory of the received bytes that no handler has read."""
+    if payload is EMPTY_PAYLOAD:
+        return 0
+    return payload._size + CHUNK_BYTES * len(payload._buffer)
--- a/src/lacewingstair/caller/pipelining.py
+++ b/src/lacewingstair/caller/pipelining.py
@@ -18,7 +18,7 @@
 from lacewingstair.caller.body_refusal import BodyRefusedError
 from lacewingstair.caller.connection_budget import Holding
 from lacewingstair.caller.connection_guard import ConnectionGuard
-from lacewingstair.caller.guarded_connection import GuardedConnection
+from lacewingstair.caller.guarded_connection import GuardedConnection, stream_memory
 from lacewingstair.caller.head_memory import CALL_BYTES
 from lacewingstair.caller.raw_response import RawResponse
 
@@ -115,7 +115,7 @@
         request = self._current_request
         if request is None:
             return super()._body_bytes()
-        buffered = 0 if request._payload is EMPTY_PAYLOAD else request._payload._size
+        buffered = stream_memory(request._payload)
         # A body that was refused is released at once.
         return buffered if self._is_refused else buffered + request.kept_body_bytes
 
--- a/tests/caller/test_client_limits.py
+++ b/tests/caller/test_client_limits.py
@@ -16,6 +16,12 @@
     Stage,
 )
 from lacewingstair.caller.head_limits import HeadLimits
+from lacewingstair.caller.parsing_pace import (
+    BURST_SECONDS,
+    SHARE,
+    WORK_PER_PARSING,
+    ParsingPace,
+)
 
 LIMITS = attrs.evolve(DEFAULT_LIMITS, max_head_bytes=60, max_empty_line_bytes=6)
 HEAD = b"GET / HTTP/1.1\r\nHost: a\r\nX: \r \n b\r\n\r\n"
@@ -178,3 +184,25 @@
     longer = IdleConnection("longer", 2 * DEFAULT_LIMITS.idle_seconds, True)
     found = budget.may_make_room([unused, reusable, longer])
     assert found == ["longer", "unused"]
+
+
+def test_parsing_has_a_share_of_the_time_and_a_burst():
+    """Guards against chunked bodies that keep the process from all other calls."""
+    pace, now, parsing = ParsingPace(0.0), 0.0, 0.0
+    while now < 100.0:
+        delay = pace.delay_seconds(now)
+        if delay:
+            now += delay + 1e-6
+            continue
+        now += 0.01
+        pace.note(0.01, now)
+        parsing += WORK_PER_PARSING * 0.01
+    allowed = BURST_SECONDS + SHARE * 100.0
+    assert allowed * 0.95 <= parsing <= allowed + WORK_PER_PARSING * 0.01
+
+
+def test_a_chunked_body_may_be_parsed_at_once_after_a_while():
+    pace = ParsingPace(0.0)
+    pace.note(9.0, 9.0)
+    assert pace.delay_seconds(9.0) > 0
+    assert pace.delay_seconds(9.0 + 9.0 * WORK_PER_PARSING / SHARE) == 0
