Answers: read large ones on only while other VMs take those before them

What callers saw: while 48 clients asked for 8 answers of 1 MiB each and read none, the process beside the backend server grew by 75 MB, and at 64 MiB of unsent answers it dropped the stream to the VM of those clients, with all calls on it.

Cause: an answer leaves the account of response_memory as it is written to its stream, and what waits in the streams was bounded by the end of the stream alone. The backend server answered faster than the other VM took the answers.

Evidence: a trial with counters showed 64 MiB in the write buffer of one stream while 2 MiB of responses were being received.

Why it works: beyond 16 MiB of unsent answers no response above 64 KiB is read on. Its bytes stay with the backend server, which is slowed to the pace of the VM, until the deadline of its call. Small answers are read as before. At the VM of the clients, responses that wait behind an answer no longer count as calls in progress, which refused ordinary calls; and what the kernel takes of an answer at once no longer counts as progress of its client, which ranked clients that read nothing above those that do.

--- a/src/lacewingstair/backend_server/admission_proxy.py
+++ b/src/lacewingstair/backend_server/admission_proxy.py
@@ -166,6 +166,10 @@
         self.is_stopping = False
         self.stop_admission = StopAdmission(clock)
 
+    def count_unsent(self, unsent_bytes: Callable[[], int]) -> None:
+        """Read large responses on only while other VMs take those before them."""
+        self._response_memory.unsent_bytes = unsent_bytes
+
     @property
     def buffered_response_bytes(self) -> int:
         """Bytes of response bodies that are being received."""
--- a/src/lacewingstair/backend_server/response_memory.py
+++ b/src/lacewingstair/backend_server/response_memory.py
@@ -6,7 +6,7 @@
 """
 
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -15,6 +15,11 @@
     UpstreamConnection,
 )
 
+# Responses that wait for their VMs to take them; large ones are not read on above it.
+MAX_UNSENT_BYTES = 16 << 20
+# Smaller responses are always read.
+LARGE_RESPONSE_BYTES = 64 << 10
+
 
 @attrs.define(eq=False)
 class PartialResponse:
@@ -36,10 +41,13 @@
     ----------
     buffered_bytes : int
         Current size of all bodies together.
+    unsent_bytes : callable
+        Returns the bytes of responses that other VMs have not taken.
     """
 
     def __init__(self, max_bytes: int) -> None:
         self.buffered_bytes = 0
+        self.unsent_bytes: Callable[[], int] = lambda: 0
         self._max_bytes = max_bytes
         self._responses: set[PartialResponse] = set()
 
@@ -53,6 +61,16 @@
         finally:
             self._forget(response)
 
+    def may_read(self, response: PartialResponse) -> bool:
+        """Return whether a body is read on.
+
+        A backend server may answer faster than the VMs of the callers take the
+        responses. What is not read stays with the backend server.
+        """
+        if response.size < LARGE_RESPONSE_BYTES:
+            return True
+        return self.unsent_bytes() <= MAX_UNSENT_BYTES
+
     def add(self, response: PartialResponse, size: int) -> None:
         """Count received bytes, and abort the largest bodies while over the limit."""
         if response not in self._responses:
--- a/src/lacewingstair/backend_server/response_reader.py
+++ b/src/lacewingstair/backend_server/response_reader.py
@@ -1,12 +1,17 @@
 """Reads the responses of the backend server and matches each one to its call."""
 
+import asyncio
+
 import attrs
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
 
 from lacewingstair import events
 from lacewingstair.backend_server.connection import UpstreamConnection
-from lacewingstair.backend_server.response_memory import ResponseMemory
+from lacewingstair.backend_server.response_memory import (
+    PartialResponse,
+    ResponseMemory,
+)
 from lacewingstair.final_responses import (
     FaultKind,
     ResponseFault,
@@ -22,6 +27,8 @@
 FIRST_REDIRECTION_STATUS = 300
 # Responses to other calls are skipped; with this many, the connection is closed.
 MAX_STRAY_RESPONSES = 3
+# How often it is checked whether other VMs have taken enough to read on.
+UNSENT_CHECK_SECONDS = 0.02
 
 
 @attrs.frozen
@@ -119,6 +126,7 @@
         parts: list[bytes] = []
         with self._memory.receiving(connection) as partial:
             while chunk := await payload.readany():
+                await self._until_taken(partial)
                 parts.append(chunk)
                 self._memory.add(partial, len(chunk))
                 if partial.size > MAX_RESPONSE_BYTES:
@@ -126,6 +134,11 @@
                     return FailedExchange(reason, True)
         return b"".join(parts)
 
+    async def _until_taken(self, partial: PartialResponse) -> None:
+        """Wait until other VMs have taken enough to read on."""
+        while not self._memory.may_read(partial):  # noqa: ASYNC110 - plain state
+            await asyncio.sleep(UNSENT_CHECK_SECONDS)
+
     def _update_idle_reuse(self, fields: object) -> None:
         seconds = headers.keep_alive_seconds(fields)
         if seconds is not None:
--- a/src/lacewingstair/caller/guarded_connection.py
+++ b/src/lacewingstair/caller/guarded_connection.py
@@ -205,9 +205,11 @@
             self._reading.end()
             return 0
         now = self._loop.time()
+        taken = self._all_written_bytes() - unsent
         if not self._reading.is_active:
-            self._reading.begin(now, self._written_bytes)
-        self._reading.note(self._all_written_bytes() - unsent, now)
+            # What the kernel took at once says nothing of the client.
+            self._reading.begin(now, taken)
+        self._reading.note(taken, now)
         return unsent
 
     def _all_written_bytes(self) -> int:
@@ -299,9 +301,8 @@
         finished = await super().finish_response(request, resp, start_time)
         size = resp.size if isinstance(resp, RawResponse) else 0
         size = size or request.writer.output_size
-        if not self._reading.is_active and self._raw_transport.get_write_buffer_size():
-            self._reading.begin(self._loop.time(), self._written_bytes)
         self._written_bytes += size
+        self._note_taken()
         if size > UNCOUNTED_RESPONSE_BYTES:
             self._guard.note(size)
         if self._paused:
--- a/src/lacewingstair/caller/pipelining.py
+++ b/src/lacewingstair/caller/pipelining.py
@@ -16,7 +16,7 @@
 from multidict import CIMultiDictProxy
 
 from lacewingstair.caller.body_refusal import BodyRefusedError
-from lacewingstair.caller.connection_budget import Holding
+from lacewingstair.caller.connection_budget import SMALL_BYTES, Holding, Stage
 from lacewingstair.caller.connection_guard import ConnectionGuard
 from lacewingstair.caller.guarded_connection import GuardedConnection, stream_memory
 from lacewingstair.caller.head_memory import CALL_BYTES
@@ -93,11 +93,17 @@
         """Return what the client makes the process hold."""
         found = super().holding()
         ahead = self._ahead_by_message_id.values()
-        waiting = sum(call.waiting_bytes + CALL_BYTES for call in ahead)
-        if not waiting:
+        if not ahead:
             return found
-        running = found.running_size + waiting
-        return attrs.evolve(found, size=found.size + waiting, running_size=running)
+        calls = CALL_BYTES * len(ahead)
+        waiting = sum(call.waiting_bytes for call in ahead)
+        is_queued = found.stage is Stage.RUNNING and waiting > SMALL_BYTES
+        return attrs.evolve(
+            found,
+            stage=Stage.QUEUED if is_queued else found.stage,
+            size=found.size + calls + waiting,
+            running_size=found.running_size + calls,
+        )
 
     def give_up(self) -> bool:
         """Refuse a request whose body is arriving, else close the connection."""
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -223,6 +223,7 @@
             clock=clock,
             on_quota_message=self.quotas.take,
         )
+        self.gate.count_unsent(lambda: self.call_server.unsent_bytes)
         self._records_announcer = RecordsAnnouncer(
             lambda: self.call_server.announce_load(), clock
         )
@@ -283,6 +284,7 @@
                 self.links.unsent_bytes
                 + receive_budget.held_bytes
                 + self.gate.buffered_response_bytes
+                + self.call_server.unsent_bytes
             ),
         )
         self.metrics.closed_clients = self.client_guard.closes_by_label
