Connections: a request takes the place of a connection that has sent nothing

What callers saw: while clients held all connections without a request, new connections of ordinary callers got 503, for some 5 s and again whenever the crowd connected anew. At the address of readiness checks as well, where two failures take a VM out.

Cause: a connection that had never asked kept its place for head_seconds, and what came beyond the limit was refused before it could show that it had a request.

Evidence: 300 silent clients and a limit of 64: a download got 503, and so did reports of the backend server, the operator's status and the readiness check.

Why it works: beyond the limit a connection may wait for 1 s while there are silent ones, and its first bytes let it take the place of the oldest. A client sends as soon as it is connected, so that a crowd that is silent never outlasts it. 192 wait at most in all, within the descriptors that the smallest machine has beside its connections.

A trial with 64 that wait at each address failed at three addresses: 172 clients that connect anew pushed the ordinary one out within 8 ms. The test of idle connections asks for a call first, as a silent connection now makes room at once, and keeps its checks; what is new has a test of its own.

--- a/src/lacewingstair/caller/connection_guard.py
+++ b/src/lacewingstair/caller/connection_guard.py
@@ -28,6 +28,8 @@
 SWEEP_SECONDS = 1.0
 # Closed connections may leave this part of the budget to the garbage collector.
 CUT_DIVISOR = 8
+# Connections beyond the limits that may still send a request, at all addresses.
+MAX_WAITING_CONNECTIONS = 192
 MIN_PARSING_DELAY_SECONDS = 0.001
 
 
@@ -64,6 +66,14 @@
         ...
 
 
+class WaitingConnection(Protocol):
+    """Connection beyond a limit that may still send a request."""
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        ...
+
+
 class ConnectionGuard:
     """Connections of all clients of a process.
 
@@ -95,6 +105,8 @@
         self._pace = ParsingPace(time.monotonic())
         # Connections whose next part is parsed once the pace allows it.
         self._paced: deque[Connection] = deque()
+        # At all addresses, the oldest first; values are None.
+        self._waiting: dict[WaitingConnection, None] = {}
         # Connections that may make room for new ones, since the last sweep.
         self._idle_by_server: dict[Hashable, deque[Connection]] = {}
 
@@ -196,6 +208,27 @@
                 return True
         return False
 
+    def add_waiting(self, connection: WaitingConnection) -> None:
+        """Note a connection that waits; the oldest one is closed beyond a limit.
+
+        A client sends its request as soon as it is connected, so that those that wait
+        for longest are the least likely to send one.
+        """
+        self._waiting[connection] = None
+        if len(self._waiting) > MAX_WAITING_CONNECTIONS:
+            oldest = next(iter(self._waiting))
+            del self._waiting[oldest]
+            self.count(CloseReason.CONNECTIONS)
+            oldest.abort()
+
+    def discard_waiting(self, connection: WaitingConnection) -> None:
+        """Forget a connection that waited."""
+        self._waiting.pop(connection, None)
+
+    def close_silent(self, connection: Connection) -> None:
+        """Close a connection that has never sent anything, for one that has."""
+        self._cut_off(connection, CloseReason.IDLE)
+
     async def run(self, clock: Clock) -> None:
         """Check all connections periodically, until cancelled."""
         while True:
--- a/src/lacewingstair/caller/guarded_connection.py
+++ b/src/lacewingstair/caller/guarded_connection.py
@@ -119,9 +119,12 @@
         super().connection_made(transport)
         self._raw_transport = transport
         self._guard.add(self)
+        self._manager.silent_connections[self] = None
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forget the connection, and what it holds."""
+        if self._manager is not None:
+            self._manager.silent_connections.pop(self, None)
         size = self._waiting_bytes() + self._call_bytes()
         self._guard.discard(self, self.open_calls(), size)
         request = self._current_request
@@ -352,6 +355,8 @@
 
     def _note_received(self, size: int) -> None:
         """Count bytes that the client has sent."""
+        if not self._received_bytes and self._manager is not None:
+            self._manager.silent_connections.pop(self, None)
         now = self._loop.time()
         is_first = not (self._head.head_bytes or self._unparsed or self._messages)
         if is_first and self._current_request is None:
--- a/src/lacewingstair/http_server.py
+++ b/src/lacewingstair/http_server.py
@@ -29,7 +29,9 @@
 MAX_CONNECTIONS = 4096
 # Connections beyond the limit that are answered; further ones are closed unanswered.
 MAX_REFUSED_CONNECTIONS = 64
-# The call did not run: nothing of it was read.
+# How long a connection beyond the limit may take to send the begin of a request.
+MAX_WAIT_SECONDS = 1.0
+# The call did not run: nothing of it was passed on.
 _FULL_ANSWER = (
     b"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n"
     b"Lacewingstair-Outcome: not-run\r\nLacewingstair-Retry: no\r\n"
@@ -68,9 +70,53 @@
         loop.call_later(LINGER_SECONDS, transport.close)
 
 
+class _WaitingConnection(asyncio.Protocol):
+    """Connection beyond the limit that may take the place of one without a request.
+
+    Parameters
+    ----------
+    server : LimitedServer
+        Server of the connection.
+    """
+
+    def __init__(self, server: "LimitedServer") -> None:
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Wait for the first bytes of a request."""
+        self._transport = transport
+        self._server.guard.add_waiting(self)
+        asyncio.get_running_loop().call_later(MAX_WAIT_SECONDS, self._end_wait)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Forget the connection."""
+        self._server.guard.discard_waiting(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Hand the connection to the protocol that serves it, or that refuses it."""
+        self._server.guard.discard_waiting(self)
+        protocol = self._server.replace_silent()
+        self._transport.set_protocol(protocol)
+        protocol.connection_made(self._transport)
+        protocol.data_received(data)
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._transport.abort()
+
+    def _end_wait(self) -> None:
+        if self._transport.get_protocol() is self:
+            self._transport.abort()
+
+
 class LimitedServer(web.Server):
     """Server with a limit on its open connections.
 
+    A connection beyond the limit takes the place of one that is idle for long. While
+    there are connections that have never sent anything, it may also send its request
+    and take the place of the oldest of them. Otherwise it is answered 503, not run.
+
     Parameters
     ----------
     handler : callable
@@ -78,10 +124,14 @@
     guard : ConnectionGuard
         Watches the connections of the process.
     max_connections : int
-        Connections open at a time; a further one takes the place of one that is idle
-        for long, or is answered 503, not run.
+        Connections open at a time.
     **options
         Options of aiohttp's server.
+
+    Attributes
+    ----------
+    silent_connections : dict
+        Connections that have never sent anything, the oldest first; values are None.
     """
 
     def __init__(
@@ -94,6 +144,7 @@
         super().__init__(handler, **options)
         self.guard = guard
         self.max_connections = max_connections
+        self.silent_connections: dict[GuardedConnection, None] = {}
         self._refused: set[_FullConnection] = set()
 
     def __call__(self) -> asyncio.Protocol:
@@ -103,10 +154,27 @@
             # The connection that is closed leaves a moment later.
             has_room = len(found) < self.max_connections + MAX_REFUSED_CONNECTIONS
             if not (has_room and self.guard.make_room(self, found)):
-                self.guard.count(CloseReason.CONNECTIONS)
-                return _FullConnection(self._refused)
+                if has_room and self.silent_connections:
+                    return _WaitingConnection(self)
+                return self._full_connection()
         return self._connection()
 
+    def replace_silent(self) -> asyncio.Protocol:
+        """Return the protocol of a connection that has sent something while it waited.
+
+        The oldest connection that has never sent anything is closed for it.
+        """
+        if not self.silent_connections:
+            return self._full_connection()
+        oldest = next(iter(self.silent_connections))
+        del self.silent_connections[oldest]
+        self.guard.close_silent(oldest)
+        return self._connection()
+
+    def _full_connection(self) -> _FullConnection:
+        self.guard.count(CloseReason.CONNECTIONS)
+        return _FullConnection(self._refused)
+
     def _connection(self) -> GuardedConnection:
         return GuardedConnection(self, self.guard, loop=self._loop, **self._kwargs)
 
--- a/tests/caller/test_guarded_connection.py
+++ b/tests/caller/test_guarded_connection.py
@@ -184,8 +184,10 @@
     async def check(guard, connection, transport):
         server = connection._manager
         server.max_connections = 1
+        connection.data_received(GET)
+        await settle()
         assert not isinstance(server(), type(connection))
-        for _ in range(int(LIMITS.head_seconds) + 1):
+        for _ in range(int(LIMITS.idle_seconds) + 2):
             guard.sweep()
         assert isinstance(server(), type(connection))
         assert transport.is_aborted
@@ -195,6 +197,32 @@
     with_connection(check)
 
 
+def test_a_connection_that_sends_takes_the_place_of_one_that_has_not():
+    """Guards against clients that keep all connections and send nothing."""
+
+    async def check(guard, connection, transport):
+        server = connection._manager
+        server.max_connections = 1
+        waiting, other = server(), Transport()
+        other.get_protocol = lambda: other.protocol
+        other.set_protocol = lambda found: setattr(other, "protocol", found)
+        other.protocol = waiting
+        waiting.connection_made(other)
+        assert not transport.is_aborted
+        waiting.data_received(GET)
+        await settle()
+        assert transport.is_aborted and guard.closed_by_reason[CloseReason.IDLE] == 1
+        assert other.written.startswith(b"HTTP/1.1 200 ")
+        # The other one has sent something, and keeps its place.
+        connection.connection_lost(None)
+        assert not server.silent_connections
+        assert not isinstance(server(), type(connection))
+        assert guard.closed_by_reason[CloseReason.CONNECTIONS] == 1
+        other.protocol.connection_lost(None)
+
+    with_connection(check)
+
+
 def test_a_response_that_is_written_in_parts_is_not_cut_off():
     """Guards against a long download that is closed although its client reads."""
 
--- a/tests/hostile_requests.py
+++ b/tests/hostile_requests.py
@@ -91,6 +91,10 @@
 }
 
 
+# Beyond the limit on connections of the tests that use them.
+SILENT = Form(300, b"", holds=True)
+
+
 async def _send_once(host: str, port: int, form: Form) -> None:
     reader, writer = await asyncio.open_connection(host, port)
     try:
--- a/tests/test_sidecar_hostile_requests.py
+++ b/tests/test_sidecar_hostile_requests.py
@@ -13,7 +13,7 @@
 import pytest
 from aiohttp.test_utils import TestServer
 
-from tests.hostile_requests import FORMS_BY_NAME, crowd
+from tests.hostile_requests import FORMS_BY_NAME, SILENT, crowd
 from tests.platform.store_standin import StoreStandIn
 from tests.platform.test_configuration import document
 from tests.platform.upstream_standin import UpstreamStandIn
@@ -39,6 +39,9 @@
 max_connections = 256
 max_held_bytes = 8388608
 """
+FEW_CONNECTIONS = CALLER_LIMITS.replace(
+    "max_connections = 256", "max_connections = 64\nmax_other_connections = 64"
+)
 # Segments and a window as on a network; the kernel takes 4 MB at once with those of
 # loopback, so that nothing of a download would wait in the process.
 SEGMENT_BYTES = 1460
@@ -186,7 +189,39 @@
 @pytest.mark.parametrize("name", FORMS_BY_NAME)
 def test_ordinary_requests_are_served_beside(site, name):
     """Guards against clients that take the memory, or the answers of others."""
-    form = FORMS_BY_NAME[name]
+    check_service(site, FORMS_BY_NAME[name])
+
+
+def test_ordinary_requests_are_served_beside_connections_without_a_request(site):
+    """Guards against clients that take all connections and send nothing."""
+    site.limits = FEW_CONNECTIONS
+    check_service(site, SILENT)
+
+
+@pytest.mark.parametrize("port", [7102, 7103, 7104])
+def test_other_addresses_answer_beside_connections_without_a_request(site, port):
+    """Guards against a VM that is taken for one that has failed."""
+    site.limits = FEW_CONNECTIONS
+
+    async def main():
+        async with site.started():
+            vm = site.vms[0]
+            async with crowd(vm.host, port, SILENT):
+                await asyncio.sleep(CROWD_SECONDS / 2)
+                async with aiohttp.ClientSession() as session:
+                    if port == 7102:
+                        assert await vm.report(session) == 200
+                    path = {7103: "status", 7104: "ready"}.get(port, "none")
+                    url = f"http://{vm.host}:{port}/{path}"
+                    async with session.get(url) as answer:
+                        assert answer.status == (404 if port == 7102 else 200)
+                site.check_alive()
+
+    asyncio.run(main())
+
+
+def check_service(site, form):
+    """Check a site while a crowd sends a form of request, and afterwards."""
 
     async def main():
         async with site.started():
