--- a/tests/hostile_requests.py
+++ b/tests/hostile_requests.py
@@ -16,6 +16,8 @@
 MAX_WAIT_SECONDS = 10.0
 # A connection that is refused at once is not tried in a busy loop.
 PAUSE_SECONDS = 0.02
+# Clients that go on slowly pause for as long.
+TRICKLE_SECONDS = 0.1
 
 
 @attrs.frozen
@@ -34,6 +36,10 @@
         Whether the client keeps its connection although it is answered.
     reads : bool
         Whether answers are read.
+    read_bytes : int
+        Read at a time, with a pause after each; 0 reads as much as there is.
+    trickle : bytes
+        Sent again and again, with a pause after each.
     """
 
     clients: int
@@ -41,6 +47,8 @@
     leaves: bool = False
     holds: bool = False
     reads: bool = True
+    read_bytes: int = 0
+    trickle: bytes = b""
 
 
 def _request(
@@ -68,6 +76,7 @@
         12, _post(1 << 20, request_id=b"q\xff", body=_MEBIBYTE)
     ),
     "heads without their bodies": Form(48, _post(1000, _LONG_HEAD)),
+    "heads that are answered": Form(96, _request("GET /none", _LONG_HEAD), holds=True),
     "heads without their ends": Form(
         100, _request("GET /view/1", _LONG_HEAD)[: 38 << 10], holds=True
     ),
@@ -87,6 +96,12 @@
     "downloads that are not read": Form(
         48, _request("GET /view/large") * 8, reads=False, holds=True
     ),
+    "bodies that trickle": Form(
+        24, _post(8 << 20, body=_MEBIBYTE * 2), trickle=b"x" * 100
+    ),
+    "answers that are read slowly": Form(
+        48, _request("GET /view/large") * 8, read_bytes=2000, holds=True
+    ),
     "ids without end": Form(48, _post(4, request_id=b"q" * 4000, body=b"body") * 64),
 }
 
@@ -107,6 +122,11 @@
             return
         if not form.reads:
             await asyncio.Event().wait()
+        while form.trickle and not reader.at_eof():
+            writer.write(form.trickle)
+            await asyncio.sleep(TRICKLE_SECONDS)
+        while form.read_bytes and await reader.read(form.read_bytes):  # noqa: ASYNC110
+            await asyncio.sleep(TRICKLE_SECONDS)
         while await reader.read(1 << 16) and form.holds:
             pass
         while form.holds and not reader.at_eof():
