Layout: rooms in caller/ for connections, messages, selection and calls

caller/ had 36 modules in one flat folder, so that a reader could not tell what limits clients from what places a call. Connections of clients and their limits, heads and bodies, the selection of a VM, and calls with their attempts are packages now; the two servers stay on top. Tests moved with the modules that they mirror. Only imports and paths in texts changed; the tests of caller, settings, daemon and imports pass.

--- a/bench/calls_idle.py
+++ b/bench/calls_idle.py
@@ -11,11 +11,11 @@
 from lacewingstair import events
 from lacewingstair.backend_server.connection import UpstreamConnection
 from lacewingstair.backend_server.pool import ConnectionPool
-from lacewingstair.caller import dispatch
-from lacewingstair.caller.attempts import Call
-from lacewingstair.caller.body import Body
-from lacewingstair.caller.dispatch import Dispatcher
-from lacewingstair.caller.options import DEFAULT_OPTIONS, CallOptions
+from lacewingstair.caller.calls import dispatch
+from lacewingstair.caller.calls.attempts import Call
+from lacewingstair.caller.calls.dispatch import Dispatcher
+from lacewingstair.caller.calls.options import DEFAULT_OPTIONS, CallOptions
+from lacewingstair.caller.messages.body import Body
 from lacewingstair.routing.balancing import EndpointIndex
 from lacewingstair.routing.outcomes import CallOutcome
 from lacewingstair.standins.memory_server import MemoryServer, MemoryTransport
--- a/bench/calls_policy.py
+++ b/bench/calls_policy.py
@@ -10,7 +10,7 @@
 from bench.registry import benchmarks
 from bench.results import print_table, save_rows
 from lacewingstair import events
-from lacewingstair.caller.dispatch import MAX_ATTEMPTS
+from lacewingstair.caller.calls.dispatch import MAX_ATTEMPTS
 from lacewingstair.routing import balancing
 from lacewingstair.routing.balancing import Balancer, Upstream, UpstreamGroup
 from lacewingstair.routing.limits import Admission, ConcurrencyLimit, RetryBudget
--- /dev/null
+++ b/src/lacewingstair/caller/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Calls: their accounts, attempts, retries and ends."""
--- a/src/lacewingstair/caller/account_calls.py
+++ b/src/lacewingstair/caller/calls/account_calls.py
@@ -8,7 +8,7 @@
 
 from lacewingstair.accounts.directory import ClientAccount
 from lacewingstair.accounts.quota import QuotaAdmission, QuotaDecision
-from lacewingstair.caller.authorization import Authorization
+from lacewingstair.caller.calls.authorization import Authorization
 from lacewingstair.runtime import Clock
 
 ASKED, ADMITTED = "asked", "admitted"
--- a/src/lacewingstair/caller/attempts.py
+++ b/src/lacewingstair/caller/calls/attempts.py
@@ -7,8 +7,8 @@
 from aiohttp.streams import StreamReader
 
 from lacewingstair.backend_server.connection import UpstreamConnection
-from lacewingstair.caller import headers
-from lacewingstair.caller.body import Body
+from lacewingstair.caller.messages import headers
+from lacewingstair.caller.messages.body import Body
 from lacewingstair.errors import InvariantError
 from lacewingstair.final_responses import FaultKind, ResponseFault, find_head_fault
 from lacewingstair.routing.balancing import Upstream, UpstreamGroup
--- a/src/lacewingstair/caller/dispatch.py
+++ b/src/lacewingstair/caller/calls/dispatch.py
@@ -14,17 +14,17 @@
 from lacewingstair import events
 from lacewingstair.backend_server.connection import UpstreamConnection
 from lacewingstair.backend_server.pool import IDLE_TIMEOUT_SECONDS, ConnectionPool
-from lacewingstair.caller import headers
-from lacewingstair.caller.attempts import (
+from lacewingstair.caller.calls.attempts import (
     Attempt,
     AttemptFailure,
     Call,
     UpstreamResponse,
     find_response_fault,
 )
-from lacewingstair.caller.body import Body, BodyTooLarge
-from lacewingstair.caller.options import DEFAULT_OPTIONS, CallOptions
-from lacewingstair.caller.refusals import Refusal
+from lacewingstair.caller.calls.options import DEFAULT_OPTIONS, CallOptions
+from lacewingstair.caller.messages import headers
+from lacewingstair.caller.messages.body import Body, BodyTooLarge
+from lacewingstair.caller.messages.refusals import Refusal
 from lacewingstair.errors import ConnectionsBusy
 from lacewingstair.events import DecisionLog
 from lacewingstair.final_responses import FaultKind, ResponseFault
--- a/src/lacewingstair/caller/forwarding.py
+++ b/src/lacewingstair/caller/calls/forwarding.py
@@ -8,8 +8,8 @@
 
 from lacewingstair import events
 from lacewingstair.backend_server.admission_proxy import AdmissionProxy
-from lacewingstair.caller.candidates import CandidateSelection, TriedVms
-from lacewingstair.caller.hedging import Hedge
+from lacewingstair.caller.calls.hedging import Hedge
+from lacewingstair.caller.selection.candidates import CandidateSelection, TriedVms
 from lacewingstair.metadata.configuration import CallRoute
 from lacewingstair.routing.limits import (
     DEFAULT_RETRY_ALLOWANCE,
--- a/src/lacewingstair/caller/relay.py
+++ b/src/lacewingstair/caller/calls/relay.py
@@ -7,9 +7,9 @@
 from aiohttp import web
 from aiohttp.http import HttpVersion11
 
-from lacewingstair.caller import headers
-from lacewingstair.caller.attempts import UpstreamResponse
-from lacewingstair.caller.raw_response import RawResponse
+from lacewingstair.caller.calls.attempts import UpstreamResponse
+from lacewingstair.caller.messages import headers
+from lacewingstair.caller.messages.raw_response import RawResponse
 from lacewingstair.final_responses import reason_phrase
 
 _DROPPED = frozenset(name.encode() for name in headers.HOP_BY_HOP)
--- a/src/lacewingstair/caller/answer_progress.py
+++ b/src/lacewingstair/caller/connections/answer_progress.py
@@ -5,7 +5,7 @@
 slower uses up the time for which it may stop.
 """
 
-from lacewingstair.caller.client_limits import ClientLimits
+from lacewingstair.caller.connections.client_limits import ClientLimits
 
 
 class AnswerProgress:
--- a/src/lacewingstair/caller/connection_budget.py
+++ b/src/lacewingstair/caller/connections/connection_budget.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from lacewingstair.caller.client_limits import ClientLimits
+from lacewingstair.caller.connections.client_limits import ClientLimits
 
 # A check looks at every connection; so much may arrive between two checks.
 CHECK_SHARE = 1 / 16
--- a/src/lacewingstair/caller/connection_guard.py
+++ b/src/lacewingstair/caller/connections/connection_guard.py
@@ -11,17 +11,17 @@
 from typing import Protocol
 
 from lacewingstair import events
-from lacewingstair.caller.client_limits import (
+from lacewingstair.caller.connections.client_limits import (
     DEFAULT_LIMITS,
     ClientLimits,
     CloseReason,
 )
-from lacewingstair.caller.connection_budget import (
+from lacewingstair.caller.connections.connection_budget import (
     ConnectionBudget,
     Holding,
     IdleConnection,
 )
-from lacewingstair.caller.parsing_pace import ParsingPace
+from lacewingstair.caller.connections.parsing_pace import ParsingPace
 from lacewingstair.garbage_collection import CutCallCollector
 from lacewingstair.runtime import Clock
 
--- a/src/lacewingstair/caller/guarded_connection.py
+++ b/src/lacewingstair/caller/connections/guarded_connection.py
@@ -15,18 +15,22 @@
 from aiohttp.web_protocol import RequestPayloadError, _ErrInfo
 from result import Err
 
-from lacewingstair.caller.answer_progress import AnswerProgress
-from lacewingstair.caller.client_limits import (
+from lacewingstair.caller.connections.answer_progress import AnswerProgress
+from lacewingstair.caller.connections.client_limits import (
     FRAMING_PER_BODY_BYTE,
     STATUS_BY_REASON,
     CloseReason,
 )
-from lacewingstair.caller.client_progress import ClientProgress
-from lacewingstair.caller.connection_budget import SMALL_BYTES, Holding, Stage
-from lacewingstair.caller.connection_guard import ConnectionGuard
-from lacewingstair.caller.head_limits import HEAD_END, HeadLimits
-from lacewingstair.caller.head_memory import CALL_BYTES, head_memory
-from lacewingstair.caller.raw_response import RawResponse
+from lacewingstair.caller.connections.client_progress import ClientProgress
+from lacewingstair.caller.connections.connection_budget import (
+    SMALL_BYTES,
+    Holding,
+    Stage,
+)
+from lacewingstair.caller.connections.connection_guard import ConnectionGuard
+from lacewingstair.caller.messages.head_limits import HEAD_END, HeadLimits
+from lacewingstair.caller.messages.head_memory import CALL_BYTES, head_memory
+from lacewingstair.caller.messages.raw_response import RawResponse
 
 # A client may send on behind a response that closes the connection. Its data is read
 # and dropped for this long, as a reset could destroy the response.
--- a/src/lacewingstair/caller/pipelining.py
+++ b/src/lacewingstair/caller/connections/pipelining.py
@@ -15,12 +15,19 @@
 from aiohttp.http import RawRequestMessage, StreamWriter
 from multidict import CIMultiDictProxy
 
-from lacewingstair.caller.body_refusal import BodyRefusedError
-from lacewingstair.caller.connection_budget import SMALL_BYTES, Holding, Stage
-from lacewingstair.caller.connection_guard import ConnectionGuard
-from lacewingstair.caller.guarded_connection import GuardedConnection, stream_memory
-from lacewingstair.caller.head_memory import CALL_BYTES
-from lacewingstair.caller.raw_response import RawResponse
+from lacewingstair.caller.connections.connection_budget import (
+    SMALL_BYTES,
+    Holding,
+    Stage,
+)
+from lacewingstair.caller.connections.connection_guard import ConnectionGuard
+from lacewingstair.caller.connections.guarded_connection import (
+    GuardedConnection,
+    stream_memory,
+)
+from lacewingstair.caller.messages.body_refusal import BodyRefusedError
+from lacewingstair.caller.messages.head_memory import CALL_BYTES
+from lacewingstair.caller.messages.raw_response import RawResponse
 
 # Calls of one connection that are run ahead of their turn.
 MAX_CALLS_AHEAD = 4
--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -10,26 +10,30 @@
 
 from lacewingstair import events
 from lacewingstair.backend_server.admission_proxy import AdmissionProxy
-from lacewingstair.caller import request_checks
-from lacewingstair.caller.account_calls import AccountCalls
-from lacewingstair.caller.authorization import (
+from lacewingstair.caller.calls.account_calls import AccountCalls
+from lacewingstair.caller.calls.authorization import (
     Authorization,
     ParentNotRunning,
     authorize,
 )
-from lacewingstair.caller.body_budget import (
+from lacewingstair.caller.calls.elapsed_wait import ElapsedWaitEstimator
+from lacewingstair.caller.calls.forwarding import (
+    ForwardedCall,
+    Forwarder,
+    ForwardingFailure,
+)
+from lacewingstair.caller.calls.open_call import STOPPED_REASON, NestedCalls, OpenCall
+from lacewingstair.caller.connections.connection_guard import ConnectionGuard
+from lacewingstair.caller.connections.pipelining import waited_seconds
+from lacewingstair.caller.messages import request_checks
+from lacewingstair.caller.messages.body_budget import (
     LARGE_BODY_FACTOR,
     BodyBudget,
     BodyReservation,
 )
-from lacewingstair.caller.body_reader import read_body
-from lacewingstair.caller.connection_guard import ConnectionGuard
-from lacewingstair.caller.elapsed_wait import ElapsedWaitEstimator
-from lacewingstair.caller.forwarding import ForwardedCall, Forwarder, ForwardingFailure
-from lacewingstair.caller.open_call import STOPPED_REASON, NestedCalls, OpenCall
-from lacewingstair.caller.own_responses import answer_response, error_response
-from lacewingstair.caller.pipelining import waited_seconds
-from lacewingstair.caller.raw_response import RawResponse
+from lacewingstair.caller.messages.body_reader import read_body
+from lacewingstair.caller.messages.own_responses import answer_response, error_response
+from lacewingstair.caller.messages.raw_response import RawResponse
 from lacewingstair.http_server import CallServer, call_server
 from lacewingstair.metadata.configuration import (
     CallRoute,
--- /dev/null
+++ b/src/lacewingstair/caller/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Heads and bodies of requests and responses."""
--- a/src/lacewingstair/caller/body_budget.py
+++ b/src/lacewingstair/caller/messages/body_budget.py
@@ -7,7 +7,7 @@
 beside those of the calls that run is refused before it is read.
 """
 
-from lacewingstair.caller.client_limits import DEFAULT_LIMITS
+from lacewingstair.caller.connections.client_limits import DEFAULT_LIMITS
 
 # Bodies may take more than all connections, which holds for a single large one alone.
 LARGE_BODY_FACTOR = 1.75
--- a/src/lacewingstair/caller/body_reader.py
+++ b/src/lacewingstair/caller/messages/body_reader.py
@@ -6,8 +6,8 @@
 from aiohttp import ClientError, web
 from result import Err, Ok, Result
 
-from lacewingstair.caller.body_budget import BodyReservation
-from lacewingstair.caller.body_refusal import BodyRefusedError
+from lacewingstair.caller.messages.body_budget import BodyReservation
+from lacewingstair.caller.messages.body_refusal import BodyRefusedError
 
 BODY_MEMORY_FULL_RETRY_AFTER_SECONDS = 0.5
 
--- a/src/lacewingstair/caller/head_limits.py
+++ b/src/lacewingstair/caller/messages/head_limits.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from lacewingstair.caller.client_limits import ClientLimits, CloseReason
+from lacewingstair.caller.connections.client_limits import ClientLimits, CloseReason
 
 HEAD_END = b"\r\n\r\n"
 
--- a/src/lacewingstair/caller/own_responses.py
+++ b/src/lacewingstair/caller/messages/own_responses.py
@@ -2,7 +2,7 @@
 
 from aiohttp import web
 
-from lacewingstair.caller.raw_response import RawResponse
+from lacewingstair.caller.messages.raw_response import RawResponse
 from lacewingstair.platform import headers
 from lacewingstair.vm.call_messages import CallAnswer
 
--- a/src/lacewingstair/caller/refusals.py
+++ b/src/lacewingstair/caller/messages/refusals.py
@@ -3,7 +3,7 @@
 import attrs
 from aiohttp import web
 
-from lacewingstair.caller import headers
+from lacewingstair.caller.messages import headers
 
 
 @attrs.frozen
--- a/src/lacewingstair/caller/request_checks.py
+++ b/src/lacewingstair/caller/messages/request_checks.py
@@ -11,8 +11,8 @@
 from multidict import CIMultiDictProxy
 from result import Err, Ok, Result
 
-from lacewingstair.caller import headers
-from lacewingstair.caller.refusals import Refusal
+from lacewingstair.caller.messages import headers
+from lacewingstair.caller.messages.refusals import Refusal
 
 MAX_DEADLINE_MS = 3_600_000
 _TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
--- /dev/null
+++ b/src/lacewingstair/caller/selection/__init__.py
@@ -0,0 +1,1 @@
+"""Selection of the VM for each attempt of a call."""
--- a/src/lacewingstair/caller/candidates.py
+++ b/src/lacewingstair/caller/selection/candidates.py
@@ -7,8 +7,12 @@
 import attrs
 
 from lacewingstair.backend_server.admission_proxy import AdmissionProxy
-from lacewingstair.caller.answer_sizes import AnswerSizes
-from lacewingstair.caller.placement import Candidate, Distance, choose_candidate
+from lacewingstair.caller.selection.answer_sizes import AnswerSizes
+from lacewingstair.caller.selection.placement import (
+    Candidate,
+    Distance,
+    choose_candidate,
+)
 from lacewingstair.metadata.configuration import CallRoute
 from lacewingstair.runtime import Clock
 from lacewingstair.staged_rollouts.coordinator import RolloutCoordinator
--- a/src/lacewingstair/caller/explanation.py
+++ b/src/lacewingstair/caller/selection/explanation.py
@@ -7,8 +7,8 @@
 
 import attrs
 
-from lacewingstair.caller.candidates import CandidateSelection, TriedVms
-from lacewingstair.caller.placement import (
+from lacewingstair.caller.selection.candidates import CandidateSelection, TriedVms
+from lacewingstair.caller.selection.placement import (
     Candidate,
     choose_candidate,
     expected_link_ms,
--- a/src/lacewingstair/caller/server.py
+++ b/src/lacewingstair/caller/server.py
@@ -12,15 +12,15 @@
 
 from lacewingstair import events
 from lacewingstair.backend_server.pool import ConnectionPool
-from lacewingstair.caller import headers, request_checks
-from lacewingstair.caller.attempts import Call, UpstreamResponse
-from lacewingstair.caller.body import REPLAY_BYTES, Body, read_prefix
-from lacewingstair.caller.connection_guard import ConnectionGuard
-from lacewingstair.caller.dispatch import Dispatcher
-from lacewingstair.caller.options import DEFAULT_OPTIONS, CallOptions
-from lacewingstair.caller.pipelining import waited_seconds
-from lacewingstair.caller.refusals import Refusal
-from lacewingstair.caller.relay import as_raw_response
+from lacewingstair.caller.calls.attempts import Call, UpstreamResponse
+from lacewingstair.caller.calls.dispatch import Dispatcher
+from lacewingstair.caller.calls.options import DEFAULT_OPTIONS, CallOptions
+from lacewingstair.caller.calls.relay import as_raw_response
+from lacewingstair.caller.connections.connection_guard import ConnectionGuard
+from lacewingstair.caller.connections.pipelining import waited_seconds
+from lacewingstair.caller.messages import headers, request_checks
+from lacewingstair.caller.messages.body import REPLAY_BYTES, Body, read_prefix
+from lacewingstair.caller.messages.refusals import Refusal
 from lacewingstair.events import DecisionLog
 from lacewingstair.http_server import call_server
 from lacewingstair.routing.balancing import EndpointIndex
--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -11,8 +11,8 @@
 
 from lacewingstair import events
 from lacewingstair.backend_server.announce import AnnouncementServer
-from lacewingstair.caller.connection_guard import ConnectionGuard
-from lacewingstair.caller.options import CallOptions
+from lacewingstair.caller.calls.options import CallOptions
+from lacewingstair.caller.connections.connection_guard import ConnectionGuard
 from lacewingstair.caller.server import CallServer
 from lacewingstair.early_listening import SocketsByAddress
 from lacewingstair.errors import ListenError
--- a/src/lacewingstair/experiments/placement_choices.py
+++ b/src/lacewingstair/experiments/placement_choices.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from lacewingstair.caller.placement import (
+from lacewingstair.caller.selection.placement import (
     Candidate,
     choose_candidate,
     expected_service_ms,
--- a/src/lacewingstair/experiments/placement_model.py
+++ b/src/lacewingstair/experiments/placement_model.py
@@ -21,7 +21,7 @@
     Refusal,
     ScheduledCall,
 )
-from lacewingstair.caller.placement import Candidate, Distance
+from lacewingstair.caller.selection.placement import Candidate, Distance
 from lacewingstair.experiments.placement_choices import (
     PlacementChoice,
     PlacementInput,
--- a/src/lacewingstair/http_server.py
+++ b/src/lacewingstair/http_server.py
@@ -11,10 +11,16 @@
 from result import Err, Ok, Result
 
 from lacewingstair.addresses import split_address
-from lacewingstair.caller.client_limits import MAX_APPLICATION_CONNECTIONS, CloseReason
-from lacewingstair.caller.connection_guard import ConnectionGuard
-from lacewingstair.caller.guarded_connection import LINGER_SECONDS, GuardedConnection
-from lacewingstair.caller.pipelining import MayRunAhead, PipelinedConnection
+from lacewingstair.caller.connections.client_limits import (
+    MAX_APPLICATION_CONNECTIONS,
+    CloseReason,
+)
+from lacewingstair.caller.connections.connection_guard import ConnectionGuard
+from lacewingstair.caller.connections.guarded_connection import (
+    LINGER_SECONDS,
+    GuardedConnection,
+)
+from lacewingstair.caller.connections.pipelining import MayRunAhead, PipelinedConnection
 from lacewingstair.early_listening import BACKLOG, SocketsByAddress
 from lacewingstair.errors import ListenError
 
--- a/src/lacewingstair/platform/headers.py
+++ b/src/lacewingstair/platform/headers.py
@@ -7,7 +7,7 @@
 from multidict import CIMultiDictProxy
 
 from lacewingstair import events
-from lacewingstair.caller.headers import HOP_BY_HOP
+from lacewingstair.caller.messages.headers import HOP_BY_HOP
 
 REQUEST_ID = "Request-Id"
 DEADLINE = "Timeout-Ms"
--- a/src/lacewingstair/settings/calls.py
+++ b/src/lacewingstair/settings/calls.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from lacewingstair.caller.client_limits import (
+from lacewingstair.caller.connections.client_limits import (
     DEFAULT_LIMITS,
     MAX_APPLICATION_CONNECTIONS,
     ClientLimits,
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -1,7 +1,7 @@
 """Composition root of a VM on a platform with a metadata store.
 
 Each VM runs one process beside one backend server. It takes the calls of the callers on
-its VM (`caller.ingress`), places each at a VM of its service (`caller.forwarding`), and
+its VM (`caller.ingress`), places each at a VM of its service (`caller.calls.forwarding`), and
 is the gate of its own backend server (`backend_server.admission_proxy`). The store
 holds the configuration and the entries of the VMs; both also pass between the VMs.
 """
@@ -28,11 +28,11 @@
     UpstreamTracker,
 )
 from lacewingstair.background_tasks import Run, keep_running
-from lacewingstair.caller.account_calls import AccountCalls
-from lacewingstair.caller.connection_guard import ConnectionGuard
-from lacewingstair.caller.explanation import PlacementExplanation
-from lacewingstair.caller.forwarding import Forwarder
+from lacewingstair.caller.calls.account_calls import AccountCalls
+from lacewingstair.caller.calls.forwarding import Forwarder
+from lacewingstair.caller.connections.connection_guard import ConnectionGuard
 from lacewingstair.caller.ingress import Ingress
+from lacewingstair.caller.selection.explanation import PlacementExplanation
 from lacewingstair.early_listening import SocketsByAddress
 from lacewingstair.errors import ListenError, SettingsError
 from lacewingstair.http_server import listen_all
--- a/src/lacewingstair/sidecar_servers.py
+++ b/src/lacewingstair/sidecar_servers.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from lacewingstair.caller.connection_guard import ConnectionGuard
+from lacewingstair.caller.connections.connection_guard import ConnectionGuard
 from lacewingstair.caller.ingress import Ingress
 from lacewingstair.http_server import application_runner
 from lacewingstair.platform.readiness import readiness_application
--- a/tests/backend_server/test_responses_property.py
+++ b/tests/backend_server/test_responses_property.py
@@ -9,7 +9,7 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from lacewingstair.caller.own_responses import answer_response
+from lacewingstair.caller.messages.own_responses import answer_response
 from lacewingstair.vm.call_messages import (
     CallAnswer,
     CallFailed,
--- a/tests/backend_server/test_unstated_speed.py
+++ b/tests/backend_server/test_unstated_speed.py
@@ -7,7 +7,11 @@
 import json
 import random
 
-from lacewingstair.caller.placement import Candidate, Distance, choose_candidate
+from lacewingstair.caller.selection.placement import (
+    Candidate,
+    Distance,
+    choose_candidate,
+)
 from lacewingstair.vm.call_messages import (
     CallRefused,
     LoadReport,
--- a/tests/caller/test_account_calls.py
+++ b/tests/caller/calls/test_account_calls.py
@@ -4,8 +4,8 @@
 from lacewingstair.accounts.directory import ClientAccount
 from lacewingstair.accounts.quota import QuotaAdmission
 from lacewingstair.accounts.quota_terms import QuotaBounds, Reach
-from lacewingstair.caller.account_calls import AccountCalls
-from lacewingstair.caller.authorization import Authorization
+from lacewingstair.caller.calls.account_calls import AccountCalls
+from lacewingstair.caller.calls.authorization import Authorization
 from lacewingstair.platform.bounds import parse_bounds
 
 LIMITED = ClientAccount("acme", (), None, 2.0, 2.0)
--- a/tests/caller/test_elapsed_wait.py
+++ b/tests/caller/calls/test_elapsed_wait.py
@@ -1,4 +1,4 @@
-from lacewingstair.caller.elapsed_wait import WINDOW_SECONDS, ElapsedWaitEstimator
+from lacewingstair.caller.calls.elapsed_wait import WINDOW_SECONDS, ElapsedWaitEstimator
 
 
 def test_a_caller_that_retries_has_waited_before():
--- a/tests/caller/test_forwarding.py
+++ b/tests/caller/calls/test_forwarding.py
@@ -3,7 +3,11 @@
 import attrs
 import pytest
 
-from lacewingstair.caller.forwarding import ForwardedCall, Forwarder, ForwardingFailure
+from lacewingstair.caller.calls.forwarding import (
+    ForwardedCall,
+    Forwarder,
+    ForwardingFailure,
+)
 from lacewingstair.metadata.configuration import CallRoute, SplitPart
 from lacewingstair.staged_rollouts.policy import Order, Stage
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
--- a/tests/caller/test_forwarding_silent.py
+++ b/tests/caller/calls/test_forwarding_silent.py
@@ -5,11 +5,11 @@
 
 import attrs
 
-from lacewingstair.caller.forwarding import ForwardedCall, Forwarder
+from lacewingstair.caller.calls.forwarding import ForwardedCall, Forwarder
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
 from lacewingstair.vm.call_link import SuspendedCall
 from lacewingstair.vm.entries import MeshView
-from tests.caller.test_forwarding import (
+from tests.caller.calls.test_forwarding import (
     IDEMPOTENT,
     LOAD,
     ClosedGate,
--- a/tests/caller/test_hedging.py
+++ b/tests/caller/calls/test_hedging.py
@@ -1,9 +1,9 @@
 import asyncio
 
-from lacewingstair.caller.hedging import Hedge
+from lacewingstair.caller.calls.hedging import Hedge
 from lacewingstair.standins.virtual_time import run_virtual
 from lacewingstair.vm.call_link import SuspendedCall
-from tests.caller.test_forwarding import answer, failed
+from tests.caller.calls.test_forwarding import answer, failed
 
 
 class Suspended:
--- a/tests/caller/test_relay.py
+++ b/tests/caller/calls/test_relay.py
@@ -5,7 +5,7 @@
 from aiohttp.streams import EMPTY_PAYLOAD
 from multidict import CIMultiDict
 
-from lacewingstair.caller.relay import as_raw_response
+from lacewingstair.caller.calls.relay import as_raw_response
 
 
 @pytest.mark.parametrize(
--- a/tests/caller/test_client_limits.py
+++ b/tests/caller/connections/test_client_limits.py
@@ -6,22 +6,22 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from lacewingstair.caller.answer_progress import AnswerProgress
-from lacewingstair.caller.client_limits import DEFAULT_LIMITS, CloseReason
-from lacewingstair.caller.client_progress import ClientProgress
-from lacewingstair.caller.connection_budget import (
+from lacewingstair.caller.connections.answer_progress import AnswerProgress
+from lacewingstair.caller.connections.client_limits import DEFAULT_LIMITS, CloseReason
+from lacewingstair.caller.connections.client_progress import ClientProgress
+from lacewingstair.caller.connections.connection_budget import (
     ConnectionBudget,
     Holding,
     IdleConnection,
     Stage,
 )
-from lacewingstair.caller.head_limits import HeadLimits
-from lacewingstair.caller.parsing_pace import (
+from lacewingstair.caller.connections.parsing_pace import (
     BURST_SECONDS,
     SHARE,
     WORK_PER_PARSING,
     ParsingPace,
 )
+from lacewingstair.caller.messages.head_limits import HeadLimits
 
 LIMITS = attrs.evolve(DEFAULT_LIMITS, max_head_bytes=60, max_empty_line_bytes=6)
 HEAD = b"GET / HTTP/1.1\r\nHost: a\r\nX: \r \n b\r\n\r\n"
--- a/tests/caller/test_guarded_connection.py
+++ b/tests/caller/connections/test_guarded_connection.py
@@ -8,9 +8,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lacewingstair.caller.client_limits import DEFAULT_LIMITS, CloseReason
-from lacewingstair.caller.connection_guard import ConnectionGuard
-from lacewingstair.caller.raw_response import RawResponse
+from lacewingstair.caller.connections.client_limits import DEFAULT_LIMITS, CloseReason
+from lacewingstair.caller.connections.connection_guard import ConnectionGuard
+from lacewingstair.caller.messages.raw_response import RawResponse
 from lacewingstair.http_server import call_server
 
 LIMITS = attrs.evolve(
--- a/tests/caller/test_pipelining.py
+++ b/tests/caller/connections/test_pipelining.py
@@ -8,8 +8,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lacewingstair.caller.pipelining import MAX_CALLS_AHEAD, MAX_WAITING_RESPONSE_BYTES
-from lacewingstair.caller.raw_response import RawResponse
+from lacewingstair.caller.connections.pipelining import (
+    MAX_CALLS_AHEAD,
+    MAX_WAITING_RESPONSE_BYTES,
+)
+from lacewingstair.caller.messages.raw_response import RawResponse
 from lacewingstair.http_server import call_server, listen
 from lacewingstair.standins.local import free_ports
 
--- a/tests/caller/harness.py
+++ b/tests/caller/harness.py
@@ -4,9 +4,9 @@
 from result import Err, Ok
 
 from lacewingstair.backend_server.pool import ConnectionPool
-from lacewingstair.caller.attempts import Call
-from lacewingstair.caller.body import Body
-from lacewingstair.caller.dispatch import Dispatcher
+from lacewingstair.caller.calls.attempts import Call
+from lacewingstair.caller.calls.dispatch import Dispatcher
+from lacewingstair.caller.messages.body import Body
 from lacewingstair.routing.balancing import EndpointIndex
 from lacewingstair.standins.memory_server import MemoryServer
 from lacewingstair.standins.virtual_time import VirtualClock
--- a/tests/caller/test_answer_sizes.py
+++ b/tests/caller/selection/test_answer_sizes.py
@@ -1,4 +1,4 @@
-from lacewingstair.caller.answer_sizes import (
+from lacewingstair.caller.selection.answer_sizes import (
     DEFAULT_BYTES,
     DEFAULT_LARGE_BYTES,
     MAX_ROUTES,
--- a/tests/caller/test_explanation.py
+++ b/tests/caller/selection/test_explanation.py
@@ -4,13 +4,19 @@
 
 import attrs
 
-from lacewingstair.caller.candidates import CandidateSelection
-from lacewingstair.caller.explanation import PlacementExplanation
+from lacewingstair.caller.selection.candidates import CandidateSelection
+from lacewingstair.caller.selection.explanation import PlacementExplanation
 from lacewingstair.metadata.configuration import CallRoute, Configuration, SplitPart
 from lacewingstair.routing.routes import RouteTable
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
 from lacewingstair.vm.entries import MeshView
-from tests.caller.test_forwarding import ClosedGate, Link, Links, answer, rollouts_at
+from tests.caller.calls.test_forwarding import (
+    ClosedGate,
+    Link,
+    Links,
+    answer,
+    rollouts_at,
+)
 from tests.vm.test_entries import ENTRY
 
 ROUTE = CallRoute(("board.test",), "/a/", (SplitPart("board", 1.0),))
--- a/tests/caller/test_placement.py
+++ b/tests/caller/selection/test_placement.py
@@ -6,7 +6,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lacewingstair.caller.placement import Candidate, Distance, choose_candidate
+from lacewingstair.caller.selection.placement import (
+    Candidate,
+    Distance,
+    choose_candidate,
+)
 from lacewingstair.vm.call_messages import LoadReport
 
 
--- a/tests/caller/test_placement_stated.py
+++ b/tests/caller/selection/test_placement_stated.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from lacewingstair.caller.placement import (
+from lacewingstair.caller.selection.placement import (
     PROBE_AGE_SECONDS,
     Candidate,
     Distance,
--- a/tests/caller/test_ingress.py
+++ b/tests/caller/test_ingress.py
@@ -7,7 +7,7 @@
 import attrs
 from aiohttp import ClientSession
 
-from lacewingstair.caller.forwarding import ForwardingFailure
+from lacewingstair.caller.calls.forwarding import ForwardingFailure
 from lacewingstair.caller.ingress import Ingress
 from lacewingstair.metadata.configuration import ConfigurationStore
 from lacewingstair.platform.configuration import decode_configuration
--- a/tests/caller/test_ingress_bodies.py
+++ b/tests/caller/test_ingress_bodies.py
@@ -9,8 +9,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lacewingstair.caller.body_budget import BodyBudget
 from lacewingstair.caller.ingress import Ingress
+from lacewingstair.caller.messages.body_budget import BodyBudget
 from lacewingstair.metadata.configuration import ConfigurationStore
 from lacewingstair.runtime import SystemClock
 from tests.caller.test_ingress import ANSWER, FakeGate, configuration_store
--- a/tests/caller/test_repeats_across_layers.py
+++ b/tests/caller/test_repeats_across_layers.py
@@ -13,7 +13,7 @@
 import attrs
 import pytest
 
-from lacewingstair.caller.forwarding import ForwardedCall, Forwarder
+from lacewingstair.caller.calls.forwarding import ForwardedCall, Forwarder
 from lacewingstair.metadata.configuration import CallRoute, SplitPart
 from lacewingstair.standins.virtual_time import VirtualClock, run_virtual
 from lacewingstair.vm.call_messages import (
@@ -24,7 +24,7 @@
     SendOrigin,
 )
 from lacewingstair.vm.entries import MeshView, UpstreamState, VmEntry
-from tests.caller.test_forwarding import ClosedGate, rollouts_at
+from tests.caller.calls.test_forwarding import ClosedGate, rollouts_at
 
 # Topology of the grown Tapas site: search calls stock, each on its own VMs.
 SEARCH_VMS, STOCK_VMS, OTHER_VMS = 34, 21, 9
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -5,7 +5,7 @@
 from result import Ok
 
 from lacewingstair import process
-from lacewingstair.caller.options import CallOptions
+from lacewingstair.caller.calls.options import CallOptions
 from lacewingstair.routing.limits import RetryAllowance
 from lacewingstair.settings.declarations import all_settings
 from lacewingstair.settings.reader import parse_settings
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from lacewingstair.backend_server.pool import ConnectionPool
-from lacewingstair.caller.headers import OUTCOME, OUTCOME_NOT_RUN
+from lacewingstair.caller.messages.headers import OUTCOME, OUTCOME_NOT_RUN
 from lacewingstair.caller.server import CallServer
 from lacewingstair.rollouts.controller import CATCH_UP_SECONDS
 from lacewingstair.rollouts.marks import RollbackMark, RolloutKey
