Fair queue: no import cycle with the calls that it queues

scheduled_call named Flow of fair_queue for its type, and fair_queue imports ScheduledCall. What a queued call needs of its queue are two protocols beside it now. No behaviour changed; the tests of admission pass.

--- a/src/lacewingstair/backend_server/scheduled_call.py
+++ b/src/lacewingstair/backend_server/scheduled_call.py
@@ -1,7 +1,7 @@
 """Calls as admission control sees them; performs no I/O."""
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import attrs
 
@@ -9,9 +9,6 @@
 from lacewingstair.work.estimates import CallClass
 from lacewingstair.work.upstream import RunningWork
 
-if TYPE_CHECKING:
-    from lacewingstair.backend_server.fair_queue import Flow
-
 
 @attrs.frozen
 class AdmissionRequest:
@@ -59,6 +56,27 @@
     retry_after_ms: float
 
 
+class CallQueue(Protocol):
+    """What a queued call needs of the queue of its priority."""
+
+    priority: float
+    size: int
+
+    def charge(self, queued: "ScheduledCall") -> None:
+        """Charge the account of a call that starts."""
+        ...
+
+    def remove(self, queued: "ScheduledCall") -> None:
+        """Remove a call that waits."""
+        ...
+
+
+class CallFlow(Protocol):
+    """Queued calls of one account and priority."""
+
+    queue: CallQueue
+
+
 @attrs.define(eq=False)
 class ScheduledCall:
     """A call that is running or queued.
@@ -86,7 +104,7 @@
         When it was queued, monotonic seconds.
     wait_ms : float
         Wait that was estimated then, if no other call arrived.
-    flow : Flow or None
+    flow : CallFlow or None
         Queue of its account while it is queued, unless it is a nested call.
     """
 
@@ -100,7 +118,7 @@
     is_counted: bool = False
     queued_at: float = 0.0
     wait_ms: float = 0.0
-    flow: "Flow | None" = None
+    flow: CallFlow | None = None
 
     @property
     def is_running(self) -> bool:
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -1,9 +1,10 @@
 """Composition root of a VM on a platform with a metadata store.
 
 Each VM runs one process beside one backend server. It takes the calls of the callers on
-its VM (`caller.ingress`), places each at a VM of its service (`caller.calls.forwarding`), and
-is the gate of its own backend server (`backend_server.admission_proxy`). The store
-holds the configuration and the entries of the VMs; both also pass between the VMs.
+its VM (`caller.ingress`), places each at a VM of its service
+(`caller.calls.forwarding`), and is the gate of its own backend server
+(`backend_server.admission_proxy`). The store holds the configuration and the entries of
+the VMs; both also pass between the VMs.
 """
 
 import asyncio
