Connections: measuring and what is beyond the limit in modules of their own

What a connection holds and how its client progresses is in measured_connection, and the connections beyond a server's limit in excess_connections. At the root daemon a body that must make room gets 503, not run, or 502 once a part of it was passed on, where it got 400 as a malformed one. Tests for the refusal of an arriving body are added.

--- a/src/lacewingstair/caller/calls/dispatch.py
+++ b/src/lacewingstair/caller/calls/dispatch.py
@@ -24,6 +24,7 @@
 from lacewingstair.caller.calls.options import DEFAULT_OPTIONS, CallOptions
 from lacewingstair.caller.messages import headers
 from lacewingstair.caller.messages.body import Body, BodyTooLarge
+from lacewingstair.caller.messages.body_refusal import BodyRefusedError
 from lacewingstair.caller.messages.refusals import Refusal
 from lacewingstair.errors import ConnectionsBusy
 from lacewingstair.events import DecisionLog
@@ -567,6 +568,9 @@
         limit = attempt.call.body.limit
         reason = f"the body is larger than the {limit} bytes that the route allows"
         return AttemptFailure(reason, True, status=413)
+    if isinstance(error, BodyRefusedError):
+        # A part of the body was passed on.
+        return AttemptFailure(str(error), True, status=502)
     if error is None or isinstance(error, OSError):
         return None
     return AttemptFailure(
--- a/src/lacewingstair/caller/connections/guarded_connection.py
+++ b/src/lacewingstair/caller/connections/guarded_connection.py
@@ -8,7 +8,6 @@
 import contextlib
 import itertools
 import time
-from collections import deque
 
 from aiohttp import EMPTY_PAYLOAD, ClientPayloadError, StreamReader, hdrs, web
 from aiohttp.http import HttpProcessingError, RawRequestMessage
@@ -21,15 +20,9 @@
     STATUS_BY_REASON,
     CloseReason,
 )
-from lacewingstair.caller.connections.client_progress import ClientProgress
-from lacewingstair.caller.connections.connection_budget import (
-    SMALL_BYTES,
-    Holding,
-    Stage,
-)
 from lacewingstair.caller.connections.connection_guard import ConnectionGuard
+from lacewingstair.caller.connections.measured_connection import MeasuredConnection
 from lacewingstair.caller.messages.head_limits import HEAD_END, HeadLimits
-from lacewingstair.caller.messages.head_memory import CALL_BYTES, head_memory
 from lacewingstair.caller.messages.raw_response import RawResponse
 
 # A client may send on behind a response that closes the connection. Its data is read
@@ -51,8 +44,6 @@
 # Memory of the requests of one connection that wait for their turn; no further one is
 # parsed above it.
 MAX_QUEUED_BYTES = 64 << 10
-# Objects for a chunk that has not been read, beside its bytes.
-CHUNK_BYTES = 96
 MAX_ERROR_CHARACTERS = 200
 
 
@@ -67,7 +58,7 @@
 _BAD_INPUT = (HttpProcessingError, RequestPayloadError, BadBodyError)
 
 
-class GuardedConnection(web.RequestHandler):
+class GuardedConnection(MeasuredConnection):
     """Connection of a client, at any address of the process.
 
     Parameters
@@ -88,25 +79,12 @@
     """
 
     def __init__(self, manager: web.Server, guard: ConnectionGuard, **options) -> None:
-        super().__init__(manager, **options)
+        super().__init__(manager, HeadLimits(guard.limits), **options)
         self.idle_seconds: float | None = 0.0
         self.has_called = False
         self._guard = guard
-        self._head = HeadLimits(guard.limits)
         self._head_seconds = 0.0
         self._progress = AnswerProgress(guard.limits)
-        self._written_bytes = 0
-        self._raw_transport: asyncio.Transport | None = None
-        # Received, and not yet passed to the parser.
-        self._unparsed = b""
-        self._unparsed_from = 0
-        # Memory of the heads in the queue, and of the latest one that had its turn.
-        self._queued_heads: deque[int] = deque()
-        self._turn_head = 0
-        self._received_bytes = 0
-        self._sending = ClientProgress(self._loop.time())
-        self._reading = ClientProgress(self._loop.time())
-        self._body: StreamReader | None = None
         # Bytes of the body, and those that are missing; None for a chunked body.
         self._body_length: int | None = 0
         self._body_left: int | None = None
@@ -165,90 +143,17 @@
             error = RefusedInputError(code=400, message="the connection is closed")
             self._messages.append((_ErrInfo(400, error, ""), EMPTY_PAYLOAD))
             self._queued_heads.clear()
-            self._queued_heads.append(0)
+            self._note_queued(None)
 
     def open_calls(self) -> int:
         """Return the number of calls that have begun and have no response."""
         return int(self._request_in_progress)
 
-    def holding(self) -> Holding:
-        """Return what the client makes the process hold."""
-        unsent = self._note_taken()
-        waiting = self._waiting_bytes()
-        call = self._call_bytes()
-        head = head_memory(self._head.head_bytes, self._head.head_lines)
-        size = waiting + call + head + unsent
-        now = self._loop.time()
-        if unsent:
-            rate = self._reading.rate(now)
-            return Holding(Stage.UNREAD if rate < 0 else Stage.ANSWERED, size, rate)
-        stage = self._stage()
-        if stage is Stage.UNFINISHED:
-            return Holding(stage, size, self._sending.rate(now))
-        if stage is Stage.IDLE:
-            return Holding(stage, size)
-        stage = Stage.QUEUED if waiting > SMALL_BYTES else stage
-        return Holding(stage, size, running_size=call)
-
     def give_up(self) -> bool:
         """Close the connection; return whether it stays open for an answer."""
         self.abort()
         return False
 
-    def _stage(self) -> Stage:
-        """Return what a connection is doing whose answers have been taken."""
-        request = self._current_request
-        if request is not None:
-            is_arriving = self._body is not None and request._payload is self._body
-            return Stage.UNFINISHED if is_arriving else Stage.RUNNING
-        if self._head.head_bytes or self._unparsed or self._body is not None:
-            return Stage.UNFINISHED
-        return Stage.RUNNING if self._messages else Stage.IDLE
-
-    def _note_taken(self) -> int:
-        """Note how much of its answers the client has taken; return what is unsent."""
-        unsent = self._raw_transport.get_write_buffer_size()
-        if not unsent:
-            self._reading.end()
-            return 0
-        now = self._loop.time()
-        taken = self._all_written_bytes() - unsent
-        if not self._reading.is_active:
-            # What the kernel took at once says nothing of the client.
-            self._reading.begin(now, taken)
-        self._reading.note(taken, now)
-        return unsent
-
-    def _all_written_bytes(self) -> int:
-        request = self._current_request
-        # A handler may write its response in parts.
-        parts = 0 if request is None else request.writer.output_size
-        return self._written_bytes + parts
-
-    def _queued_bytes(self) -> int:
-        """Return the memory of the requests that wait for their turn."""
-        while len(self._queued_heads) > len(self._messages):
-            self._turn_head = self._queued_heads.popleft()
-        bodies = sum(stream_memory(payload) for _, payload in self._messages)
-        return sum(self._queued_heads) + bodies
-
-    def _waiting_bytes(self) -> int:
-        """Return the memory of what was received behind the request in turn."""
-        return self._queued_bytes() + len(self._unparsed)
-
-    def _call_bytes(self) -> int:
-        """Return the memory of the request that has its turn, or had it last."""
-        call = CALL_BYTES if self._request_in_progress else 0
-        return call + self._turn_head + self._body_bytes()
-
-    def _body_bytes(self) -> int:
-        """Return the bytes of the body of the request that has its turn."""
-        request = self._current_request
-        if request is not None:
-            return request._payload.total_bytes
-        is_behind_answer = self._body is not None and not self._messages
-        return stream_memory(self._body) if is_behind_answer else 0
-
     def grow_older(self, seconds: float) -> CloseReason | None:
         """Let time pass; return why the connection has to be cut off, if it has."""
         is_answering = self._request_in_progress and self._body is None
@@ -361,12 +266,7 @@
         """Count bytes that the client has sent."""
         if not self._received_bytes and self._manager is not None:
             self._manager.silent_connections.pop(self, None)
-        now = self._loop.time()
-        is_first = not (self._head.head_bytes or self._unparsed or self._messages)
-        if is_first and self._current_request is None:
-            self._sending.begin(now, self._received_bytes)
-        self._received_bytes += size
-        self._sending.note(self._received_bytes, now)
+        self._note_sent(size)
         self._guard.note(size)
 
     def _must_wait(self) -> bool:
@@ -535,13 +435,12 @@
             self._is_refused = True
             # Its frames refer to the error again, and to the data received.
             message.exc.__traceback__ = None
-            self._queued_heads.append(0)
+            self._note_queued(None)
             if self._body is not None:
                 # Its call would wait for the rest.
                 self._body.set_exception(BadBodyError(message.message))
             return
-        size = self._head.head_bytes or _head_bytes(message)
-        self._queued_heads.append(head_memory(size, len(message.raw_headers)))
+        self._note_queued(message)
         self._head.begin()
         self._head_seconds = 0.0
         self.idle_seconds = None
@@ -568,7 +467,7 @@
         status = STATUS_BY_REASON[reason]
         error = RefusedInputError(code=status, message=reason.value)
         self._messages.append((_ErrInfo(status, error, reason.value), EMPTY_PAYLOAD))
-        self._queued_heads.append(0)
+        self._note_queued(None)
         waiter = self._waiter
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
@@ -589,15 +488,3 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(LINGER_SECONDS):
                 await self._lingering
-
-
-def _head_bytes(message: RawRequestMessage) -> int:
-    fields = sum(len(name) + len(value) for name, value in message.raw_headers)
-    return len(message.path) + fields
-
-
-def stream_memory(payload: StreamReader) -> int:
-    """Return the memory of the received bytes that no handler has read."""
-    if payload is EMPTY_PAYLOAD:
-        return 0
-    return payload._size + CHUNK_BYTES * len(payload._buffer)
--- a/src/lacewingstair/caller/connections/pipelining.py
+++ b/src/lacewingstair/caller/connections/pipelining.py
@@ -21,10 +21,8 @@
     Stage,
 )
 from lacewingstair.caller.connections.connection_guard import ConnectionGuard
-from lacewingstair.caller.connections.guarded_connection import (
-    GuardedConnection,
-    stream_memory,
-)
+from lacewingstair.caller.connections.guarded_connection import GuardedConnection
+from lacewingstair.caller.connections.measured_connection import stream_memory
 from lacewingstair.caller.messages.body_refusal import BodyRefusedError
 from lacewingstair.caller.messages.head_memory import CALL_BYTES
 from lacewingstair.caller.messages.raw_response import RawResponse
--- a/src/lacewingstair/caller/server.py
+++ b/src/lacewingstair/caller/server.py
@@ -20,6 +20,7 @@
 from lacewingstair.caller.connections.pipelining import waited_seconds
 from lacewingstair.caller.messages import headers, request_checks
 from lacewingstair.caller.messages.body import REPLAY_BYTES, Body, read_prefix
+from lacewingstair.caller.messages.body_refusal import BodyRefusedError
 from lacewingstair.caller.messages.refusals import Refusal
 from lacewingstair.events import DecisionLog
 from lacewingstair.http_server import call_server
@@ -315,6 +316,8 @@
                 prefix, is_whole = await read_prefix(request.content)
         except TimeoutError:
             return Err(Refusal(408, "the body did not arrive before the deadline"))
+        except BodyRefusedError as error:
+            return Err(Refusal(503, str(error), retry_after_seconds=1))
         except (ClientError, HTTPException, ValueError, OSError) as error:
             return Err(Refusal(400, f"the body is malformed: {error}"))
         if len(prefix) > limit:
--- a/src/lacewingstair/http_server.py
+++ b/src/lacewingstair/http_server.py
@@ -16,6 +16,11 @@
     CloseReason,
 )
 from lacewingstair.caller.connections.connection_guard import ConnectionGuard
+from lacewingstair.caller.connections.excess_connections import (
+    MAX_REFUSED_CONNECTIONS,
+    FullConnection,
+    WaitingConnection,
+)
 from lacewingstair.caller.connections.guarded_connection import (
     LINGER_SECONDS,
     GuardedConnection,
@@ -33,89 +38,9 @@
 READ_BYTES = 64 << 10
 
 MAX_CONNECTIONS = 4096
-# Connections beyond the limit that are answered; further ones are closed unanswered.
-MAX_REFUSED_CONNECTIONS = 64
-# How long a connection beyond the limit may take to send the begin of a request.
-MAX_WAIT_SECONDS = 1.0
-# The call did not run: nothing of it was passed on.
-_FULL_ANSWER = (
-    b"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n"
-    b"Lacewingstair-Outcome: not-run\r\nLacewingstair-Retry: no\r\n"
-    b"Retry-After: 1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%b"
-)
-_FULL_BODY = b'{"error": "too many connections of callers"}'
-
 CallHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
-class _FullConnection(asyncio.Protocol):
-    """Connection beyond the limit: it is answered and closed, whatever it asks.
-
-    Parameters
-    ----------
-    open_connections : set
-        Connections of this kind that are open.
-    """
-
-    def __init__(self, open_connections: set["_FullConnection"]) -> None:
-        self._open_connections = open_connections
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Forget the connection."""
-        self._open_connections.discard(self)
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Answer; input is read for a while, so that no reset loses the answer."""
-        if len(self._open_connections) >= MAX_REFUSED_CONNECTIONS:
-            transport.abort()
-            return
-        self._open_connections.add(self)
-        transport.write(_FULL_ANSWER % (len(_FULL_BODY), _FULL_BODY))
-        transport.write_eof()
-        loop = asyncio.get_running_loop()
-        loop.call_later(LINGER_SECONDS, transport.close)
-
-
-class _WaitingConnection(asyncio.Protocol):
-    """Connection beyond the limit that may take the place of one without a request.
-
-    Parameters
-    ----------
-    server : LimitedServer
-        Server of the connection.
-    """
-
-    def __init__(self, server: "LimitedServer") -> None:
-        self._server = server
-        self._transport: asyncio.Transport | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Wait for the first bytes of a request."""
-        self._transport = transport
-        self._server.guard.add_waiting(self)
-        asyncio.get_running_loop().call_later(MAX_WAIT_SECONDS, self._end_wait)
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Forget the connection."""
-        self._server.guard.discard_waiting(self)
-
-    def data_received(self, data: bytes) -> None:
-        """Hand the connection to the protocol that serves it, or that refuses it."""
-        self._server.guard.discard_waiting(self)
-        protocol = self._server.replace_silent()
-        self._transport.set_protocol(protocol)
-        protocol.connection_made(self._transport)
-        protocol.data_received(data)
-
-    def abort(self) -> None:
-        """Close the connection at once."""
-        self._transport.abort()
-
-    def _end_wait(self) -> None:
-        if self._transport.get_protocol() is self:
-            self._transport.abort()
-
-
 class LimitedServer(web.Server):
     """Server with a limit on its open connections.
 
@@ -151,7 +76,7 @@
         self.guard = guard
         self.max_connections = max_connections
         self.silent_connections: dict[GuardedConnection, None] = {}
-        self._refused: set[_FullConnection] = set()
+        self._refused: set[FullConnection] = set()
 
     def __call__(self) -> asyncio.Protocol:
         """Return the protocol of a new connection."""
@@ -161,11 +86,11 @@
             has_room = len(found) < self.max_connections + MAX_REFUSED_CONNECTIONS
             if not (has_room and self.guard.make_room(self, found)):
                 if has_room and self.silent_connections:
-                    return _WaitingConnection(self)
+                    return WaitingConnection(self.guard, self._replace_silent)
                 return self._full_connection()
         return self._connection()
 
-    def replace_silent(self) -> asyncio.Protocol:
+    def _replace_silent(self) -> asyncio.Protocol:
         """Return the protocol of a connection that has sent something while it waited.
 
         The oldest connection that has never sent anything is closed for it.
@@ -177,9 +102,9 @@
         self.guard.close_silent(oldest)
         return self._connection()
 
-    def _full_connection(self) -> _FullConnection:
+    def _full_connection(self) -> FullConnection:
         self.guard.count(CloseReason.CONNECTIONS)
-        return _FullConnection(self._refused)
+        return FullConnection(self._refused)
 
     def _connection(self) -> GuardedConnection:
         return GuardedConnection(self, self.guard, loop=self._loop, **self._kwargs)
--- a/tests/caller/test_ingress_bodies.py
+++ b/tests/caller/test_ingress_bodies.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lacewingstair.caller.connections.connection_budget import Stage
 from lacewingstair.caller.ingress import Ingress
 from lacewingstair.caller.messages.body_budget import BodyBudget
 from lacewingstair.metadata.configuration import ConfigurationStore
@@ -215,6 +216,29 @@
     with_ingress(check)
 
 
+def test_a_body_that_must_make_room_is_refused_and_its_call_not_run():
+    """Guards against an upload that is cut without a true answer."""
+
+    async def check(ingress, forwarder, connect):
+        caller = await connect()
+        caller.send_head("q", f"Content-Length: {len(BODY)}")
+        caller.writer.write(BODY[:9000])
+        await until(lambda: ingress._body_budget.held_bytes == 9000)
+        (connection,) = ingress._server.connections
+        holding = connection.holding()
+        assert holding.stage is Stage.UNFINISHED and holding.size > 9000
+        assert connection.give_up()
+        # What is about to be released does not count.
+        assert connection.holding().size < holding.size - 9000 + 1
+        status, head = await caller.answer()
+        assert status == 503
+        assert "Retry-After: " in head and "Connection: close" in head
+        assert ingress._body_budget.held_bytes == 0
+        assert forwarder.calls == []
+
+    with_ingress(check)
+
+
 @pytest.mark.parametrize("mark", [b"\xff", "é".encode()])
 def test_an_id_that_is_no_text_is_refused_before_its_body_is_read(mark):
     """Guards against ids that cannot be passed on, logged or echoed."""
