Clients: fit what they may hold to the memory of the machine

Cause: max_held_bytes was one constant for machines of 200 to 552 MB.

Why it works: the account has at most a quarter of what the machine's memory exceeds 100 MB, which is 25 MB on the smallest machines, and the setting where it is less.

--- a/src/lacewingstair/caller/connections/client_limits.py
+++ b/src/lacewingstair/caller/connections/client_limits.py
@@ -27,6 +27,12 @@
 }
 
 
+# Memory of a process without clients, on a large mesh.
+PROCESS_BYTES = 100_000_000
+MEMORY_PER_HELD_BYTE = 4
+MIN_HELD_BYTES = 1 << 20
+
+
 @attrs.frozen
 class ClientLimits:
     """Limits on each connection, and on all of a process together.
@@ -63,6 +69,24 @@
     idle_seconds: float = 15.0
 
 
+def fit_to_memory(limits: ClientLimits, memory_bytes: int) -> ClientLimits:
+    """Return limits whose clients hold no more than a machine's memory bears.
+
+    The process has a part of the memory to itself. What a client holds takes more than
+    its bytes while it is passed on.
+
+    Parameters
+    ----------
+    limits : ClientLimits
+        Limits of the settings.
+    memory_bytes : int
+        Memory of the machine.
+    """
+    rest = max(0, memory_bytes - PROCESS_BYTES) // MEMORY_PER_HELD_BYTE
+    most = max(MIN_HELD_BYTES, min(limits.max_held_bytes, rest))
+    return attrs.evolve(limits, max_held_bytes=most)
+
+
 # A chunk of one byte has five bytes of framing, and clients pad sizes with zeros.
 FRAMING_PER_BODY_BYTE = 16
 DEFAULT_LIMITS = ClientLimits()
--- a/src/lacewingstair/daemon.py
+++ b/src/lacewingstair/daemon.py
@@ -12,11 +12,13 @@
 from lacewingstair import events
 from lacewingstair.backend_server.announce import AnnouncementServer
 from lacewingstair.caller.calls.options import CallOptions
+from lacewingstair.caller.connections.client_limits import fit_to_memory
 from lacewingstair.caller.connections.connection_guard import ConnectionGuard
 from lacewingstair.caller.server import CallServer
 from lacewingstair.early_listening import SocketsByAddress
 from lacewingstair.errors import ListenError
 from lacewingstair.http_server import application_runner, listen_all
+from lacewingstair.machine import machine_memory_bytes
 from lacewingstair.metrics.daemon import Metrics
 from lacewingstair.operator.api import OperatorApi
 from lacewingstair.operator.health import Health, build_health
@@ -141,7 +143,8 @@
             log_status=self.log_reader.status,
             traffic=self.node.traffic,
         )
-        self.client_guard = ConnectionGuard(settings.calls.client_limits)
+        limits = fit_to_memory(settings.calls.client_limits, machine_memory_bytes())
+        self.client_guard = ConnectionGuard(limits)
         self.metrics.closed_clients.follow(self.client_guard.closes_by_label)
         self._runners: list[web.AppRunner | web.ServerRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
--- a/src/lacewingstair/settings/calls.py
+++ b/src/lacewingstair/settings/calls.py
@@ -119,7 +119,8 @@
         "bytes that clients at all addresses make the process hold: heads, bodies and"
         " answers; beyond it unfinished requests are refused or closed first, and"
         " answers that their clients read last; a single body may have 1.75 times as"
-        " many",
+        " many; on machines with less than some 300 MB, a quarter of what exceeds 100"
+        " MB",
         "bytes",
     )
     idle_seconds: float = seconds(
--- a/src/lacewingstair/sidecar.py
+++ b/src/lacewingstair/sidecar.py
@@ -31,6 +31,7 @@
 from lacewingstair.background_tasks import Run, keep_running
 from lacewingstair.caller.calls.account_calls import AccountCalls
 from lacewingstair.caller.calls.forwarding import Forwarder
+from lacewingstair.caller.connections.client_limits import fit_to_memory
 from lacewingstair.caller.connections.connection_guard import ConnectionGuard
 from lacewingstair.caller.ingress import Ingress
 from lacewingstair.caller.selection.explanation import PlacementExplanation
@@ -38,6 +39,7 @@
 from lacewingstair.errors import ListenError, SettingsError
 from lacewingstair.http_server import listen_all
 from lacewingstair.loop_monitor import LoopMonitor
+from lacewingstair.machine import machine_memory_bytes
 from lacewingstair.metadata.configuration import ConfigurationStore
 from lacewingstair.metadata.freshness import STORE, Freshness
 from lacewingstair.metadata.record_transfer import TransferEncoder
@@ -280,7 +282,7 @@
         self.registration.subscribe(self._announce_entry)
         self.store_era.subscribe(self._write_again)
         self.client_guard = ConnectionGuard(
-            settings.calls.client_limits,
+            fit_to_memory(settings.calls.client_limits, machine_memory_bytes()),
             lambda: (
                 self.links.unsent_bytes
                 + receive_budget.held_bytes
--- a/tests/caller/connections/test_client_limits.py
+++ b/tests/caller/connections/test_client_limits.py
@@ -7,7 +7,11 @@
 from result import Err, Ok
 
 from lacewingstair.caller.connections.answer_progress import AnswerProgress
-from lacewingstair.caller.connections.client_limits import DEFAULT_LIMITS, CloseReason
+from lacewingstair.caller.connections.client_limits import (
+    DEFAULT_LIMITS,
+    CloseReason,
+    fit_to_memory,
+)
 from lacewingstair.caller.connections.client_progress import ClientProgress
 from lacewingstair.caller.connections.connection_budget import (
     ConnectionBudget,
@@ -81,6 +85,18 @@
     assert progress.is_overdue(1.0, written, 10)
 
 
+@pytest.mark.parametrize(
+    ("memory_mb", "most"),
+    [(200, 25_000_000), (300, 50_000_000), (8000, 48 << 20), (50, 1 << 20)],
+)
+def test_clients_hold_no_more_than_the_memory_of_the_machine_bears(memory_mb, most):
+    """Guards against a small machine whose process ends within its limits."""
+    found = fit_to_memory(DEFAULT_LIMITS, memory_mb * 1_000_000).max_held_bytes
+    assert found == most
+    fewer = attrs.evolve(DEFAULT_LIMITS, max_held_bytes=2 << 20)
+    assert fit_to_memory(fewer, memory_mb * 1_000_000).max_held_bytes <= 2 << 20
+
+
 def running(**sizes):
     return {name: Holding(Stage.RUNNING, size) for name, size in sizes.items()}
 
