Chunked bodies: one timer for all that wait for their pace

What operators would have seen: processor time that grows while chunked bodies of small chunks wait. Cause: a connection that waited again while the guard went through its line started a timer of its own beside that of the guard, and each of these did the same. A flag lets one timer run at a time: the new test allows two for each part, and failed before (it also checks that a paced body arrives whole).

--- a/src/lacewingstair/caller/connections/connection_guard.py
+++ b/src/lacewingstair/caller/connections/connection_guard.py
@@ -105,6 +105,7 @@
         self._pace = ParsingPace(time.monotonic())
         # Connections whose next part is parsed once the pace allows it.
         self._paced: deque[Connection] = deque()
+        self._is_parsing_scheduled = False
         # At all addresses, the oldest first; values are None.
         self._waiting: dict[WaitingConnection, None] = {}
         # Connections that may make room for new ones, since the last sweep.
@@ -162,16 +163,19 @@
             return True
         if connection not in self._paced:
             self._paced.append(connection)
-        if len(self._paced) == 1:
-            self._schedule_parsing(loop)
+        self._schedule_parsing(loop)
         return False
 
     def _schedule_parsing(self, loop: asyncio.AbstractEventLoop) -> None:
+        if self._is_parsing_scheduled:
+            return
+        self._is_parsing_scheduled = True
         delay = self._pace.delay_seconds(time.monotonic())
         loop.call_later(max(MIN_PARSING_DELAY_SECONDS, delay), self._parse_next, loop)
 
     def _parse_next(self, loop: asyncio.AbstractEventLoop) -> None:
         """Let connections parse on in the order in which they began to wait."""
+        self._is_parsing_scheduled = False
         for _ in range(len(self._paced)):
             if self._pace.delay_seconds(time.monotonic()):
                 break
--- a/tests/caller/connections/test_guarded_connection.py
+++ b/tests/caller/connections/test_guarded_connection.py
@@ -8,8 +8,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from lacewingstair.caller.connections import parsing_pace
 from lacewingstair.caller.connections.client_limits import DEFAULT_LIMITS, CloseReason
 from lacewingstair.caller.connections.connection_guard import ConnectionGuard
+from lacewingstair.caller.connections.guarded_connection import MAX_CHUNKED_PART
 from lacewingstair.caller.messages.raw_response import RawResponse
 from lacewingstair.http_server import call_server
 
@@ -223,6 +225,34 @@
     with_connection(check)
 
 
+def test_a_body_of_small_chunks_arrives_whole_at_its_pace(monkeypatch):
+    """Guards against a body that waits for ever, and timers that multiply."""
+    monkeypatch.setattr(parsing_pace, "BURST_SECONDS", 0.0)
+    monkeypatch.setattr(parsing_pace, "SHARE", 0.9)
+    body = bytes(range(256)) * 40
+    chunked = b"".join(b"1\r\n%c\r\n" % byte for byte in body) + b"0\r\n\r\n"
+
+    async def check(guard, connection, transport):
+        loop, timers = asyncio.get_running_loop(), []
+        call_later = loop.call_later
+
+        def count_timer(delay, callback, *arguments):
+            # The pauses of this test are timers, too.
+            if callback == guard._parse_next:
+                timers.append(delay)
+            return call_later(delay, callback, *arguments)
+
+        monkeypatch.setattr(loop, "call_later", count_timer)
+        connection.data_received(CHUNKED.partition(b"4;")[0] + chunked)
+        async with asyncio.timeout(60):
+            while body not in transport.written:  # noqa: ASYNC110 - plain state
+                await asyncio.sleep(0.001)
+        parts = len(chunked) / MAX_CHUNKED_PART
+        assert 0 < len(timers) <= 2 * parts + 2
+
+    with_connection(check, limits=attrs.evolve(LIMITS, max_framing_bytes=1 << 20))
+
+
 def test_a_response_that_is_written_in_parts_is_not_cut_off():
     """Guards against a long download that is closed although its client reads."""
 
