--- a/src/lacewingstair/caller/connections/guarded_connection.py
+++ b/src/lacewingstair/caller/connections/guarded_connection.py
@@ -181,11 +181,17 @@
             if self._body is not None or self._buffer_paused:
                 self._parse(data)
             return
-        self._note_received(len(data))
+        if not self._received_bytes and self._manager is not None:
+            self._manager.silent_connections.pop(self, None)
+        self._guard.note(len(data))
         end = self._end_of_only_head(data)
         if end:
+            self._received_bytes += len(data)
             self._parse_at_once(data, end)
+            if self._body is not None or self._head.head_bytes:
+                self._begin_sending(len(data))
             return
+        self._note_sent(len(data))
         start = 0
         if self._unparsed and data:
             data = self._unparsed[self._unparsed_from :] + data
@@ -214,8 +220,8 @@
         size = resp.size if isinstance(resp, RawResponse) else 0
         size = size or request.writer.output_size
         self._written_bytes += size
-        self._note_taken()
         if size > UNCOUNTED_RESPONSE_BYTES:
+            self._note_taken()
             self._guard.note(size)
         if self._paused:
             # The client has not taken what was written.
@@ -262,13 +268,6 @@
         if not isinstance(options.get("exc_info"), _BAD_INPUT):
             super().log_exception(*args, **options)
 
-    def _note_received(self, size: int) -> None:
-        """Count bytes that the client has sent."""
-        if not self._received_bytes and self._manager is not None:
-            self._manager.silent_connections.pop(self, None)
-        self._note_sent(size)
-        self._guard.note(size)
-
     def _must_wait(self) -> bool:
         return self._upgraded or self._reading_paused or self._is_queue_full()
 
--- a/src/lacewingstair/caller/connections/measured_connection.py
+++ b/src/lacewingstair/caller/connections/measured_connection.py
@@ -128,11 +128,17 @@
 
     def _note_sent(self, size: int) -> None:
         """Count bytes that the client has sent."""
-        now = self._loop.time()
+        self._received_bytes += size
         is_first = not (self._head.head_bytes or self._unparsed or self._messages)
         if is_first and self._current_request is None:
-            self._sending.begin(now, self._received_bytes)
-        self._received_bytes += size
+            self._begin_sending(size)
+            return
+        self._sending.note(self._received_bytes, self._loop.time())
+
+    def _begin_sending(self, size: int) -> None:
+        """Note that the latest bytes begin a request that is not complete."""
+        now = self._loop.time()
+        self._sending.begin(now, self._received_bytes - size)
         self._sending.note(self._received_bytes, now)
 
     def _note_queued(self, message: RawRequestMessage | None) -> None:
