--- a/tests/staged_rollouts/test_coordinator_late_order.py
+++ b/tests/staged_rollouts/test_coordinator_late_order.py
@@ -3,7 +3,7 @@
 from lacewingstair.staged_rollouts.marks import RolloutMark
 from lacewingstair.staged_rollouts.policy import Order, Stage
 from lacewingstair.standins.virtual_time import run_virtual
-from tests.caller import test_forwarding
+from tests.caller.calls import test_forwarding
 from tests.staged_rollouts.test_coordinator import Mesh
 
 ORDER = Order("board", "v2", 16.0, 7)
