Connections: end a pause of reading that two causes began

A body that is buffered behind a full queue or waits for its pace pauses the client's connection, and so does its stream when it is full. If the stream had room last, what was received went on to the parser, but the connection stayed paused, and the rest of the body never came: 408 at the deadline. Evidence: a body of 1-byte chunks that is sent only while the connection may be read stayed at 4,990 of 15,360 bytes. Reading of the stream now ends the other pause as well, once nothing waits.

--- a/src/lacewingstair/caller/connections/guarded_connection.py
+++ b/src/lacewingstair/caller/connections/guarded_connection.py
@@ -298,8 +298,12 @@
         A stream calls this for each chunk that is read from it, also if it did not
         pause the connection.
         """
-        if self._reading_paused:
-            super().resume_reading(resume_parser)
+        if not self._reading_paused:
+            return
+        super().resume_reading(resume_parser)
+        # What waited for room in the stream was received before another pause.
+        if self._buffer_paused and not self._must_wait():
+            self._resume_reading_if_drained()
 
     def _resume_reading_for_buffer(self) -> None:
         """Let the client send again, once all it has sent is with the parser."""
--- a/tests/caller/connections/test_guarded_connection.py
+++ b/tests/caller/connections/test_guarded_connection.py
@@ -33,6 +33,7 @@
         self.written = b""
         self.is_aborted = False
         self.is_ended = False
+        self.is_paused = False
 
     def write(self, data):
         self.written += data
@@ -53,10 +54,10 @@
         self.is_ended = True
 
     def pause_reading(self):
-        pass
+        self.is_paused = True
 
     def resume_reading(self):
-        pass
+        self.is_paused = False
 
 
 async def echo(request):
@@ -253,6 +254,47 @@
     with_connection(check, limits=attrs.evolve(LIMITS, max_framing_bytes=1 << 20))
 
 
+@pytest.mark.parametrize("burst_seconds", [0.0, 60.0])
+@pytest.mark.parametrize("piece_bytes", [3000, 30_000, 100_000])
+@pytest.mark.parametrize("is_chunked", [True, False])
+def test_a_client_that_sends_only_when_it_may_is_not_forgotten(
+    monkeypatch, burst_seconds, piece_bytes, is_chunked
+):
+    """Guards against a pause of reading that nothing ends."""
+    monkeypatch.setattr(parsing_pace, "BURST_SECONDS", burst_seconds)
+    monkeypatch.setattr(parsing_pace, "SHARE", 0.9)
+    if is_chunked:
+        body = bytes(range(256)) * 60
+        chunks = b"".join(b"1\r\n%c\r\n" % byte for byte in body)
+        data = CHUNKED.partition(b"4;")[0] + chunks + b"0\r\n\r\n" + GET
+    else:
+        body = bytes(range(256)) * 3000
+        data = POST.partition(b"9\r\n")[0] + b"%d\r\n\r\n" % len(body) + body + GET
+
+    async def check(guard, connection, transport):
+        sent = 0
+        async with asyncio.timeout(60):
+            while transport.written.count(b"HTTP/1.1 200") < 2:
+                await asyncio.sleep(0.0005)
+                while not transport.is_paused and sent < len(data):
+                    connection.data_received(data[sent : sent + piece_bytes])
+                    sent += piece_bytes
+        assert body in transport.written
+
+    with_connection(check, slow_echo, attrs.evolve(LIMITS, max_framing_bytes=1 << 20))
+
+
+async def slow_echo(request):
+    parts = []
+    while part := await request.content.readany():
+        parts.append(part)
+        await asyncio.sleep(0.002)
+    text = request.path.encode() + b" " + b"".join(parts)
+    return RawResponse(
+        200, b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % len(text), text
+    )
+
+
 def test_a_response_that_is_written_in_parts_is_not_cut_off():
     """Guards against a long download that is closed although its client reads."""
 
