Uploads: begin none behind what other VMs have not taken

Cause: an upload is written to the stream of its VM whole. If that VM takes it more slowly than clients send, it waits in the stream; its caller's end releases the body but not what is in the stream, and the stream was dropped at 64 MiB with all calls on it. Several uploads could also complete between two checks of the account, hold more than their share, and push an answer out that its caller read.

Why it works: beyond 16 MiB in all streams a body of 64 KiB or more is refused, not run, and so is one that is complete while calls in progress hold two fifths of the account. Small calls go on. A stream now bears a body of the largest size behind what may wait.

The unit tests failed before, as there was no such rule.

--- a/src/lacewingstair/caller/calls/forwarding.py
+++ b/src/lacewingstair/caller/calls/forwarding.py
@@ -33,6 +33,11 @@
 
 # Largest number of refusals by gates and backend servers that one call may collect.
 MAX_REFUSALS = 4
+# Calls with larger bodies are not begun while more than this waits in the streams to
+# other VMs: their callers may be gone before it is taken.
+LARGE_BODY_BYTES = 64 << 10
+MAX_UNSENT_BYTES = 16 << 20
+UNSENT_RETRY_AFTER_MS = 500.0
 # Share of the allowance for direct retries. The rest is reserved for calls that retried
 # runs make, which are counted only after they were made.
 RETRY_BUDGET_SHARE = 0.8
@@ -369,6 +374,12 @@
         if vm_id == self._own_entry().vm_id:
             return await self._gate.run(request)
         link = self._links.get(vm_id)
+        is_large = len(call.body) >= LARGE_BODY_BYTES
+        if is_large and self._links.unsent_bytes > MAX_UNSENT_BYTES:
+            reason = RefusalReason.FULL
+            return CallRefused(
+                0, reason, UNSENT_RETRY_AFTER_MS, False, self._gate.load()
+            )
         if link is None:
             reason = RefusalReason.UNREACHABLE
             return CallRefused(0, reason, 0.0, False, self._gate.load())
--- a/src/lacewingstair/caller/connections/connection_budget.py
+++ b/src/lacewingstair/caller/connections/connection_budget.py
@@ -28,6 +28,8 @@
 # Calls in progress may hold this share; further ones are refused, so that none of them
 # is cut for its memory.
 RUNNING_SHARE = 0.75
+# Beyond this share, no call with a large body is begun.
+LARGE_RUNNING_SHARE = 0.4
 
 ConnectionT = TypeVar("ConnectionT", bound=Hashable)
 
@@ -101,14 +103,15 @@
 
     Attributes
     ----------
-    has_room : bool
-        Whether further calls may begin, as of the latest check.
+    has_room, has_room_for_large : bool
+        Whether further calls may begin, and those with large bodies, as of the latest
+        check.
     """
 
     def __init__(self, limits: ClientLimits) -> None:
         self._limits = limits
         self._unchecked_bytes = 0
-        self.has_room = True
+        self.has_room = self.has_room_for_large = True
 
     def note(self, size: int) -> bool:
         """Count bytes that were received or written; return whether to check."""
@@ -133,10 +136,11 @@
         sizes = [found.size for found in holdings.values()]
         total, largest = sum(sizes), max(sizes, default=0)
         if total - largest + other_bytes <= most * QUIET_SHARE:
-            self.has_room = True
+            self.has_room = self.has_room_for_large = True
             return []
         running = sum(found.running_size for found in holdings.values())
         self.has_room = running <= allowed * RUNNING_SHARE
+        self.has_room_for_large = running <= allowed * LARGE_RUNNING_SHARE
         if total <= allowed:
             return []
         return _first_to_close(holdings, total - allowed)
--- a/src/lacewingstair/caller/connections/connection_guard.py
+++ b/src/lacewingstair/caller/connections/connection_guard.py
@@ -121,6 +121,11 @@
         """Whether further calls may begin."""
         return self._budget.has_room
 
+    @property
+    def has_room_for_large(self) -> bool:
+        """Whether further calls with large bodies may begin."""
+        return self._budget.has_room_for_large
+
     def closes_by_label(self) -> dict[tuple[str], int]:
         """Return the refusals and closes by the label of their reason."""
         counts = self.closed_by_reason.items()
--- a/src/lacewingstair/caller/ingress.py
+++ b/src/lacewingstair/caller/ingress.py
@@ -18,6 +18,7 @@
 )
 from lacewingstair.caller.calls.elapsed_wait import ElapsedWaitEstimator
 from lacewingstair.caller.calls.forwarding import (
+    LARGE_BODY_BYTES,
     ForwardedCall,
     Forwarder,
     ForwardingFailure,
@@ -115,6 +116,7 @@
         self._elapsed_wait = ElapsedWaitEstimator()
         self._body_budget = BodyBudget()
         self._has_room: Callable[[], bool] = lambda: True
+        self._has_room_for_large: Callable[[], bool] = lambda: True
         self._open_calls: set[OpenCall] = set()
         self._nested_calls = NestedCalls()
         self._server: CallServer | None = None
@@ -134,6 +136,7 @@
             most = int(guard.limits.max_held_bytes * LARGE_BODY_FACTOR)
             self._body_budget = BodyBudget(most)
             self._has_room = lambda: guard.has_room
+            self._has_room_for_large = lambda: guard.has_room_for_large
         self._server = call_server(
             self.handle,
             lambda: self.is_draining,
@@ -245,8 +248,7 @@
         if refusal is not None:
             return Err(self._refuse(request, refusal.status, refusal.reason))
         if not self._has_room():
-            delay = MEMORY_FULL_RETRY_AFTER_SECONDS
-            return Err(self._refuse(request, 503, "memory for calls is full", delay))
+            return Err(self._refuse_full(request))
         if not headers.is_valid_request_id(request_id):
             reason = f"{headers.REQUEST_ID} {request_id[:40]!r} is not printable ASCII"
             return Err(self._refuse(request, 400, reason))
@@ -287,7 +289,11 @@
             fault = body.err_value
             delay = fault.retry_after_seconds
             return Err(self._refuse(request, fault.status, fault.reason, delay))
-        # The process may have begun to stop while the body arrived.
+        # Others may have come first while the body arrived.
+        is_large = len(body.ok_value) >= LARGE_BODY_BYTES
+        if is_large and not self._has_room_for_large():
+            return Err(self._refuse_full(request))
+        # The process may have begun to stop meanwhile.
         if not self.stop_admission.admits(named.name, deadline_at):
             return Err(self._refuse_stopping(request))
         return Ok(
@@ -349,6 +355,10 @@
         asked_ms = headers.deadline_ms(request.headers)
         return route.timeout_ms if asked_ms is None else min(route.timeout_ms, asked_ms)
 
+    def _refuse_full(self, request: web.BaseRequest) -> RawResponse:
+        delay = MEMORY_FULL_RETRY_AFTER_SECONDS
+        return self._refuse(request, 503, "memory for calls is full", delay)
+
     def _refuse_stopping(self, request: web.BaseRequest) -> RawResponse:
         delay = STOPPING_RETRY_AFTER_SECONDS
         return self._refuse(request, 503, "the VM is shutting down", delay)
--- a/src/lacewingstair/vm/call_streams.py
+++ b/src/lacewingstair/vm/call_streams.py
@@ -20,7 +20,7 @@
 READ_BYTES = 256 << 10
 CONNECT_TIMEOUT_SECONDS = 1.0
 # A peer that reads too slowly is disconnected when its write buffer exceeds this.
-MAX_QUEUED_BYTES = 64 << 20
+MAX_QUEUED_BYTES = 96 << 20
 
 _decoder_pool = DecoderPool(call_messages.unpacker)
 
--- a/tests/caller/calls/test_forwarding.py
+++ b/tests/caller/calls/test_forwarding.py
@@ -4,6 +4,8 @@
 import pytest
 
 from lacewingstair.caller.calls.forwarding import (
+    LARGE_BODY_BYTES,
+    MAX_UNSENT_BYTES,
     ForwardedCall,
     Forwarder,
     ForwardingFailure,
@@ -67,7 +69,7 @@
 
 
 class Links(dict):
-    pass
+    unsent_bytes = 0
 
 
 class ClosedGate:
@@ -102,7 +104,15 @@
 
 
 def forward(
-    *links, route=ROUTE, calls=1, stage=None, parent_is_retry=False, gate=None, **values
+    *links,
+    route=ROUTE,
+    calls=1,
+    stage=None,
+    parent_is_retry=False,
+    gate=None,
+    body=b"",
+    unsent_bytes=0,
+    **values,
 ):
     """Forward calls one after the other; return their outcomes, or that of one call."""
 
@@ -112,10 +122,12 @@
         view.merge(attrs.evolve(entry("own"), service="other"))
         for link in links:
             view.merge(entry(link.vm_id, link.zone, link.load.version))
+        links_by_vm_id = Links({link.vm_id: link for link in links})
+        links_by_vm_id.unsent_bytes = unsent_bytes
         forwarder = Forwarder(
             lambda: view.get("own"),
             view,
-            Links({link.vm_id: link for link in links}),
+            links_by_vm_id,
             gate or ClosedGate(),
             rollouts_at(stage),
             clock,
@@ -132,7 +144,7 @@
                 "GET",
                 "/a/",
                 b"",
-                b"",
+                body,
                 now + 0.6,
                 now + 1.2,
                 parent_is_retry,
@@ -172,6 +184,24 @@
     assert outcome(True).status == 200
 
 
+def test_no_call_with_a_large_body_is_sent_behind_many_others():
+    """Guards against uploads that wait in streams although their callers have left."""
+    body = bytes(LARGE_BODY_BYTES)
+
+    def outcome(unsent_bytes, body):
+        link = Link("a", answer())
+        gate = ClosedGate()
+        gate.load = lambda: LOAD
+        found = forward(link, unsent_bytes=unsent_bytes, body=body, gate=gate)
+        return found, len(link.calls)
+
+    assert outcome(MAX_UNSENT_BYTES, body)[0].status == 200
+    assert outcome(MAX_UNSENT_BYTES + 1, body[1:])[0].status == 200
+    refusal, sent_calls = outcome(MAX_UNSENT_BYTES + 1, body)
+    assert refusal.is_not_run and refusal.retry_after_ms > 0
+    assert sent_calls == 0
+
+
 def test_a_call_refused_by_all_is_not_run_and_has_a_retry_delay():
     links = [Link(vm_id, refused()) for vm_id in "abcdef"]
     outcome = forward(*links)
--- a/tests/caller/connections/test_client_limits.py
+++ b/tests/caller/connections/test_client_limits.py
@@ -164,6 +164,11 @@
     size = 100 << 10
     calls = {n: Holding(Stage.RUNNING, size, running_size=size) for n in range(8)}
     assert budget.excess(calls, 0) == [] and not budget.has_room
+    few = dict(list(calls.items())[:5])
+    assert budget.excess(few, 0) == [] and budget.has_room
+    assert not budget.has_room_for_large
+    assert budget.excess(dict(list(calls.items())[:4]), 0) == []
+    assert budget.has_room_for_large
     assert budget.excess(dict(list(calls.items())[:7]), 0) == [] and budget.has_room
     # Unfinished requests make way, and keep nobody out.
     heads = {-n: Holding(Stage.UNFINISHED, 100 << 10) for n in range(1, 99)}
